--- a/claim/copies.go
+++ b/claim/copies.go
@@ -236,8 +236,12 @@
 func (n *Node) onOrphans(p *peer, m *schema.Duplicate) {
 	for _, pb := range m.Records {
 		key := request.Key{Organisation: pb.Organisation, ID: pb.Id}
-		if r := n.records[key]; r != nil && r.state != schema.RecordState_REFUSED {
-			continue
+		if r := n.records[key]; r != nil {
+			if r.state != schema.RecordState_REFUSED {
+				continue
+			}
+			// The versions of both VMs were counted apart.
+			pb.Version = max(pb.Version, r.version+1)
 		}
 		n.merge(pb)
 		n.markDirty(n.records[key])
--- a/claim/holder.go
+++ b/claim/holder.go
@@ -30,6 +30,8 @@
 	copiedInc     uint64
 	copiedVersion uint32
 
+	// granted: its claim may have been granted, here or by an earlier holder.
+	granted bool
 	waiters []waiter
 }
 
@@ -39,6 +41,13 @@
 	call   uint64
 	intent schema.Intent
 	repeat bool
+	// arrived is when the request reached its dispatcher, at the latest.
+	arrived time.Duration
+}
+
+func (n *Node) waiterOf(from uint32, m *schema.Claim) waiter {
+	arrived := n.now - fromMillis(m.AgeMs) - time.Millisecond
+	return waiter{from: from, call: m.Call, intent: m.Intent, repeat: m.Repeat, arrived: arrived}
 }
 
 // birth orders records by age, so that expiry needs no scan.
@@ -88,17 +97,21 @@
 
 func (n *Node) claimAsStandIn(p *peer, from uint32, inc uint64, key request.Key, hash uint64, m *schema.Claim) {
 	r := n.records[key]
+	w := n.waiterOf(from, m)
 	switch {
+	case r == nil && n.doubtful(false, w.arrived):
+		n.answerClaim(nil, w, schema.Verdict_DOUBTFUL)
 	case r == nil || r.state == schema.RecordState_REFUSED && r.refusedAttempt == 0:
 		if len(n.records) >= n.cfg.MaxRecords {
 			n.reply(from, &schema.ClaimResult{Call: m.Call, Verdict: schema.Verdict_FULL})
 			return
 		}
 		r = n.claimRecord(r, key, hash, from, inc, m)
+		r.granted = true
 		p.orphans = append(p.orphans, key)
-		n.answerClaim(r, waiter{from: from, call: m.Call}, schema.Verdict_GRANTED)
+		n.answerClaim(r, w, schema.Verdict_GRANTED)
 	case r.sameClaim(from, inc, m.Call) && r.state == schema.RecordState_CLAIMED:
-		n.answerClaim(r, waiter{from: from, call: m.Call}, schema.Verdict_GRANTED)
+		n.answerClaim(r, w, schema.Verdict_GRANTED)
 	default:
 		n.answerExisting(r, from, m)
 	}
@@ -116,7 +129,7 @@
 		n.answerExisting(r, from, m)
 		return
 	}
-	w := waiter{from: from, call: m.Call, intent: m.Intent, repeat: m.Repeat}
+	w := n.waiterOf(from, m)
 	switch {
 	case r.digest != 0 && m.BodyDigest != 0 && r.digest != m.BodyDigest:
 		n.answerClaim(r, w, schema.Verdict_CONFLICT)
@@ -137,9 +150,9 @@
 
 // claimAbsent answers a claim for a key without a record.
 func (n *Node) claimAbsent(from uint32, inc uint64, key request.Key, hash uint64, m *schema.Claim, alone bool) {
-	w := waiter{from: from, call: m.Call, intent: m.Intent, repeat: m.Repeat}
+	w := n.waiterOf(from, m)
 	switch {
-	case m.Repeat && (alone || n.doubtful()):
+	case m.Repeat && alone, n.doubtful(m.Repeat, w.arrived):
 		n.answerClaim(nil, w, schema.Verdict_DOUBTFUL)
 	case m.Intent == schema.Intent_FIND:
 		n.answerClaim(nil, w, schema.Verdict_ABSENT)
@@ -180,6 +193,7 @@
 	default:
 		r.state = schema.RecordState_CLAIMED
 	}
+	r.granted = false
 	r.changed()
 	n.markDirty(r)
 	return r
@@ -215,17 +229,20 @@
 	return r.copiedTo == b.id && r.copiedInc == b.inc && r.copiedVersion == r.version
 }
 
-// settle answers a claim whose record counts. A holder that lost touch with
-// its backup meanwhile grants no repeat: the backup may have granted the key.
+// settle answers a claim whose record counts. A holder that meanwhile lost its
+// backup, or touch with it, grants no repeat: the backup may have granted the
+// key in its place.
 func (n *Node) settle(r *record, w waiter) {
 	b := n.backup(r.hash)
-	if w.repeat && b != nil && b.solo {
+	alone := b != nil && b.solo
+	if !r.granted && (w.repeat && alone || n.doubtful(w.repeat, w.arrived)) {
 		if r.call == w.call && r.dispatcher == w.from {
 			n.withdraw(r)
 		}
 		n.answerClaim(r, w, schema.Verdict_DOUBTFUL)
 		return
 	}
+	r.granted = true
 	n.answerClaim(r, w, schema.Verdict_GRANTED)
 }
 
@@ -369,6 +386,7 @@
 	r.digest, r.state, r.version = pb.BodyDigest, pb.State, pb.Version
 	r.dispatcher, r.dispatcherInc, r.call = pb.Dispatcher, pb.DispatcherIncarnation, pb.Call
 	r.endpoint, r.stream, r.refusedAttempt = pb.Endpoint, pb.Stream, pb.RefusedAttempt
+	r.granted = true
 	r.refusedAt = 0
 	if pb.RefusedAgeMs > 0 {
 		r.refusedAt = n.now - fromMillis(pb.RefusedAgeMs-1)
--- a/claim/join.go
+++ b/claim/join.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chivefield/chivefield/rendezvous"
 	"github.com/chivefield/chivefield/schema"
 )
 
@@ -67,7 +68,7 @@
 func (n *Node) activate() {
 	n.phase = active
 	if !n.vouched && !n.fresh {
-		n.addLost(n.cfg.Self.ID, earlierLife, n.now+n.cfg.TTL)
+		n.addLost(n.cfg.Self.ID, earlierLife, n.now, n.now+n.cfg.TTL)
 	}
 	n.rosterChanged()
 }
@@ -112,7 +113,8 @@
 	}
 }
 
-// recordsFor lists the records whose holder is the given member.
+// recordsFor lists the records that rank the given member above this VM. It may
+// know of deaths that are not known here, and so be the holder of any of them.
 func (n *Node) recordsFor(id uint32) []*schema.Record {
 	var list []*schema.Record
 	for _, b := range n.order {
@@ -120,7 +122,7 @@
 		if r == nil || r.born != b.at {
 			continue
 		}
-		if h, ok := n.holder(r.hash); ok && h == id {
+		if rendezvous.Weight(r.hash, id) > rendezvous.Weight(r.hash, n.cfg.Self.ID) {
 			list = append(list, n.export(r))
 		}
 	}
@@ -178,7 +180,7 @@
 		return
 	}
 	for _, p := range n.peers {
-		if !p.member || p.goodbyeAcked || n.now < p.joinAt {
+		if !p.member || p.goodbyeAcked || len(p.orphans) > 0 || n.now < p.joinAt {
 			continue
 		}
 		p.joinAt = n.now + n.cfg.Retry
@@ -200,7 +202,7 @@
 	p.beatEpoch = m.Epoch
 	clean := n.hasAllOf(p)
 	if !clean {
-		n.addLost(p.id, p.inc, n.now+n.cfg.TTL)
+		n.addLost(p.id, p.inc, n.now, n.now+n.cfg.TTL)
 	}
 	n.out.Takeovers = append(n.out.Takeovers, Takeover{VM: p.id, Clean: clean})
 	p.member = false
--- a/claim/roster.go
+++ b/claim/roster.go
@@ -39,15 +39,19 @@
 
 	// This VM as holder, the peer as backup.
 
-	beatSeq  uint64        // last heartbeat sent
-	beatAck  uint64        // highest heartbeat it acked
-	ackedAt  time.Duration // when that ack came
-	solo     bool          // its silence outlasted the lease: grant without it
-	epoch    uint64        // grows with each solo period
-	dupSeq   uint64
-	dirty    []request.Key
-	inFlight []*flightOfCopies
-	syncSent bool
+	beatSeq uint64        // last heartbeat sent
+	beatAck uint64        // highest heartbeat it acked
+	ackedAt time.Duration // when that ack came
+	beats   []sentAck     // heartbeats sent and not acked yet
+	// heardUntil is how long the peer heard this VM for certain: until then it
+	// granted nothing in this VM's place.
+	heardUntil time.Duration
+	solo       bool   // its silence outlasted the lease: grant without it
+	epoch      uint64 // grows with each solo period
+	dupSeq     uint64
+	dirty      []request.Key
+	inFlight   []*flightOfCopies
+	syncSent   bool
 
 	// The peer as holder, this VM as backup.
 
@@ -67,15 +71,19 @@
 	goodbyeAcked bool
 }
 
+// sentAck is the number of a heartbeat or its ack, and when it was sent.
 type sentAck struct {
 	seq uint64
 	at  time.Duration
 }
 
+// lostIncarnation died at some time before diedBy with grants that nobody
+// alive may know of. No request of its time comes back after until.
 type lostIncarnation struct {
-	vm    uint32
-	inc   uint64
-	until time.Duration
+	vm     uint32
+	inc    uint64
+	diedBy time.Duration
+	until  time.Duration
 }
 
 // admit notes that an incarnation of a peer lives. It reports whether the
@@ -85,7 +93,7 @@
 		return false
 	}
 	if inc > p.inc {
-		n.bury(p)
+		n.bury(p, true)
 		// Sequence numbers go on, so that a late ack of the old incarnation
 		// matches nothing sent to the new one.
 		*p = peer{id: p.id, inc: inc, ackedAt: n.now - n.cfg.Lease, beatSeq: p.beatSeq, beatAck: p.beatSeq, dupSeq: p.dupSeq}
@@ -103,44 +111,62 @@
 		if p.inc < inc {
 			n.admit(p, inc)
 		}
-		n.bury(p)
+		n.bury(p, true)
 		n.progressJoin()
 	}
 	n.runLocal()
 }
 
-// PeerAbsent reports that nothing listens at the peer's address. It proves
-// nothing about an incarnation that was heard before.
-func (n *Node) PeerAbsent(now time.Duration, vm uint32) {
+// PeerAbsent reports that nothing listens at the peer's address. inc is the
+// incarnation known, by Incarnation, before the address was tried; 0 for none.
+// A process listens as long as it lives, so that incarnation has ended; a newer
+// one may have been heard since, and is not meant.
+func (n *Node) PeerAbsent(now time.Duration, vm uint32, inc uint64) {
 	n.now = now
-	if p := n.peer(vm); p != nil && p.inc == 0 {
-		p.absent = true
-		n.progressJoin()
+	p := n.peer(vm)
+	if p == nil || p.inc != inc {
+		return
+	}
+	p.absent = inc == 0
+	n.bury(p, true)
+	n.progressJoin()
+	n.runLocal()
+}
+
+// Incarnation returns the newest incarnation heard of a peer, 0 for none.
+func (n *Node) Incarnation(vm uint32) uint64 {
+	if p := n.peer(vm); p != nil {
+		return p.inc
 	}
+	return 0
 }
 
-// PeerGone reports that the platform's list has dropped the VM.
+// PeerGone reports that the platform's list has dropped the VM. The list lags
+// and may be wrong, so such a death is never clean.
 func (n *Node) PeerGone(now time.Duration, vm uint32) {
 	n.now = now
 	n.gone[vm] = true
 	if p := n.peer(vm); p != nil {
 		p.absent = p.inc == 0
-		n.bury(p)
+		n.bury(p, false)
 		n.progressJoin()
 	}
 	n.runLocal()
 }
 
 // bury notes the death of a peer's incarnation and judges whether every claim
-// it counted is known here.
-func (n *Node) bury(p *peer) {
+// it granted is known here: as holder with this VM's copy, and as stand-in for
+// this VM, which it is only after it has not heard this VM for a lease.
+//
+// ended says that the process has certainly ended by now.
+func (n *Node) bury(p *peer, ended bool) {
 	if p.dead || p.inc == 0 {
 		return
 	}
 	if p.member {
-		clean := n.hasAllOf(p) && n.now < p.cleanUntil
+		clean := ended && n.hasAllOf(p) && n.now < p.cleanUntil && n.now < p.heardUntil
 		if !clean {
-			n.addLost(p.id, p.inc, n.now+n.cfg.TTL)
+			n.addLost(p.id, p.inc, n.now, n.now+n.cfg.TTL)
 		}
 		n.out.Takeovers = append(n.out.Takeovers, Takeover{VM: p.id, Clean: clean})
 	}
@@ -157,21 +183,25 @@
 	return p.syncRoster == n.rosterHash() && p.syncEpoch == p.beatEpoch
 }
 
-func (n *Node) addLost(vm uint32, inc uint64, until time.Duration) {
+func (n *Node) addLost(vm uint32, inc uint64, diedBy, until time.Duration) {
 	for i := range n.lost {
-		if n.lost[i].vm == vm && n.lost[i].inc == inc {
-			n.lost[i].until = max(n.lost[i].until, until)
+		l := &n.lost[i]
+		if l.vm == vm && l.inc == inc {
+			l.until = max(l.until, until)
+			l.diedBy = max(l.diedBy, diedBy)
 			return
 		}
 	}
-	n.lost = append(n.lost, lostIncarnation{vm: vm, inc: inc, until: until})
+	n.lost = append(n.lost, lostIncarnation{vm: vm, inc: inc, diedBy: diedBy, until: until})
 }
 
 // doubtful reports whether a key without a record may have been granted by an
-// incarnation whose records are lost.
-func (n *Node) doubtful() bool {
+// incarnation whose records are lost. A declared first attempt that arrived
+// after its death cannot: nothing with that key had been sent. One that
+// arrived before may have been overtaken by its own repeat.
+func (n *Node) doubtful(repeat bool, arrived time.Duration) bool {
 	for _, l := range n.lost {
-		if n.now < l.until {
+		if n.now < l.until && (repeat || arrived <= l.diedBy) {
 			return true
 		}
 	}
@@ -182,7 +212,7 @@
 	var list []*schema.Lost
 	for _, l := range n.lost {
 		if n.now < l.until {
-			list = append(list, &schema.Lost{Vm: l.vm, Incarnation: l.inc, RemainingMs: millis(l.until - n.now)})
+			list = append(list, &schema.Lost{Vm: l.vm, Incarnation: l.inc, RemainingMs: millis(l.until - n.now), AgeMs: millis(n.now - l.diedBy)})
 		}
 	}
 	return list
@@ -190,7 +220,7 @@
 
 func (n *Node) mergeLost(list []*schema.Lost) {
 	for _, l := range list {
-		n.addLost(l.Vm, l.Incarnation, n.now+fromMillis(l.RemainingMs))
+		n.addLost(l.Vm, l.Incarnation, n.now-fromMillis(l.AgeMs), n.now+fromMillis(l.RemainingMs))
 	}
 }
 
@@ -266,12 +296,19 @@
 			continue
 		}
 		p.beatSeq++
+		p.beats = append(p.beats, sentAck{seq: p.beatSeq, at: n.now})
+		if len(p.beats) > maxSentAcks {
+			p.beats = p.beats[1:]
+		}
 		n.send(p.id, &schema.Message{Body: &schema.Message_Heartbeat{Heartbeat: &schema.Heartbeat{
 			Seq: p.beatSeq, Acked: p.beatAck, Epoch: p.epoch,
 		}}})
 	}
 }
 
+// leaseOfOthers is a lease on another VM's clock, at the least.
+func (n *Node) leaseOfOthers() time.Duration { return n.cfg.Lease - n.cfg.Lease/clockMargin }
+
 // maxSentAcks bounds the acks remembered for a peer that confirms none.
 const maxSentAcks = 64
 
@@ -304,6 +341,10 @@
 		return
 	}
 	p.beatAck = m.Seq
+	for len(p.beats) > 0 && p.beats[0].seq <= m.Seq {
+		p.heardUntil = p.beats[0].at + n.leaseOfOthers()
+		p.beats = p.beats[1:]
+	}
 	n.backupHeard(p)
 	n.progressJoin()
 }
--- a/claim/search_test.go
+++ b/claim/search_test.go
@@ -111,7 +111,7 @@
 	}
 	for _, id := range s.node.CellPeers() {
 		if !w.state[id].up && !w.isCut(id, vm.ID) {
-			s.node.PeerAbsent(w.now, id)
+			s.node.PeerAbsent(w.now, id, 0)
 		}
 	}
 }
@@ -295,6 +295,13 @@
 				w.collect(t, at)
 			}
 		},
+		"refused": func(t *rapid.T) {
+			away, at := pickVM(t), pickVM(t)
+			if s := w.state[at]; s.up && !s.frozen && !w.state[away].up && !w.isCut(away, at) {
+				s.node.PeerAbsent(w.now, away, s.node.Incarnation(away))
+				w.collect(t, at)
+			}
+		},
 		"cut": func(t *rapid.T) {
 			a, b := pickVM(t), pickVM(t)
 			w.cut[[2]uint32{a, b}] = true
