--- /dev/null
+++ b/cmd/chivefield/operate.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/chivefield/chivefield/config"
+	"github.com/chivefield/chivefield/platform"
+	"github.com/chivefield/chivefield/schema"
+	"github.com/chivefield/chivefield/settings"
+	"github.com/chivefield/chivefield/tomlproto"
+)
+
+// operatorFlags reach a daemon's operator listener.
+type operatorFlags struct {
+	Address string `long:"address" description:"Operator address of a VM" required:"yes"`
+	Key     string `long:"key" env:"CHIVEFIELD_OPERATOR_KEY" description:"Operator key" required:"yes"`
+}
+
+// StatusError reports a refusal by a daemon.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+// Error describes the failure.
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
+
+const callTimeout = 15 * time.Second
+
+func (o *operatorFlags) call(method, path string, body []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+o.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+o.Key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return &StatusError{Status: resp.StatusCode, Body: string(out)}
+	}
+	_, err = os.Stdout.Write(out)
+	return err
+}
+
+type statusCommand struct{ operatorFlags }
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error { return c.call(http.MethodGet, "/status", nil) }
+
+type drainCommand struct{ operatorFlags }
+
+// Execute implements flags.Commander.
+func (c *drainCommand) Execute([]string) error { return c.call(http.MethodPost, "/drain", nil) }
+
+type configCommand struct {
+	Submit submitCommand `command:"submit" description:"Submit a document (TOML); prints accepted, refused or unknown"`
+	Show   showCommand   `command:"show" description:"Print what is in force at a VM"`
+}
+
+type submitCommand struct {
+	operatorFlags
+	Args struct {
+		Document string `positional-arg-name:"DOCUMENT"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *submitCommand) Execute([]string) error {
+	data, err := os.ReadFile(c.Args.Document)
+	if err != nil {
+		return err
+	}
+	return c.call(http.MethodPost, "/config", data)
+}
+
+type showCommand struct{ operatorFlags }
+
+// Execute implements flags.Commander.
+func (c *showCommand) Execute([]string) error { return c.call(http.MethodGet, "/config", nil) }
+
+type checkCommand struct {
+	Args struct {
+		What string `positional-arg-name:"settings|config" choice:"settings" choice:"config"`
+		File string `positional-arg-name:"FILE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	data, err := os.ReadFile(c.Args.File)
+	if err != nil {
+		return err
+	}
+	if err := check(c.Args.What, data); err != nil {
+		return err
+	}
+	fmt.Println(c.Args.File + ": ok")
+	return nil
+}
+
+// UnknownSortError reports a first argument of check that is not known.
+type UnknownSortError struct{ Name string }
+
+// Error describes the failure.
+func (e *UnknownSortError) Error() string { return "check settings or config, not " + e.Name }
+
+func check(what string, data []byte) error {
+	switch what {
+	case "settings":
+		_, err := settings.Parse(data)
+		return err
+	case "config":
+		d := &schema.Document{}
+		faults := tomlproto.Decode(data, d)
+		if len(faults) == 0 {
+			faults = config.Check(d)
+		}
+		if len(faults) > 0 {
+			return &config.FaultsError{Faults: faults}
+		}
+		return nil
+	}
+	return &UnknownSortError{Name: what}
+}
+
+type auditCommand struct {
+	Platform string `long:"platform" description:"Address of the platform" required:"yes"`
+}
+
+// auditLine is one change of configuration.
+type auditLine struct {
+	Offset    uint64   `json:"offset"`
+	At        string   `json:"at"`
+	Author    string   `json:"author"`
+	Comment   string   `json:"comment,omitempty"`
+	Base      uint64   `json:"base"`
+	Judgement string   `json:"judgement"`
+	Version   uint64   `json:"version"`
+	Changed   []string `json:"changed,omitempty"`
+	Faults    []string `json:"faults,omitempty"`
+}
+
+const auditBatch = 256
+
+// Execute implements flags.Commander. It judges the log as every VM does.
+func (c *auditCommand) Execute([]string) error {
+	client := &platform.Client{Base: "http://" + c.Platform, HTTP: http.DefaultClient}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	trail := config.NewTrail()
+	var next uint64
+	for {
+		b, err := client.Read(ctx, next, auditBatch)
+		if err != nil {
+			return err
+		}
+		trail.Begin(b.First)
+		for _, r := range b.Records {
+			rec, err := config.Decode(r.Data)
+			if err != nil {
+				return err
+			}
+			for _, l := range trail.Apply(r.Offset, rec) {
+				printLine(l)
+			}
+			next = r.Offset + 1
+		}
+		if next >= b.Next {
+			return nil
+		}
+	}
+}
+
+func printLine(l config.Line) {
+	out := auditLine{
+		Offset: l.Offset, At: time.UnixMilli(l.UnixMs).UTC().Format(time.RFC3339), Author: l.Author, Comment: l.Comment,
+		Base: l.Base, Judgement: string(l.Judgement), Version: l.Version, Changed: l.Changed,
+	}
+	for _, f := range l.Faults {
+		out.Faults = append(out.Faults, f.String())
+	}
+	data, _ := json.Marshal(out)
+	fmt.Println(string(data))
+}
--- /dev/null
+++ b/daemon/callers.go
@@ -0,0 +1,329 @@
+package daemon
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chivefield/chivefield/config"
+	"github.com/chivefield/chivefield/core"
+	"github.com/chivefield/chivefield/prompt"
+	"github.com/chivefield/chivefield/request"
+	"github.com/chivefield/chivefield/schema"
+	"github.com/chivefield/chivefield/settings"
+)
+
+// Headers of callers.
+const (
+	HeaderKind     = "Chivefield-Kind"
+	HeaderID       = "Chivefield-Request-Id"
+	HeaderAttempt  = "Chivefield-Attempt"
+	HeaderDeadline = "Chivefield-Deadline"
+	HeaderOutcome  = "Chivefield-Outcome"
+)
+
+const (
+	maxIDLength  = 200
+	minDeadline  = time.Millisecond
+	maxDeadline  = 24 * time.Hour
+	maxAttempt   = 1 << 20
+	servicesPath = "/v1/services/"
+	requestsPath = "/v1/requests/"
+)
+
+// badRequest is why a request is refused before it becomes one.
+type badRequest struct {
+	status int
+	code   string
+	text   string
+}
+
+func (d *Daemon) callerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", d.serveCall)
+	mux.HandleFunc("POST /v1/chat/completions", d.serveCall)
+	mux.HandleFunc("POST "+servicesPath+"{kind}", d.serveCall)
+	mux.HandleFunc("DELETE "+requestsPath+"{id}", d.serveCancel)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, struct{}{}) })
+	mux.HandleFunc("GET /readyz", d.serveReady)
+	return mux
+}
+
+// serveReady tells the balancer whether to send requests here.
+func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	s := d.status.Load()
+	if !s.Ready {
+		writeError(w, http.StatusServiceUnavailable, "not_ready", s.Why)
+		return
+	}
+	writeJSON(w, http.StatusOK, s)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// errorBody is the body of every refusal.
+type errorBody struct {
+	Error struct {
+		Code    string `json:"code"`
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+func writeError(w http.ResponseWriter, status int, code, message string) {
+	var b errorBody
+	b.Error.Code, b.Error.Message = code, message
+	writeJSON(w, status, b)
+}
+
+// organisation finds whose key a request carries.
+func (d *Daemon) organisation(r *http.Request) (*config.Rules, *schema.Organisation, *badRequest) {
+	rules := d.rules.Load()
+	if rules == nil {
+		return nil, nil, &badRequest{http.StatusServiceUnavailable, "not_ready", d.status.Load().Why}
+	}
+	org, ok := rules.Organisation(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer "))
+	if !ok {
+		return nil, nil, &badRequest{http.StatusUnauthorized, "unauthenticated", "a valid API key is needed"}
+	}
+	return rules, org, nil
+}
+
+// parse turns an HTTP request into a call, or says what is wrong with it.
+func (d *Daemon) parse(w http.ResponseWriter, r *http.Request) (*callerCall, *badRequest) {
+	rules, org, bad := d.organisation(r)
+	if bad != nil {
+		return nil, bad
+	}
+	body, bad := d.readBody(w, r)
+	if bad != nil {
+		return nil, bad
+	}
+	c := &callerCall{rules: rules, body: body, contentType: r.Header.Get("Content-Type"), final: make(chan outcome, 1)}
+	in, kind, bad := c.readKind(r)
+	if bad != nil {
+		return nil, bad
+	}
+	id, given := requestID(r)
+	if len(id) > maxIDLength {
+		return nil, &badRequest{http.StatusBadRequest, "bad_request_id", "at most 200 characters"}
+	}
+	c.spec = rules.Spec(org, kind, id)
+	c.spec.Digest = xxhash.Sum64(body) | 1
+	c.fillModel(in)
+	if bad := d.fillAttempt(r, c, given); bad != nil {
+		return nil, bad
+	}
+	return c, d.fillDeadline(r, c, kind)
+}
+
+func (d *Daemon) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *badRequest) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(d.set.ReadTimeout))
+	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(d.set.Limits.MaxBodyBytes)))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &badRequest{http.StatusRequestEntityTooLarge, "body_too_large", "the body is over the limit"}
+	case err != nil:
+		return nil, &badRequest{http.StatusBadRequest, "bad_body", "the body could not be read"}
+	}
+	return body, nil
+}
+
+// completionRequest is what is read of a request to a model.
+type completionRequest struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+	Messages  []struct {
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+// readKind finds the request kind: of the path for plain services, else of the
+// header, else the first kind of the model named in the body.
+func (c *callerCall) readKind(r *http.Request) (in completionRequest, k *schema.Kind, bad *badRequest) {
+	name := r.PathValue("kind")
+	if name != "" {
+		k, ok := c.rules.Kind(name)
+		if !ok || k.Path == "" {
+			return in, nil, &badRequest{http.StatusNotFound, "unknown_kind", "no such service kind"}
+		}
+		c.path = k.Path
+		return in, k, nil
+	}
+	if err := json.Unmarshal(c.body, &in); err != nil {
+		return in, nil, &badRequest{http.StatusBadRequest, "bad_body", "the body is not a valid completion request"}
+	}
+	c.path, c.stream = r.URL.Path, in.Stream
+	c.chat = strings.Contains(c.path, "chat")
+	if name = r.Header.Get(HeaderKind); name != "" {
+		k, ok := c.rules.Kind(name)
+		if !ok || k.Model == "" || in.Model != "" && in.Model != k.Model {
+			return in, nil, &badRequest{http.StatusBadRequest, "unknown_kind", "no such kind for this model"}
+		}
+		return in, k, nil
+	}
+	for _, k := range c.rules.Document.Kinds {
+		if k.Model != "" && k.Model == in.Model {
+			return in, k, nil
+		}
+	}
+	return in, nil, &badRequest{http.StatusBadRequest, "unknown_kind", "name the kind in " + HeaderKind}
+}
+
+// fillModel fills in the length and blocks of the prompt.
+func (c *callerCall) fillModel(in completionRequest) {
+	if c.spec.Model == "" {
+		return
+	}
+	text := in.Prompt
+	for _, m := range in.Messages {
+		text += m.Content
+	}
+	c.spec.PromptTokens = prompt.Tokens(text)
+	c.spec.Prefix = prompt.Blocks(text)
+	if in.MaxTokens > 0 {
+		c.spec.OutputTokens = min(in.MaxTokens, c.spec.OutputTokens)
+	}
+}
+
+// requestID returns the caller's id; without one the request cannot be
+// repeated, and gets an id of its own.
+func requestID(r *http.Request) (id string, given bool) {
+	if id = r.Header.Get(HeaderID); id != "" {
+		return id, true
+	}
+	var b [16]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:]), false
+}
+
+func (d *Daemon) fillAttempt(r *http.Request, c *callerCall, given bool) *badRequest {
+	if !given {
+		c.spec.Attempt = request.First
+		c.spec.TrustFirst = true
+		return nil
+	}
+	h := r.Header.Get(HeaderAttempt)
+	if h == "" {
+		if d.set.Claims.UndeclaredAttempt == settings.UndeclaredFirst {
+			c.spec.Attempt = request.First
+		}
+		return nil
+	}
+	n, err := strconv.ParseUint(h, 10, 32)
+	if err != nil || n == 0 || n > maxAttempt {
+		return &badRequest{http.StatusBadRequest, "bad_attempt", HeaderAttempt + " counts from 1"}
+	}
+	c.spec.Attempt = request.Attempt(n)
+	return nil
+}
+
+func (d *Daemon) fillDeadline(r *http.Request, c *callerCall, k *schema.Kind) *badRequest {
+	left := config.Deadline(k)
+	if h := r.Header.Get(HeaderDeadline); h != "" {
+		var err error
+		left, err = time.ParseDuration(h)
+		if err != nil || left > maxDeadline {
+			return &badRequest{http.StatusBadRequest, "bad_deadline", HeaderDeadline + ` is the time left, such as "30s"`}
+		}
+	}
+	if left < minDeadline {
+		return &badRequest{http.StatusBadRequest, "deadline_passed", "no time is left"}
+	}
+	c.spec.Deadline = d.now() + left
+	return nil
+}
+
+// serveCall serves one request of a caller from arrival to its final outcome.
+func (d *Daemon) serveCall(w http.ResponseWriter, r *http.Request) {
+	c, bad := d.parse(w, r)
+	if bad != nil {
+		d.count("callers.bad." + bad.code)
+		writeError(w, bad.status, bad.code, bad.text)
+		return
+	}
+	handle := d.register(c)
+	defer d.forget(handle)
+	w.Header().Set(HeaderID, c.spec.Key.ID)
+	select {
+	case d.events <- item{event: core.Arrive{Handle: handle, Spec: c.spec}}:
+	case <-r.Context().Done():
+		return
+	}
+	out := d.deliver(w, r, c)
+	if out == nil {
+		d.pushGone(handle)
+		return
+	}
+	d.logOutcome(c, out)
+	c.end(w, out)
+}
+
+// pushGone tells the core that the caller left; its own context is over.
+func (d *Daemon) pushGone(handle uint64) {
+	select {
+	case d.events <- item{event: core.CallerGone{Handle: handle}}:
+	case <-d.done:
+	}
+}
+
+// deliver passes the answer on until the final outcome; nil if the caller left.
+func (d *Daemon) deliver(w http.ResponseWriter, r *http.Request, c *callerCall) *outcome {
+	for {
+		a, started := c.current()
+		var changed <-chan struct{}
+		if a != nil {
+			changed = c.pass(w, a)
+		}
+		select {
+		case out := <-c.final:
+			if a, _ := c.current(); a != nil && out.Outcome == request.Answered {
+				c.pass(w, a)
+			}
+			return &out
+		case <-changed:
+		case <-started:
+		case <-r.Context().Done():
+			return nil
+		}
+	}
+}
+
+func (d *Daemon) logOutcome(c *callerCall, out *outcome) {
+	d.count("outcomes." + string(out.Outcome))
+	d.log.Info().Str("request", c.spec.Key.String()).Str("kind", c.spec.Kind).Uint32("tier", uint32(c.spec.Tier)).
+		Str("outcome", string(out.Outcome)).Str("reason", string(out.Reason)).Int64("retry_after_ms", out.RetryAfter.Milliseconds()).Msg("outcome")
+}
+
+// serveCancel stops a request of the same organisation that is served here.
+func (d *Daemon) serveCancel(w http.ResponseWriter, r *http.Request) {
+	_, org, bad := d.organisation(r)
+	if bad != nil {
+		writeError(w, bad.status, bad.code, bad.text)
+		return
+	}
+	key := request.Key{Organisation: org.Name, ID: r.PathValue("id")}
+	handle, ok := d.handleOf(key)
+	if !ok {
+		writeError(w, http.StatusNotFound, "unknown_request", "no such request is served here")
+		return
+	}
+	d.push(r.Context(), core.Cancel{Handle: handle})
+	writeJSON(w, http.StatusAccepted, struct{}{})
+}
--- /dev/null
+++ b/daemon/loop.go
@@ -0,0 +1,129 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/chivefield/chivefield/core"
+	"github.com/chivefield/chivefield/schema"
+)
+
+// item is what the loop takes: one event, or a peer's batch whose replies go
+// back with the same call.
+type item struct {
+	event core.Event
+	batch *batch
+}
+
+// batch is one envelope of a peer.
+type batch struct {
+	from     uint32
+	inc      uint64
+	messages []*schema.Message
+	reply    chan []*schema.Message
+}
+
+// push hands an event to the loop, waiting if it is behind.
+func (d *Daemon) push(ctx context.Context, ev core.Event) {
+	select {
+	case d.events <- item{event: ev}:
+	case <-ctx.Done():
+	}
+}
+
+// loop owns the core.
+func (d *Daemon) loop(ctx context.Context) error {
+	node := core.New(d.coreConfig(), d.now())
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case it := <-d.events:
+			if it.batch != nil {
+				d.stepBatch(ctx, node, it.batch)
+				continue
+			}
+			d.apply(ctx, node.Step(d.now(), it.event), nil)
+			if _, ok := it.event.(core.Tick); ok {
+				d.publish(node)
+			}
+		}
+	}
+}
+
+// publish lets the other duties see the state.
+func (d *Daemon) publish(node *core.Node) {
+	s := node.Status()
+	if old := d.status.Load(); old.Ready != s.Ready || old.Why != s.Why {
+		d.log.Info().Bool("ready", s.Ready).Str("why", s.Why).Uint64("version", s.Version).Msg("readiness")
+	}
+	d.status.Store(&s)
+	d.rules.Store(node.Rules())
+	for id, l := range d.links {
+		l.incarnation.Store(node.PeerIncarnation(id))
+	}
+}
+
+// stepBatch steps through a peer's messages; what they cause for that peer
+// travels in the reply.
+func (d *Daemon) stepBatch(ctx context.Context, node *core.Node, b *batch) {
+	var back []*schema.Message
+	for _, m := range b.messages {
+		effects := node.Step(d.now(), core.PeerMessage{From: b.from, Incarnation: b.inc, Message: m})
+		d.apply(ctx, effects, func(s core.Send) bool {
+			if s.To != b.from {
+				return false
+			}
+			back = append(back, s.Message)
+			return true
+		})
+	}
+	b.reply <- back
+}
+
+// apply carries out effects. Nothing here waits: a duty that is behind loses
+// messages, which the core expects of a network.
+func (d *Daemon) apply(ctx context.Context, effects []core.Effect, take func(core.Send) bool) {
+	for _, ef := range effects {
+		switch ef := ef.(type) {
+		case core.Send:
+			if take == nil || !take(ef) {
+				d.send(ef)
+			}
+		case core.Dispatch:
+			d.dispatch(ctx, ef)
+		case core.Attach:
+			d.attach(ctx, ef)
+		case core.Stop:
+			d.stopCall(ef)
+		case core.Finish:
+			d.finish(ef.Handle, outcomeOf(ef))
+		case core.Conflict:
+			d.finish(ef.Handle, conflictOutcome)
+		case core.Append:
+			d.queueAppend(&appendJob{record: ef.Record})
+		case core.InForce:
+			d.log.Info().Uint64("version", ef.Rules.Version).Str("author", ef.Rules.Document.Author).Msg("configuration_in_force")
+		case core.Judged:
+			d.noteVerdict(ef.Verdict)
+		case core.Takeover:
+			d.log.Warn().Uint32("vm", ef.VM).Bool("clean", ef.Clean).Msg("takeover")
+		case core.Fenced:
+			d.log.Error().Msg("fenced")
+			d.fenced.Store(true)
+		case core.Drained:
+			close(d.drained)
+		}
+	}
+}
+
+func (d *Daemon) send(s core.Send) {
+	l := d.links[s.To]
+	if l == nil {
+		return
+	}
+	select {
+	case l.out <- s.Message:
+	default:
+		d.count("peer.dropped")
+	}
+}
--- /dev/null
+++ b/daemon/operators.go
@@ -0,0 +1,189 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/chivefield/chivefield/config"
+	"github.com/chivefield/chivefield/core"
+	"github.com/chivefield/chivefield/schema"
+	"github.com/chivefield/chivefield/tomlproto"
+)
+
+func (d *Daemon) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, d.status.Load()) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(d.metrics, w)
+	})
+	mux.HandleFunc("GET /config", d.showConfig)
+	mux.HandleFunc("POST /config", d.submitConfig)
+	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, r *http.Request) {
+		d.push(r.Context(), core.Drain{})
+		writeJSON(w, http.StatusAccepted, struct{}{})
+	})
+	return guard(d.set.Keys.Operator, mux)
+}
+
+// shownConfig is the configuration in force.
+type shownConfig struct {
+	Version  uint64
+	Document string
+}
+
+func (d *Daemon) showConfig(w http.ResponseWriter, _ *http.Request) {
+	rules := d.rules.Load()
+	if rules == nil {
+		writeError(w, http.StatusServiceUnavailable, "not_ready", d.status.Load().Why)
+		return
+	}
+	writeJSON(w, http.StatusOK, shownConfig{Version: rules.Version, Document: protojson.Format(rules.Document)})
+}
+
+// Submitted tells an operator what became of a document.
+type Submitted struct {
+	// Verdict is accepted, stale_base, invalid or unknown.
+	Verdict string   `json:"verdict"`
+	Version uint64   `json:"version,omitempty"`
+	Faults  []string `json:"faults,omitempty"`
+	// AppendID finds the append in the audit trail if the verdict is unknown.
+	AppendID string `json:"append_id"`
+}
+
+const (
+	maxDocument = 8 << 20
+	// verdictWait is how long a submitter is kept waiting for the log's order.
+	verdictWait    = 5 * time.Second
+	unknownVerdict = "unknown"
+)
+
+// submitConfig appends a document and waits until the log's order has judged
+// it. An append whose answer is lost is settled by reading the log; if that
+// cannot be done in time the verdict is unknown.
+func (d *Daemon) submitConfig(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDocument))
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "bad_body", "the document could not be read")
+		return
+	}
+	doc := &schema.Document{}
+	faults := tomlproto.Decode(data, doc)
+	if len(faults) == 0 {
+		faults = config.Check(doc)
+	}
+	sub := Submitted{AppendID: newAppendID()}
+	if len(faults) > 0 {
+		sub.Verdict = string(config.Invalid)
+		sub.Faults = faultTexts(faults)
+		writeJSON(w, http.StatusUnprocessableEntity, sub)
+		return
+	}
+	d.appendAndWait(r.Context(), doc, &sub)
+	status := http.StatusOK
+	switch sub.Verdict {
+	case string(config.Accepted):
+	case unknownVerdict:
+		status = http.StatusGatewayTimeout
+	default:
+		status = http.StatusConflict
+	}
+	writeJSON(w, status, sub)
+}
+
+func (d *Daemon) appendAndWait(ctx context.Context, doc *schema.Document, sub *Submitted) {
+	verdict := d.judged.wait(sub.AppendID)
+	defer d.judged.forget(sub.AppendID)
+	rec := &schema.LogRecord{AppendId: sub.AppendID, Author: doc.Author, Body: &schema.LogRecord_Document{Document: doc}}
+	done := make(chan error, 1)
+	d.queueAppend(&appendJob{record: rec, done: done})
+	bound, cancel := context.WithTimeout(ctx, verdictWait)
+	defer cancel()
+	select {
+	case v := <-verdict:
+		sub.Verdict, sub.Version, sub.Faults = string(v.Judgement), v.Version, faultTexts(v.Faults)
+	case <-bound.Done():
+		sub.Verdict = unknownVerdict
+	}
+}
+
+func faultTexts(faults []config.Fault) []string {
+	var list []string
+	for _, f := range faults {
+		list = append(list, f.String())
+	}
+	return list
+}
+
+// listen opens an address, with TLS where the settings give certificates.
+func (d *Daemon) listen(addr string) (net.Listener, error) {
+	l, err := d.opts.Listen(addr)
+	if err != nil {
+		return nil, &ListenError{Address: addr, Err: err}
+	}
+	l = netutil.LimitListener(l, int(d.set.Limits.MaxConnections))
+	if d.set.Tls.CertificateFile == "" {
+		return l, nil
+	}
+	cert, err := tls.LoadX509KeyPair(d.set.Tls.CertificateFile, d.set.Tls.KeyFile)
+	if err != nil {
+		return nil, &TLSError{Err: err}
+	}
+	return tls.NewListener(l, &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13}), nil
+}
+
+// peerTLS is what peers' certificates are checked against.
+func (d *Daemon) peerTLS() (*tls.Config, error) {
+	if d.set.Tls.AuthorityFile == "" {
+		return nil, nil
+	}
+	pem, err := os.ReadFile(d.set.Tls.AuthorityFile)
+	if err != nil {
+		return nil, &TLSError{Err: err}
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, &TLSError{Err: &NoCertificateError{Path: d.set.Tls.AuthorityFile}}
+	}
+	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}, nil
+}
+
+func (d *Daemon) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: d.set.ReadTimeout, IdleTimeout: d.set.IdleTimeout,
+		MaxHeaderBytes: int(d.set.Limits.MaxHeaderBytes),
+	}
+}
+
+// serve runs one server until the process's work ends. It sets no write
+// timeout: streams are long.
+func (d *Daemon) serve(ctx context.Context, l net.Listener, h http.Handler) *http.Server {
+	s := d.server(h)
+	d.group.Go(func() error {
+		_ = s.Serve(l)
+		return nil
+	})
+	d.group.Go(func() error {
+		<-ctx.Done()
+		return s.Close()
+	})
+	return s
+}
+
+// servePeers runs the peers' server to the very end of the process. Only the
+// kernel may close a watch, since its end is taken for the process's death.
+func (d *Daemon) servePeers(l net.Listener) {
+	s := d.server(d.peerHandler())
+	go func() { _ = s.Serve(l) }()
+}
--- /dev/null
+++ b/daemon/platform.go
@@ -0,0 +1,193 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chivefield/chivefield/config"
+	"github.com/chivefield/chivefield/core"
+	"github.com/chivefield/chivefield/platform"
+	"github.com/chivefield/chivefield/schema"
+)
+
+const (
+	// readLimit is how many records one read of the log asks for.
+	readLimit = 256
+	listEvery = time.Second
+)
+
+func (d *Daemon) startPlatform(ctx context.Context) {
+	d.group.Go(func() error { return d.readLog(ctx) })
+	d.group.Go(func() error { return d.readList(ctx) })
+	d.group.Go(func() error { return d.appendAll(ctx) })
+}
+
+// readLog follows the log. While it fails the core is told, and serves by what
+// it has.
+func (d *Daemon) readLog(ctx context.Context) error {
+	var next uint64
+	for {
+		b, err := d.readOnce(ctx, next)
+		if err != nil {
+			d.count("log.errors")
+			d.push(ctx, core.LogFailed{})
+		} else {
+			next = d.passOn(ctx, b, next)
+		}
+		if err == nil && next < b.Next {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(d.set.PollInterval):
+		}
+	}
+}
+
+func (d *Daemon) readOnce(ctx context.Context, from uint64) (platform.Batch, error) {
+	bound, cancel := context.WithTimeout(ctx, d.set.PlatformTimeout)
+	defer cancel()
+	return d.platform.Read(bound, from, readLimit)
+}
+
+func (d *Daemon) passOn(ctx context.Context, b platform.Batch, next uint64) uint64 {
+	ev := core.LogRead{First: b.First, Next: b.Next}
+	next = max(next, b.First)
+	for _, r := range b.Records {
+		rec, err := config.Decode(r.Data)
+		if err != nil {
+			d.log.Warn().Err(err).Uint64("offset", r.Offset).Msg("log_record_unreadable")
+		}
+		ev.Records = append(ev.Records, core.LogEntry{Offset: r.Offset, Record: rec})
+		next = r.Offset + 1
+	}
+	d.push(ctx, ev)
+	return next
+}
+
+// readList follows the platform's list of VMs.
+func (d *Daemon) readList(ctx context.Context) error {
+	gone := make(map[uint32]bool)
+	for {
+		bound, cancel := context.WithTimeout(ctx, d.set.PlatformTimeout)
+		list, err := d.platform.VMs(bound)
+		cancel()
+		if err == nil {
+			for _, vm := range list {
+				if vm.State == platform.Gone && !gone[vm.ID] {
+					d.push(ctx, core.PeerGone{VM: vm.ID})
+				}
+				gone[vm.ID] = vm.State == platform.Gone
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(listEvery):
+		}
+	}
+}
+
+// appendJob is a record on its way to the log. done, if set, gets the error.
+type appendJob struct {
+	record *schema.LogRecord
+	done   chan error
+}
+
+func (d *Daemon) queueAppend(j *appendJob) {
+	select {
+	case d.appends <- j:
+	default:
+		d.count("log.appends_dropped")
+		if j.done != nil {
+			j.done <- &QueueFullError{}
+		}
+	}
+}
+
+// QueueFullError reports a record that was never sent to the log.
+type QueueFullError struct{}
+
+// Error describes the failure.
+func (e *QueueFullError) Error() string { return "too many appends wait" }
+
+func (d *Daemon) appendAll(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case j := <-d.appends:
+			err := d.appendOne(ctx, j.record)
+			if j.done != nil {
+				j.done <- err
+			}
+		}
+	}
+}
+
+func (d *Daemon) appendOne(ctx context.Context, r *schema.LogRecord) error {
+	if r.AppendId == "" {
+		r.AppendId = newAppendID()
+	}
+	r.UnixMs = time.Now().UnixMilli()
+	data, err := proto.Marshal(r)
+	if err != nil {
+		return &config.DecodeError{Err: err}
+	}
+	bound, cancel := context.WithTimeout(ctx, d.set.PlatformTimeout)
+	defer cancel()
+	d.count("log.appends")
+	_, err = d.platform.Append(bound, data)
+	return err
+}
+
+func newAppendID() string {
+	var b [16]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// verdicts lets submitters wait for the judgement of their append.
+type verdicts struct {
+	mu      sync.Mutex
+	waiters map[string]chan config.Verdict
+}
+
+func newVerdicts() *verdicts { return &verdicts{waiters: make(map[string]chan config.Verdict)} }
+
+func (v *verdicts) wait(id string) <-chan config.Verdict {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	c := make(chan config.Verdict, 1)
+	v.waiters[id] = c
+	return c
+}
+
+func (v *verdicts) forget(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	delete(v.waiters, id)
+}
+
+func (v *verdicts) note(verdict config.Verdict) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if c := v.waiters[verdict.AppendID]; c != nil {
+		delete(v.waiters, verdict.AppendID)
+		c <- verdict
+	}
+}
+
+func (d *Daemon) noteVerdict(v config.Verdict) {
+	if v.Judgement != config.Other && v.Judgement != config.Carry {
+		d.log.Info().Uint64("offset", v.Offset).Str("author", v.Author).Uint64("base", v.Base).
+			Str("judgement", string(v.Judgement)).Uint64("version", v.Version).Msg("configuration_judged")
+	}
+	d.judged.note(v)
+}
--- /dev/null
+++ b/e2e/deployment_test.go
@@ -0,0 +1,453 @@
+// Package e2e proves the promises with real processes: every VM, the platform
+// and every endpoint is a process of its own, and failures are signals to them.
+package e2e
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/chivefield/chivefield/history"
+	"github.com/chivefield/chivefield/request"
+	"github.com/chivefield/chivefield/standin"
+)
+
+const (
+	peerKey     = "peer-key-of-the-tests"
+	operatorKey = "operator-key-of-the-tests"
+	apiKey      = "api-key-of-karrawong"
+	pollEvery   = 10 * time.Millisecond
+)
+
+var binary string
+
+// TestMain builds the product once; the tests start it as processes.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "chivefield")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "chivefield")
+	args := []string{"build", "-o", binary}
+	if raceEnabled {
+		args = append(args, "-race")
+	}
+	if out, err := exec.Command("go", append(args, "../cmd/chivefield")...).CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one process under test.
+type process struct {
+	cmd *exec.Cmd
+	log *bytes.Buffer
+}
+
+// vm is one entry VM.
+type vm struct {
+	process
+	id                        int
+	domain                    string
+	callers, peers, operators string
+	settings                  string
+}
+
+// deployment is a set of processes.
+type deployment struct {
+	t        *testing.T
+	platform string
+	engines  []string
+	service  string
+	vms      []*vm
+	relays   map[[2]int]*relay
+
+	mu   sync.Mutex
+	seen []history.Seen
+	keys map[string]bool // non-idempotent ones
+}
+
+func freePort(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func start(t *testing.T, args ...string) process {
+	p := process{cmd: exec.Command(binary, args...), log: &bytes.Buffer{}}
+	p.cmd.Stderr = p.log
+	p.cmd.Stdout = p.log
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+		if t.Failed() {
+			t.Logf("%v\n%s", args, tail(p.log.String()))
+		}
+	})
+	return p
+}
+
+func tail(s string) string {
+	lines := strings.Split(s, "\n")
+	return strings.Join(lines[max(0, len(lines)-40):], "\n")
+}
+
+// deploy starts a platform, two engines, a service and one VM for each name of
+// a failure domain, and puts a configuration in force.
+func deploy(t *testing.T, domains ...string) *deployment {
+	d := &deployment{t: t, platform: freePort(t), service: freePort(t), keys: map[string]bool{}, relays: map[[2]int]*relay{}}
+	start(t, "standin", "platform", "--listen", d.platform)
+	start(t, "standin", "service", "--listen", d.service)
+	for i := range 2 {
+		addr := freePort(t)
+		d.engines = append(d.engines, addr)
+		start(t, "standin", "engine", "--listen", addr, "--name", fmt.Sprint("engine", i), "--output-speed", "200", "--slots", "64")
+	}
+	for i, domain := range domains {
+		d.vms = append(d.vms, &vm{id: i + 1, domain: domain, callers: freePort(t), peers: freePort(t), operators: freePort(t)})
+	}
+	d.relayPeers()
+	for _, v := range d.vms {
+		d.writeSettings(v)
+		d.startVM(v)
+	}
+	for _, addr := range append([]string{d.platform, d.service}, d.engines...) {
+		waitFor(func() bool { return dialable(addr) })
+	}
+	d.submit(d.document(0))
+	for _, v := range d.vms {
+		d.waitReady(v)
+	}
+	return d
+}
+
+func dialable(addr string) bool {
+	c, err := net.Dial("tcp", addr)
+	if err == nil {
+		_ = c.Close()
+	}
+	return err == nil
+}
+
+// waitFor polls without a bound of its own: the run's timeout is the bound, so
+// a slow machine changes no verdict.
+func waitFor(ok func() bool) {
+	for !ok() {
+		time.Sleep(pollEvery)
+	}
+}
+
+func (d *deployment) startVM(v *vm) { v.process = start(d.t, "serve", v.settings) }
+
+func (d *deployment) writeSettings(v *vm) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[vm]\nid = %d\nname = \"vm%d\"\nfailure_domain = %q\n", v.id, v.id, v.domain)
+	fmt.Fprintf(&b, "[listen]\ncallers = %q\npeers = %q\noperators = %q\n", v.callers, v.peers, v.operators)
+	fmt.Fprintf(&b, "[platform]\naddress = %q\npoll_interval = \"20ms\"\n[keys]\npeer = %q\noperator = %q\n", d.platform, peerKey, operatorKey)
+	fmt.Fprintf(&b, "[claims]\nlease = \"1s\"\ntrust_connection_close = true\n[shutdown]\nbound = \"60s\"\n")
+	for _, p := range d.vms {
+		if p != v {
+			fmt.Fprintf(&b, "[[peers]]\nid = %d\nname = \"vm%d\"\nfailure_domain = %q\naddress = %q\n", p.id, p.id, p.domain, d.relays[[2]int{v.id, p.id}].addr)
+		}
+	}
+	v.settings = filepath.Join(d.t.TempDir(), fmt.Sprintf("vm%d.toml", v.id))
+	if err := os.WriteFile(v.settings, []byte(b.String()), 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// document is a configuration with both sorts of endpoints, made from a version.
+func (d *deployment) document(base uint64) string {
+	sum := sha256.Sum256([]byte(apiKey))
+	var b strings.Builder
+	fmt.Fprintf(&b, "schema_version = 1\nbase_version = %d\nauthor = \"test\"\nrecord_ttl = \"15m\"\n", base)
+	b.WriteString("[[tiers]]\nnumber = 0\nname = \"high\"\n[[tiers]]\nnumber = 1\nname = \"low\"\n")
+	fmt.Fprintf(&b, "[[organisations]]\nname = \"karrawong\"\nkey_sha256 = %q\n", hex.EncodeToString(sum[:]))
+	b.WriteString("[[kinds]]\nname = \"check\"\ndeadline = \"60s\"\nmodel = \"m\"\nexpected_output = 50\n")
+	b.WriteString("[[kinds]]\nname = \"draft\"\ndeadline = \"60s\"\nmodel = \"m\"\nexpected_output = 50\n")
+	b.WriteString("[[kinds]]\nname = \"invoice\"\ndeadline = \"10s\"\npath = \"/invoice\"\nnon_idempotent = true\n")
+	b.WriteString("[[assignments]]\norganisation = \"*\"\nkind = \"draft\"\ntier = 1\n[[assignments]]\norganisation = \"*\"\nkind = \"*\"\ntier = 0\n")
+	for i, e := range d.engines {
+		fmt.Fprintf(&b, "[[endpoints]]\nname = \"engine%d\"\naddress = %q\nfailure_domain = \"a\"\nmodels = [\"m\"]\nslots = 64\nprefill_tokens_per_s = 8000\noutput_tokens_per_s = 100\nprefill_price = 1.0\noutput_price = 2.0\n", i, e)
+	}
+	fmt.Fprintf(&b, "[[endpoints]]\nname = \"service\"\naddress = %q\nfailure_domain = \"a\"\nkinds = [\"invoice\"]\nslots = 64\n", d.service)
+	return b.String()
+}
+
+// submit sends a document to the first VM until it is accepted.
+func (d *deployment) submit(doc string) {
+	waitFor(func() bool {
+		status, _ := d.operator(d.vms[0], http.MethodPost, "/config", doc)
+		return status == http.StatusOK
+	})
+}
+
+func (d *deployment) operator(v *vm, method, path, body string) (int, string) {
+	req, _ := http.NewRequest(method, "http://"+v.operators+path, strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer "+operatorKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(out)
+}
+
+func (d *deployment) waitReady(v *vm) {
+	waitFor(func() bool {
+		resp, err := http.Get("http://" + v.callers + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+func (d *deployment) control(addr string, faults any) {
+	body, _ := json.Marshal(faults)
+	resp, err := http.Post("http://"+addr+"/control", "application/json", bytes.NewReader(body))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+}
+
+// ran sums what all endpoints ran.
+func (d *deployment) ran() map[string]int {
+	total := map[string]int{}
+	for _, addr := range append([]string{d.service}, d.engines...) {
+		resp, err := http.Get("http://" + addr + "/control/ran")
+		if err != nil {
+			d.t.Fatal(err)
+		}
+		part := map[string]int{}
+		_ = json.NewDecoder(resp.Body).Decode(&part)
+		_ = resp.Body.Close()
+		for k, n := range part {
+			total[k] += n
+		}
+	}
+	return total
+}
+
+// sending is one sending of a request by a caller.
+type sending struct {
+	id      string
+	kind    string
+	attempt int // 0 is undeclared
+	tokens  int
+	stream  bool
+	prompt  string
+}
+
+// send sends a request to a VM and keeps what the caller saw.
+func (d *deployment) send(v *vm, s sending) history.Seen {
+	key := "karrawong/" + s.id
+	seen := history.Seen{Key: key, Attempt: s.attempt, Want: standin.Answer(key, s.tokens)}
+	path := "/v1/completions"
+	body := fmt.Sprintf(`{"model":"m","prompt":%q,"max_tokens":%d,"stream":%t}`, s.prompt+s.id, s.tokens, s.stream)
+	if s.kind == "invoice" {
+		path, body = "/v1/services/invoice", s.id
+		seen.Want = fmt.Sprintf("{\"body\":%q,\"path\":\"/invoice\",\"service\":\"service\"}\n", s.id)
+	}
+	req, _ := http.NewRequest(http.MethodPost, "http://"+v.callers+path, strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer "+apiKey)
+	req.Header.Set("Chivefield-Request-Id", s.id)
+	if s.kind != "invoice" {
+		req.Header.Set("Chivefield-Kind", s.kind)
+	}
+	if s.attempt > 0 {
+		req.Header.Set("Chivefield-Attempt", fmt.Sprint(s.attempt))
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		seen.Broken = true
+	} else {
+		readAnswer(resp, &seen, s)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seen = append(d.seen, seen)
+	d.keys[key] = s.kind == "invoice"
+	return seen
+}
+
+func readAnswer(resp *http.Response, seen *history.Seen, s sending) {
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		var out struct{ Outcome request.Outcome }
+		_ = json.Unmarshal(body, &out)
+		seen.Outcome = out.Outcome
+		seen.Broken = err != nil || out.Outcome == ""
+		return
+	}
+	if err != nil {
+		seen.Broken = true
+		return
+	}
+	seen.Outcome = request.Answered
+	switch {
+	case s.kind == "invoice":
+		seen.Text = string(body)
+	case s.stream:
+		seen.Text = streamedText(string(body))
+	default:
+		seen.Text = choiceText(body)
+	}
+}
+
+func choiceText(data []byte) string {
+	var c struct{ Choices []struct{ Text string } }
+	if json.Unmarshal(data, &c) != nil || len(c.Choices) == 0 {
+		return ""
+	}
+	return c.Choices[0].Text
+}
+
+func streamedText(body string) string {
+	text := ""
+	for line := range strings.Lines(body) {
+		if data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: "); ok && data != "[DONE]" {
+			text += choiceText([]byte(data))
+		}
+	}
+	return text
+}
+
+// verify judges everything the callers saw.
+func (d *deployment) verify(mustFinish bool) {
+	d.t.Helper()
+	h := history.History{Seen: d.seen, Ran: d.ran(), NonIdempotent: d.keys, MustFinish: mustFinish}
+	for _, b := range h.Check() {
+		d.t.Error(b)
+	}
+}
+
+// shares logs how the sendings ended.
+func (d *deployment) shares() {
+	count := map[request.Outcome]int{}
+	for _, s := range d.seen {
+		count[s.Outcome]++
+	}
+	d.t.Logf("%d sendings: %v (no outcome: connection broke)", len(d.seen), count)
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// relay passes connections on until it is cut; then bytes stand still, as in a
+// network that drops packets: nothing is closed.
+type relay struct {
+	addr   string
+	target string
+	mu     sync.Mutex
+	cut    bool
+	healed chan struct{}
+}
+
+// relayPeers puts a relay on the way from each VM to each other.
+func (d *deployment) relayPeers() {
+	for _, a := range d.vms {
+		for _, b := range d.vms {
+			if a == b {
+				continue
+			}
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				d.t.Fatal(err)
+			}
+			r := &relay{addr: l.Addr().String(), target: b.peers, healed: make(chan struct{})}
+			d.relays[[2]int{a.id, b.id}] = r
+			d.t.Cleanup(func() { _ = l.Close() })
+			go r.serve(l)
+		}
+	}
+}
+
+func (r *relay) serve(l net.Listener) {
+	for {
+		in, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go r.join(in.(*net.TCPConn))
+	}
+}
+
+// join passes on what one side sends and how it ends: a connection that the
+// kernel of a dead process reset is reset on the other side too.
+func (r *relay) join(in *net.TCPConn) {
+	r.wait()
+	c, err := net.Dial("tcp", r.target)
+	if err != nil {
+		_ = in.SetLinger(0)
+		_ = in.Close()
+		return
+	}
+	out := c.(*net.TCPConn)
+	go r.copy(in, out)
+	r.copy(out, in)
+}
+
+func (r *relay) copy(dst, src *net.TCPConn) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := src.Read(buf)
+		r.wait()
+		if n > 0 {
+			_, _ = dst.Write(buf[:n])
+		}
+		if err != nil {
+			_ = dst.Close()
+			return
+		}
+	}
+}
+
+func (r *relay) wait() {
+	r.mu.Lock()
+	healed, cut := r.healed, r.cut
+	r.mu.Unlock()
+	if cut {
+		<-healed
+	}
+}
+
+func (r *relay) set(cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cut && !cut {
+		close(r.healed)
+		r.healed = make(chan struct{})
+	}
+	r.cut = cut
+}
+
+// setCut cuts two VMs apart, or heals them.
+func (d *deployment) setCut(a, b *vm, cut bool) {
+	d.relays[[2]int{a.id, b.id}].set(cut)
+	d.relays[[2]int{b.id, a.id}].set(cut)
+}
--- /dev/null
+++ b/e2e/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package e2e
+
+const raceEnabled = false
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -97,12 +97,14 @@
 		return c.resumeAfter(ctx, call, 0, sink)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
-		return NotTaken
-	}
 	if call.Stream == "" {
+		// Whatever a plain service answers, it may have run the call.
 		return readWhole(resp, sink)
 	}
+	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+		// The engines' protocol: such a request was not admitted.
+		return NotTaken
+	}
 	if resp.StatusCode != http.StatusOK {
 		return Broken
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/chivefield/chivefield/engine"
 	"github.com/chivefield/chivefield/prompt"
 )
@@ -48,6 +50,7 @@
 // stream is one request in the engine.
 type stream struct {
 	id        string
+	key       string
 	chat      bool
 	output    int
 	done      bool
@@ -193,9 +196,9 @@
 		http.Error(w, "not admitted", http.StatusServiceUnavailable)
 		return
 	}
-	s := &stream{id: id, chat: strings.Contains(r.URL.Path, "chat"), output: c.MaxTokens, changed: make(chan struct{})}
+	s := &stream{id: id, key: r.Header.Get("X-Request-Key"), chat: strings.Contains(r.URL.Path, "chat"), output: c.MaxTokens, changed: make(chan struct{})}
 	e.streams[id] = s
-	e.ran[r.Header.Get("X-Request-Key")]++
+	e.ran[s.key]++
 	text := c.text()
 	e.model.Submit(time.Since(e.start), id, prompt.Blocks(text), prompt.Tokens(text), c.MaxTokens)
 	e.mu.Unlock()
@@ -232,15 +235,27 @@
 
 // chunk is the data of one token in the form of the path that was called.
 func (s *stream) chunk(i int) string {
-	text, _ := json.Marshal(Token(i))
+	text, _ := json.Marshal(Token(s.key, i))
 	if s.chat {
 		return fmt.Sprintf(`{"choices":[{"index":0,"delta":{"content":%s}}]}`, text)
 	}
 	return fmt.Sprintf(`{"choices":[{"index":0,"text":%s}]}`, text)
 }
 
-// Token is the text of token i of any answer.
-func Token(i int) string { return fmt.Sprintf("w%d ", i) }
+// Token is the text of token i of the answer to a request key. It tells whose
+// answer it is, so that an answer to the wrong caller shows.
+func Token(key string, i int) string {
+	return fmt.Sprintf("%x.%d ", uint16(xxhash.Sum64String(key)), i)
+}
+
+// Answer is the whole answer to a request key.
+func Answer(key string, tokens int) string {
+	var b strings.Builder
+	for i := range tokens {
+		b.WriteString(Token(key, i))
+	}
+	return b.String()
+}
 
 // write streams tokens from an offset until the end.
 func (e *Engine) write(w http.ResponseWriter, r *http.Request, s *stream, offset int) {
