--- a/config/ledger.go
+++ b/config/ledger.go
@@ -50,15 +50,21 @@
 	Version uint64
 }
 
-// Ledger follows the log and keeps what is in force. It never goes back: each
-// change moves Through forward. It is not safe for concurrent use.
+// Ledger follows the log and keeps what is in force. What is in force is the
+// later of what this VM judged from the log itself and what others vouched for,
+// so it never goes back; every record is still judged in the log's order, so
+// that a submitter here learns the verdict. It is not safe for concurrent use.
 type Ledger struct {
-	state State
+	force State
 	known bool
+	// log is the state at the position up to which this VM judged the log;
+	// logKnown is false while records before it are missing.
+	log      State
+	logKnown bool
 	// blocked is set by a record of a newer schema.
 	blocked bool
 	held    []entry
-	// first is the lowest offset held or judged.
+	// first is the lowest offset that the log keeps.
 	first   uint64
 	started bool
 }
@@ -72,31 +78,54 @@
 func NewLedger() *Ledger { return &Ledger{} }
 
 // State returns what is in force and whether that is known.
-func (l *Ledger) State() (State, bool) { return l.state, l.known && !l.blocked }
+func (l *Ledger) State() (State, bool) { return l.force, l.known && !l.blocked }
 
 // Blocked reports whether a record of a newer schema was met.
 func (l *Ledger) Blocked() bool { return l.blocked }
 
-// Begin tells from which offset the log could be read. From 0 nothing was in
-// force before; otherwise a carried record or a peer has to say.
+// Begin tells before each batch from which offset the log can be read. From 0
+// nothing was in force before; otherwise a carried record or a peer has to say.
+// If retention took records that were not judged here, judging starts anew from
+// what others vouched for; what is in force stays.
 func (l *Ledger) Begin(first uint64) {
-	if l.started {
-		return
-	}
-	l.started = true
 	l.first = first
-	if first == 0 && !l.known {
-		l.known = true
+	if !l.started {
+		l.started = true
+		l.logKnown = first == 0
+		l.known = l.known || l.logKnown
+	}
+	if l.logKnown && first > l.log.Through {
+		l.logKnown = false
 	}
+	l.catchUp()
 }
 
-// Apply judges one record. Records must come in the order of their offsets.
-func (l *Ledger) Apply(offset uint64, r *schema.LogRecord) []Verdict {
-	if l.known && offset < l.state.Through {
+// catchUp lets judging go on from what is in force, if no record is missing.
+func (l *Ledger) catchUp() []Verdict {
+	if l.logKnown || !l.known || !l.started || l.force.Through < l.first {
 		return nil
 	}
-	if l.known {
-		return []Verdict{l.judge(offset, r)}
+	l.log, l.logKnown = l.force, true
+	held := l.held
+	l.held = nil
+	var out []Verdict
+	for _, e := range held {
+		out = append(out, l.Apply(e.offset, e.record)...)
+	}
+	return out
+}
+
+// Apply judges one record. Records must come in the order of their offsets.
+func (l *Ledger) Apply(offset uint64, r *schema.LogRecord) []Verdict {
+	if l.logKnown {
+		if offset < l.log.Through {
+			return nil
+		}
+		v := l.judge(offset, r)
+		if l.log.Through > l.force.Through {
+			l.force, l.known = l.log, true
+		}
+		return []Verdict{v}
 	}
 	l.held = append(l.held, entry{offset: offset, record: r})
 	if c := r.GetCarried(); c != nil && c.Through >= l.first && c.Document != nil {
@@ -105,32 +134,23 @@
 	return []Verdict{{Offset: offset, AppendID: r.AppendId, Judgement: Pending}}
 }
 
-// Adopt takes over a state that a peer or a carried record vouches for, if it
-// is of a later position, and judges what was held back.
+// Adopt puts a state in force that a peer or a carried record vouches for, if
+// it is of a later position.
 func (l *Ledger) Adopt(s State) []Verdict {
-	if l.known && s.Through <= l.state.Through {
-		return nil
+	if l.known && s.Through <= l.force.Through {
+		return l.catchUp()
 	}
 	if HasUnknown(s.Document) || s.Document.SchemaVersion > SchemaVersion {
 		l.blocked = true
 		return nil
 	}
-	l.known = true
-	l.state = s
-	held := l.held
-	l.held = nil
-	var out []Verdict
-	for _, e := range held {
-		if e.offset >= l.state.Through {
-			out = append(out, l.judge(e.offset, e.record))
-		}
-	}
-	return out
+	l.force, l.known = s, true
+	return l.catchUp()
 }
 
 func (l *Ledger) judge(offset uint64, r *schema.LogRecord) Verdict {
 	v := Verdict{Offset: offset, AppendID: r.AppendId, Author: r.Author, Judgement: Other}
-	l.state.Through = offset + 1
+	l.log.Through = offset + 1
 	d := r.GetDocument()
 	switch {
 	case HasUnknown(r) || d != nil && d.SchemaVersion > SchemaVersion:
@@ -140,20 +160,20 @@
 		v.Base = d.BaseVersion
 		v.Judgement, v.Faults = l.judgeDocument(d)
 		if v.Judgement == Accepted {
-			l.state.Version, l.state.Document = offset+1, d
+			l.log.Version, l.log.Document = offset+1, d
 		}
 	case r.GetCarried() != nil:
 		v.Judgement = Carry
 	}
-	v.Version = l.state.Version
+	v.Version = l.log.Version
 	return v
 }
 
 // judgeDocument needs no memory of earlier appends: one that is repeated after
 // a lost answer no longer has the base in force.
 func (l *Ledger) judgeDocument(d *schema.Document) (Judgement, []Fault) {
-	if d.BaseVersion != l.state.Version {
-		return Stale, []Fault{{Path: "base_version", Problem: fmt.Sprintf("is %d, in force is %d", d.BaseVersion, l.state.Version)}}
+	if d.BaseVersion != l.log.Version {
+		return Stale, []Fault{{Path: "base_version", Problem: fmt.Sprintf("is %d, in force is %d", d.BaseVersion, l.log.Version)}}
 	}
 	if faults := Check(d); len(faults) > 0 {
 		return Invalid, faults
--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -82,13 +82,30 @@
 	keys map[string]bool // non-idempotent ones
 }
 
+// Ports are taken below the range from which the kernel takes them for outgoing
+// connections: one found free there could be taken again before its process
+// listens on it.
+const (
+	firstPort = 15000
+	lastPort  = 30000
+)
+
+var nextPort = firstPort + os.Getpid()%1000*10
+
 func freePort(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		nextPort++
+		if nextPort > lastPort {
+			nextPort = firstPort
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		if l, err := net.Listen("tcp", addr); err == nil {
+			_ = l.Close()
+			return addr
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 func start(t *testing.T, args ...string) process {
@@ -198,7 +215,10 @@
 // submit sends a document to the first VM until it is accepted.
 func (d *deployment) submit(doc string) {
 	waitFor(func() bool {
-		status, _ := d.operator(d.vms[0], http.MethodPost, "/config", doc)
+		status, body := d.operator(d.vms[0], http.MethodPost, "/config", doc)
+		if status != http.StatusOK {
+			d.t.Log(status, body)
+		}
 		return status == http.StatusOK
 	})
 }
