--- a/claim/holder.go
+++ b/claim/holder.go
@@ -74,7 +74,7 @@
 		n.claimAsHolder(from, inc, key, hash, m)
 		return
 	}
-	if n.standsInFor(holder, hash) && !m.Repeat && m.Intent == schema.Intent_RUN {
+	if n.standsInFor(holder, hash) {
 		n.claimAsStandIn(n.peer(holder), from, inc, key, hash, m)
 		return
 	}
@@ -99,7 +99,13 @@
 func (n *Node) claimAsStandIn(p *peer, from uint32, inc uint64, key request.Key, hash uint64, m *schema.Claim) {
 	r := n.records[key]
 	w := n.waiterOf(from, m)
+	first := !m.Repeat && m.Intent == schema.Intent_RUN
 	switch {
+	case !first && (r == nil || r.state == schema.RecordState_REFUSED):
+		// Only the holder could settle a repeat; it is not waited for.
+		n.answerClaim(nil, w, schema.Verdict_DOUBTFUL)
+	case !first:
+		n.answerExisting(r, from, m)
 	case r == nil && n.doubtful(false, w.arrived):
 		n.answerClaim(nil, w, schema.Verdict_DOUBTFUL)
 	case r == nil || r.state == schema.RecordState_REFUSED && r.refusedAttempt == 0:
--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -471,3 +471,10 @@
 	d.relays[[2]int{a.id, b.id}].set(cut)
 	d.relays[[2]int{b.id, a.id}].set(cut)
 }
+
+// versionOf reads the version in force from a status.
+func versionOf(status string) uint64 {
+	var s struct{ Version uint64 }
+	_ = json.Unmarshal([]byte(status), &s)
+	return s.Version
+}
