Load tool in virtual time; prompts stay where rendezvous hashing places them

Ruled out: discarded prompts (0.00%). Change: the score prices reading a beginning away from its place by rendezvous weight; the index learns at dispatch, since prompts are read one by one.

--- a/claim/search_test.go
+++ b/claim/search_test.go
@@ -54,7 +54,6 @@
 	ran      []string
 	refused  []uint32 // attempts answered not_run
 	ranAt    []uint32 // attempts that ran
-	ended    bool
 }
 
 type flightRef struct {
--- a/cmd/chivefield/main.go
+++ b/cmd/chivefield/main.go
@@ -18,6 +18,7 @@
 	Drain   drainCommand   `command:"drain" description:"Start the graceful shutdown of a daemon's work"`
 	Config  configCommand  `command:"config" description:"Submit or show the configuration in force"`
 	Audit   auditCommand   `command:"audit" description:"List every change of configuration on the log, with its verdict"`
+	Load    loadCommand    `command:"load" description:"Measure policies on the users' workloads in virtual time"`
 	Standin standinCommand `command:"standin" description:"Run a stand-in of an outside system, for trials"`
 	Version versionCommand `command:"version" description:"Print the version"`
 }
--- a/engine/model.go
+++ b/engine/model.go
@@ -43,6 +43,8 @@
 	ID   string
 	Kind EventKind
 	At   time.Duration
+	// Uncached are the prompt tokens that were paid for, with First.
+	Uncached int
 }
 
 // CacheEvent tells of blocks that came into the cache or left it.
@@ -253,7 +255,7 @@
 	if s.reading {
 		m.doneReading(s)
 		m.admit()
-		return Event{ID: s.id, Kind: First, At: m.now}
+		return Event{ID: s.id, Kind: First, At: m.now, Uncached: s.uncached}
 	}
 	m.batch = remove(m.batch, s.id)
 	m.admit()
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,163 @@
+package load
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/chivefield/chivefield/request"
+)
+
+// Policies by name.
+const (
+	Current       = "current"
+	RoundRobin    = "round-robin"
+	LeastReported = "least-reported"
+)
+
+// TierReport is what became of one tier's requests.
+type TierReport struct {
+	Tier        int
+	Offered     int
+	InTime      int
+	Late        int
+	NotRun      int
+	Cancelled   int
+	Unknown     int
+	Unfinished  int
+	Bound       int
+	Goodput     float64
+	FirstP50    time.Duration
+	FirstP95    time.Duration
+	histogram   *hdrhistogram.Histogram
+	slotDemands []float64
+}
+
+// Report is one run of a scenario under a policy.
+type Report struct {
+	Scenario string
+	Policy   string
+	Seed     uint64
+	Tiers    []*TierReport
+	// Prompt tokens paid for; discarded with an answer that was of no use; read
+	// again though an engine had read them before.
+	PrefillPaid     int
+	WastedDiscarded int
+	WastedRepeated  int
+	Price           float64
+	// Messages between VMs.
+	Messages int
+	// Twice counts requests that were dispatched more than once.
+	Twice      int
+	Dispatches map[string]int `json:"-"`
+}
+
+// UnknownPolicyError names a policy that does not exist.
+type UnknownPolicyError struct{ Name string }
+
+// Error describes the failure.
+func (e *UnknownPolicyError) Error() string { return "no policy " + e.Name }
+
+// Run plays a scenario under a policy.
+func Run(name, policy string, seed uint64) (*Report, error) {
+	sc, err := Find(name)
+	if err != nil {
+		return nil, err
+	}
+	s := newSim(sc, seed)
+	s.report = &Report{Scenario: name, Policy: policy, Seed: seed, Dispatches: map[string]int{}}
+	for i := range tiers {
+		s.report.Tiers = append(s.report.Tiers, &TierReport{Tier: i, histogram: hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3)})
+	}
+	switch policy {
+	case Current:
+		s.policy = newCurrent(s)
+	case RoundRobin, LeastReported:
+		s.policy = newBaseline(s, policy == LeastReported)
+	default:
+		return nil, &UnknownPolicyError{Name: policy}
+	}
+	s.play(sc.arrivals(rand.New(rand.NewPCG(seed, 2))))
+	s.summarise()
+	return s.report, nil
+}
+
+const tiers = 3
+
+func (r *Report) firstToken(t request.Tier, d time.Duration) {
+	_ = r.Tiers[t].histogram.RecordValue(int64(d / time.Microsecond))
+}
+
+func (s *sim) summarise() {
+	for _, id := range s.order() {
+		r := s.results[id]
+		t := s.report.Tiers[r.a.kind.tier]
+		t.add(r)
+		if !r.inTime {
+			s.report.WastedDiscarded += r.paid
+		}
+		if s.report.Dispatches[id] > 1 {
+			s.report.Twice++
+		}
+	}
+	s.bounds()
+	for _, t := range s.report.Tiers {
+		t.FirstP50 = time.Duration(t.histogram.ValueAtQuantile(50)) * time.Microsecond
+		t.FirstP95 = time.Duration(t.histogram.ValueAtQuantile(95)) * time.Microsecond
+		if t.Bound > 0 {
+			t.Goodput = float64(t.InTime) / float64(t.Bound)
+		}
+	}
+}
+
+func (t *TierReport) add(r *result) {
+	t.Offered++
+	switch {
+	case r.inTime:
+		t.InTime++
+	case !r.ended:
+		t.Unfinished++
+	case r.outcome == request.Answered:
+		t.Late++
+	case r.outcome == request.NotRun:
+		t.NotRun++
+	case r.outcome == request.Cancelled:
+		t.Cancelled++
+	default:
+		t.Unknown++
+	}
+}
+
+// bounds works out what no policy can exceed: requests that the fastest engine
+// alone could do in time, as far as the slots of all engines reach, the
+// smallest first and higher tiers before lower ones.
+func (s *sim) bounds() {
+	best := s.kinds[len(s.kinds)-1].cfg
+	var capacity float64
+	for _, k := range s.kinds {
+		capacity += float64(k.cfg.Slots) * k.cfg.OutputSpeed * s.sc.length.Seconds()
+	}
+	for _, id := range s.order() {
+		a := s.results[id].a
+		t := s.report.Tiers[a.kind.tier]
+		alone := time.Duration(float64(a.output) / best.OutputSpeed * float64(time.Second))
+		if a.kind.plain || alone <= a.kind.deadline {
+			t.slotDemands = append(t.slotDemands, float64(a.output))
+		}
+	}
+	for _, t := range s.report.Tiers {
+		slices.Sort(t.slotDemands)
+		for _, d := range t.slotDemands {
+			if capacity < d {
+				break
+			}
+			capacity -= d
+			t.Bound++
+		}
+	}
+}
+
+func sortStrings(list []string) { slices.SortFunc(list, strings.Compare) }
--- /dev/null
+++ b/load/scenario.go
@@ -0,0 +1,255 @@
+// Package load measures policies: it runs the pure core, or a baseline, against
+// the engine model in virtual time and reports goodput by tier and wasted
+// prefill. The same seed gives the same bytes.
+package load
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/chivefield/chivefield/engine"
+	"github.com/chivefield/chivefield/prompt"
+	"github.com/chivefield/chivefield/request"
+	"github.com/chivefield/chivefield/sched"
+)
+
+// kind is a request kind of a workload.
+type kind struct {
+	name  string
+	tier  request.Tier
+	share float64
+	// Lengths in tokens; the prompt is drawn between both, most of them short.
+	promptMin, promptMax, output int
+	deadline, firstToken         time.Duration
+	plain, nonIdempotent         bool
+	// shared is the part of the prompt that other requests begin with too.
+	shared float64
+	// sources is how many different beginnings there are.
+	sources int
+}
+
+// engineKind is a generation of engines.
+type engineKind struct {
+	count int
+	cfg   engine.Config
+	// Prices per million tokens.
+	prefillPrice, outputPrice float64
+}
+
+// Scenario is a workload with its failures.
+type Scenario struct {
+	Name    string
+	domains []string // of the VMs
+	engines []engineKind
+	kinds   []kind
+	orgs    []float64 // shares of the organisations
+	// rate is requests a second.
+	rate     float64
+	length   time.Duration
+	netDelay time.Duration
+	burst    bool
+	slow     bool
+	stale    bool
+	kill     bool
+	cut      bool
+}
+
+// Variants of each workload.
+var Variants = []string{"", "burst", "straggler", "stale", "vm-killed", "partition"}
+
+// Workloads are the users'.
+var Workloads = []string{"karrawong", "atelier"}
+
+// UnknownScenarioError names a scenario that does not exist.
+type UnknownScenarioError struct{ Name string }
+
+// Error describes the failure.
+func (e *UnknownScenarioError) Error() string { return "no scenario " + e.Name }
+
+// Find returns a scenario by name, such as "atelier" or "karrawong-burst".
+func Find(name string) (*Scenario, error) {
+	base, variant, _ := strings.Cut(name, "-")
+	if !slices.Contains(Variants, variant) {
+		return nil, &UnknownScenarioError{Name: name}
+	}
+	var s *Scenario
+	switch base {
+	case "karrawong":
+		s = karrawong()
+	case "atelier":
+		s = atelier()
+	default:
+		return nil, &UnknownScenarioError{Name: name}
+	}
+	s.Name = name
+	s.burst = variant == "burst"
+	s.slow = variant == "straggler"
+	s.stale = variant == "stale"
+	s.kill = variant == "vm-killed"
+	s.cut = variant == "partition"
+	return s, nil
+}
+
+// Engines of four generations: speeds and prices differ, and the older ones are
+// cheaper by the token.
+func generation(n, count int) engineKind {
+	speed := []float64{1, 1.6, 2.5, 4}[n]
+	price := []float64{0.5, 0.7, 1, 1.5}[n]
+	return engineKind{
+		count: count,
+		cfg: engine.Config{
+			Slots: 16, PrefillSpeed: 4000 * speed, OutputSpeed: 25 * speed, BatchCost: 0.03, CacheBlocks: 4000,
+		},
+		prefillPrice: price, outputPrice: 4 * price,
+	}
+}
+
+func karrawong() *Scenario {
+	return &Scenario{
+		domains: []string{"p1", "p1", "p2", "p2", "p3", "p3", "p4", "p4"},
+		engines: []engineKind{generation(0, 6), generation(1, 6), generation(2, 5), generation(3, 3)},
+		kinds: []kind{
+			{name: "clearance", tier: 0, share: 0.25, promptMin: 1000, promptMax: 24000, output: 250, deadline: 45 * time.Second, shared: 0.6, sources: 60},
+			{name: "question", tier: 1, share: 0.45, promptMin: 300, promptMax: 4000, output: 120, deadline: 15 * time.Second, firstToken: 1800 * time.Millisecond, shared: 0.7, sources: 60},
+			{name: "flag", tier: 2, share: 0.2, promptMin: 500, promptMax: 8000, output: 60, deadline: 60 * time.Second, shared: 0.5, sources: 60},
+			{name: "notice", tier: 0, share: 0.1, deadline: 10 * time.Second, plain: true, nonIdempotent: true},
+		},
+		orgs: []float64{0.5, 0.3, 0.1, 0.06, 0.04}, rate: 25, length: time.Minute, netDelay: 500 * time.Microsecond,
+	}
+}
+
+func atelier() *Scenario {
+	return &Scenario{
+		domains: []string{"z1", "z1", "z1", "z2", "z2", "z2", "z3", "z3"},
+		engines: []engineKind{generation(0, 3), generation(1, 3), generation(2, 2), generation(3, 2)},
+		kinds: []kind{
+			{name: "tags", tier: 0, share: 0.4, promptMin: 100, promptMax: 500, output: 20, deadline: 5 * time.Second, firstToken: time.Second, shared: 0.5, sources: 20},
+			{name: "draft", tier: 1, share: 0.25, promptMin: 300, promptMax: 2000, output: 200, deadline: 30 * time.Second, firstToken: 1800 * time.Millisecond, shared: 0.4, sources: 40},
+			{name: "review", tier: 2, share: 0.1, promptMin: 8000, promptMax: 40000, output: 400, deadline: 180 * time.Second, shared: 0.8, sources: 25},
+			{name: "profile", tier: 0, share: 0.15, deadline: 5 * time.Second, plain: true},
+			{name: "invoice", tier: 0, share: 0.1, deadline: 10 * time.Second, plain: true, nonIdempotent: true},
+		},
+		orgs: []float64{0.45, 0.3, 0.15, 0.06, 0.04}, rate: 18, length: time.Minute, netDelay: time.Millisecond,
+	}
+}
+
+// arrival is one request of the workload.
+type arrival struct {
+	at   time.Duration
+	id   string
+	kind *kind
+	org  string
+	vm   int
+	// spec without times.
+	prompt, output int
+	prefix         []uint64
+	source         int
+}
+
+const (
+	burstFrom, burstTo = 20 * time.Second, 28 * time.Second
+	burstFactor        = 3
+)
+
+// arrivals draws the workload from a seed.
+func (s *Scenario) arrivals(rng *rand.Rand) []*arrival {
+	var list []*arrival
+	for at := time.Duration(0); at < s.length; {
+		rate := s.rate
+		if s.burst && at >= burstFrom && at < burstTo {
+			rate *= burstFactor
+		}
+		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		list = append(list, s.draw(rng, at, len(list)))
+	}
+	return list
+}
+
+func (s *Scenario) draw(rng *rand.Rand, at time.Duration, n int) *arrival {
+	a := &arrival{at: at, id: fmt.Sprintf("r%06d", n), vm: rng.IntN(len(s.domains))}
+	x := rng.Float64()
+	for i := range s.kinds {
+		a.kind = &s.kinds[i]
+		if x -= a.kind.share; x < 0 {
+			break
+		}
+	}
+	y := rng.Float64()
+	for i, share := range s.orgs {
+		a.org = fmt.Sprintf("org%d", i)
+		if y -= share; y < 0 {
+			break
+		}
+	}
+	k := a.kind
+	if k.plain {
+		return a
+	}
+	z := rng.Float64()
+	a.prompt = k.promptMin + int(z*z*z*float64(k.promptMax-k.promptMin))
+	a.output = max(1, int(float64(k.output)*(0.5+rng.Float64())))
+	a.source = int(rng.Float64() * rng.Float64() * float64(k.sources))
+	a.prefix = blocks(k, a, n)
+	return a
+}
+
+// blocks are the hashes of a prompt that shares its beginning with its source.
+func blocks(k *kind, a *arrival, n int) []uint64 {
+	count := a.prompt / prompt.BlockTokens
+	shared := int(k.shared * float64(count))
+	list := make([]uint64, 0, count)
+	var sum uint64
+	for i := range count {
+		block := uint64(a.source)<<32 | uint64(i)
+		if i >= shared {
+			block = uint64(n+1)<<40 | uint64(i)
+		}
+		sum = prompt.Chain(sum, block)
+		list = append(list, sum)
+	}
+	return list
+}
+
+// spec is the request as a VM admits it.
+func (a *arrival) spec(now time.Duration, attempt request.Attempt) request.Spec {
+	k := a.kind
+	s := request.Spec{
+		Key: request.Key{Organisation: a.org, ID: a.id}, Kind: k.name, Tier: k.tier, Weight: 1,
+		Idempotent: !k.nonIdempotent, TrustFirst: !k.nonIdempotent, Attempt: attempt, Digest: 1,
+		PromptTokens: a.prompt, OutputTokens: k.output, Prefix: a.prefix,
+		Deadline: now + k.deadline - (now - a.at), FirstToken: k.firstToken,
+	}
+	if !k.plain {
+		s.Model = "m"
+	}
+	return s
+}
+
+const services = 4
+
+// endpoints are the engines and services as the scheduler knows them.
+func (s *Scenario) endpoints() []sched.Endpoint {
+	var list []sched.Endpoint
+	for g, e := range s.engines {
+		for i := range e.count {
+			list = append(list, sched.Endpoint{
+				Name: fmt.Sprintf("e%d-%d", g, i), Models: []string{"m"}, Slots: e.cfg.Slots,
+				PrefillSpeed: e.cfg.PrefillSpeed, OutputSpeed: e.cfg.OutputSpeed,
+				PrefillPrice: e.prefillPrice, OutputPrice: e.outputPrice,
+			})
+		}
+	}
+	var kinds []string
+	for _, k := range s.kinds {
+		if k.plain {
+			kinds = append(kinds, k.name)
+		}
+	}
+	for i := range services {
+		list = append(list, sched.Endpoint{Name: fmt.Sprintf("s%d", i), Kinds: kinds, Slots: 32})
+	}
+	return list
+}
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -5,6 +5,7 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 
+	"github.com/chivefield/chivefield/rendezvous"
 	"github.com/chivefield/chivefield/request"
 )
 
@@ -55,9 +56,8 @@
 	leaving                   bool
 	peers                     map[uint32]peerUsage
 	index                     *lru.Cache[uint64, struct{}]
-	// reported is the load the endpoint reports itself, with its lag.
-	reported   int
-	reportedAt time.Duration
+	// hash identifies the endpoint in rendezvous hashing.
+	hash uint32
 }
 
 // peerUsage is another VM's share of an endpoint, from its digest.
@@ -75,6 +75,7 @@
 	return &endpoint{
 		Endpoint: e, running: make(map[uint64]*run), prefillRatio: 1, outputRatio: 1,
 		peers: make(map[uint32]peerUsage), index: index, leaving: e.Leaving,
+		hash: uint32(rendezvous.Hash(e.Name, "")),
 	}
 }
 
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -128,7 +128,7 @@
 	case e.higherWaits(s.now, w.spec.Tier):
 		c.Why = WhyYields
 	}
-	score(s.now, &c, &w.spec, w.arrived)
+	score(s.now, e, &c, &w.spec, w.arrived)
 	return c
 }
 
@@ -144,6 +144,8 @@
 		r.expected = seconds(float64(e.prefillAhead(s.now)+r.uncached) / e.PrefillSpeed)
 	}
 	e.prefill += r.uncached
+	// Prompts are read one by one, so the next with this beginning finds it.
+	e.remember(w.spec.Prefix)
 	e.running[w.handle] = r
 	s.runs[w.handle] = r
 	s.out.Assignments = append(s.out.Assignments, Assignment{Handle: w.handle, Endpoint: e.Name, Candidates: candidates})
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -260,7 +260,6 @@
 	r.firstToken = now
 	r.endpoint.prefill -= r.uncached
 	r.endpoint.observePrefill(now, r.expected, now-r.assigned)
-	r.endpoint.remember(r.spec.Prefix)
 	s.dirty = true
 }
 
--- a/sched/score.go
+++ b/sched/score.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chivefield/chivefield/rendezvous"
 	"github.com/chivefield/chivefield/request"
 )
 
@@ -18,11 +19,27 @@
 	tightFactor = 10
 	// tightShare is that part of the time left.
 	tightShare = 0.7
+	// localityWeight multiplies the price of reading a prompt where rendezvous
+	// hashing does not place its beginning.
+	localityWeight = 8
 )
 
+// locality is the price of spreading a prompt's beginning over endpoints: what
+// is read here will probably be read again elsewhere. VMs learn of each other's
+// cache contents late; hashing the first block lets them agree at once. The
+// weight of an endpoint falls smoothly, so that overflow goes to the same second
+// place at every VM.
+func locality(e *endpoint, c *Candidate, s *request.Spec) float64 {
+	if len(s.Prefix) == 0 {
+		return 0
+	}
+	away := 1 - float64(rendezvous.Weight(s.Prefix[0], e.hash))/(1<<64)
+	return localityWeight * away * float64(s.PromptTokens-c.Cached) * e.PrefillPrice / perMillion
+}
+
 // score adds the penalties of a candidate to its price.
-func score(now time.Duration, c *Candidate, s *request.Spec, arrived time.Duration) {
-	cost := c.Cost + timeWeight*c.Finish.Seconds()
+func score(now time.Duration, e *endpoint, c *Candidate, s *request.Spec, arrived time.Duration) {
+	cost := c.Cost + timeWeight*c.Finish.Seconds() + locality(e, c, s)
 	if s.FirstToken > 0 && now+c.FirstToken > arrived+s.FirstToken {
 		cost *= lateFirstToken
 	}
