Requests wait for the place of their prompt; fencing of lost dispatches; fewer unknowns in a partition

Urgency is worked out once per request: an overloaded pass took seconds.

Cause: non-idempotent kinds sealed every domain. They now claim in their home domain alone, for every attempt.

Cause: two process tests under -race ended in unknown for ever: the VM died between the grant and the dispatch, and no engine knew the stream. An engine that checks fencing now promises never to run it, which frees the claim; a retry takes a new claim and a new stream name, so a promise covers one dispatch. Ruled out: unclean takeovers (both were clean).

--- a/claim/asks.go
+++ b/claim/asks.go
@@ -32,9 +32,14 @@
 	Repeat bool
 	// Arrived is when the request reached this VM.
 	Arrived time.Duration
+	// HomeOnly: every attempt of the key claims in its home domain, so no other
+	// domain has to be asked. It must be the same for all attempts of a key.
+	HomeOnly bool
 	// Endpoint and Stream let another VM resume the answer.
 	Endpoint string
 	Stream   string
+	// Replaces is a flight of this VM whose grant was not used.
+	Replaces uint64
 }
 
 // flight is one wish under way, over one or more asks.
@@ -52,6 +57,8 @@
 	domain string
 	// owing: the holder may have the claim on record.
 	owing bool
+	// replaces is the claim that this one takes the place of.
+	replaces uint64
 }
 
 // ask is one claim message to one domain, sent again until answered.
@@ -79,12 +86,18 @@
 	tries  int
 	sentAt time.Duration
 	until  time.Duration
+	// flight waits for the ack; 0 for none.
+	flight uint64
 }
 
 // Acquire starts a flight. Its end comes as a Result. The id must be new.
 func (n *Node) Acquire(now time.Duration, id uint64, w Wish) {
 	n.now = now
 	f := &flight{id: id, wish: w, hash: keyHash(w.Key), deadline: now + n.cfg.Timeout}
+	if old := n.flights[w.Replaces]; old != nil {
+		f.replaces = old.home
+		delete(n.flights, w.Replaces)
+	}
 	n.flights[id] = f
 	n.start(f)
 	n.runLocal()
@@ -92,11 +105,13 @@
 
 func (n *Node) start(f *flight) {
 	switch {
+	case f.wish.Intent == Find && f.wish.HomeOnly:
+		n.ask(f, n.homeDomain(f.hash), schema.Intent_FIND)
 	case f.wish.Intent == Find:
 		for _, d := range n.domains {
 			n.ask(f, d, schema.Intent_FIND)
 		}
-	case f.wish.Repeat:
+	case f.wish.Repeat || f.wish.HomeOnly:
 		f.domain = n.homeDomain(f.hash)
 		n.askHome(f)
 	default:
@@ -172,7 +187,7 @@
 	n.send(to, &schema.Message{Body: &schema.Message_Claim{Claim: &schema.Claim{
 		Call: a.call, Organisation: w.Key.Organisation, Id: w.Key.ID, BodyDigest: w.Digest,
 		Attempt: uint32(w.Attempt), Repeat: w.Repeat, Intent: a.intent,
-		AgeMs: millis(n.now - w.Arrived), Endpoint: w.Endpoint, Stream: w.Stream,
+		AgeMs: millis(n.now - w.Arrived), Endpoint: w.Endpoint, Stream: w.Stream, Replaces: a.flight.replaces,
 	}}})
 }
 
@@ -238,14 +253,14 @@
 		f.owing = false
 	}
 	if f.wish.Intent == Find {
-		n.found(f, m)
+		n.found(f, a.domain, m)
 		return
 	}
 	switch m.Verdict {
 	case schema.Verdict_GRANTED:
 		n.advance(f, a)
 	case schema.Verdict_HELD:
-		n.held(f, m.Record)
+		n.held(f, a.domain, m.Record)
 	case schema.Verdict_CONFLICT:
 		n.finish(f, Conflict, request.ReasonConflict, nil)
 	case schema.Verdict_ALREADY_REFUSED:
@@ -268,7 +283,7 @@
 
 // advance goes from the home claim to the seals, and ends with all of them.
 func (n *Node) advance(f *flight, a *ask) {
-	if a.call == f.home && f.wish.Repeat {
+	if a.call == f.home && f.wish.Repeat && !f.wish.HomeOnly {
 		n.sealElsewhere(f)
 	}
 	if f.open > 0 {
@@ -291,21 +306,23 @@
 
 // held ends a flight that found another dispatch. A seal only says that the
 // home domain knows: the wish goes on as a repeat there.
-func (n *Node) held(f *flight, r *schema.Record) {
+func (n *Node) held(f *flight, domain string, r *schema.Record) {
 	if r.State == schema.RecordState_SEALED {
 		f.wish.Repeat = true
 		n.start(f)
 		return
 	}
+	f.domain = domain
 	n.finish(f, Held, "", r)
 }
 
 // found takes one domain's answer to a search.
-func (n *Node) found(f *flight, m *schema.ClaimResult) {
+func (n *Node) found(f *flight, domain string, m *schema.ClaimResult) {
 	switch {
 	case m.Verdict == schema.Verdict_CONFLICT:
 		n.finish(f, Conflict, request.ReasonConflict, nil)
 	case m.Verdict == schema.Verdict_HELD && m.Record.State != schema.RecordState_SEALED:
+		f.domain = domain
 		n.finish(f, Held, "", m.Record)
 	case m.Verdict == schema.Verdict_DOUBTFUL:
 		n.finish(f, Unknown, request.ReasonRecordsLost, nil)
@@ -325,7 +342,7 @@
 
 // finish ends a flight without a grant, and gives back what it had claimed.
 func (n *Node) finish(f *flight, v Verdict, why request.Reason, r *schema.Record) {
-	n.out.Results = append(n.out.Results, Result{Flight: f.id, Verdict: v, Reason: why, Record: r})
+	n.out.Results = append(n.out.Results, Result{Flight: f.id, Verdict: v, Reason: why, Record: r, Domain: f.domain})
 	n.drop(f)
 }
 
@@ -337,6 +354,10 @@
 	if f.owing {
 		n.sendUpdate(f, &schema.Update{Released: true})
 	}
+	if f.replaces != 0 {
+		old := &flight{wish: f.wish, hash: f.hash, home: f.replaces, domain: f.domain}
+		n.sendUpdate(old, &schema.Update{Released: true})
+	}
 }
 
 // Forget ends a flight that nobody waits for. The request was not dispatched
@@ -352,16 +373,6 @@
 // NotDispatched gives back a granted claim that was never sent to an endpoint.
 func (n *Node) NotDispatched(now time.Duration, id uint64) { n.Forget(now, id) }
 
-// Moved notes that a granted claim goes to another endpoint, the first having
-// proved that it took nothing.
-func (n *Node) Moved(now time.Duration, id uint64, endpoint string) {
-	n.now = now
-	if f := n.flights[id]; f != nil {
-		n.sendUpdate(f, &schema.Update{Endpoint: endpoint})
-	}
-	n.runLocal()
-}
-
 // Ended notes how a dispatched request ended.
 func (n *Node) Ended(now time.Duration, id uint64, state schema.RecordState) {
 	n.now = now
@@ -372,7 +383,7 @@
 	n.runLocal()
 }
 
-func (n *Node) sendUpdate(f *flight, m *schema.Update) {
+func (n *Node) sendUpdate(f *flight, m *schema.Update) *update {
 	n.lastCall++
 	m.Call = n.lastCall
 	m.Organisation, m.Id = f.wish.Key.Organisation, f.wish.Key.ID
@@ -382,6 +393,7 @@
 	n.updates[m.Call] = u
 	n.updOrder = append(n.updOrder, m.Call)
 	n.trySend(u)
+	return u
 }
 
 func (n *Node) trySend(u *update) {
@@ -404,6 +416,7 @@
 		}
 		if n.now >= u.until {
 			delete(n.updates, call)
+			n.giveUpUpdate(u)
 			continue
 		}
 		n.updOrder = append(n.updOrder, call)
@@ -413,9 +426,37 @@
 	}
 }
 
+func (n *Node) giveUpUpdate(u *update) {
+	if u.flight != 0 {
+		n.out.Results = append(n.out.Results, Result{Flight: u.flight, Verdict: Unknown, Reason: request.ReasonDomainsAway})
+	}
+}
+
 // maxBackoff bounds how many retry intervals lie between two sendings.
 const maxBackoff = 32
 
 func (n *Node) onUpdateAck(m *schema.UpdateAck) {
+	u := n.updates[m.Call]
+	if u == nil {
+		return
+	}
 	delete(n.updates, m.Call)
+	if u.flight != 0 {
+		n.out.Results = append(n.out.Results, Result{Flight: u.flight, Verdict: Absent})
+	}
+}
+
+// Fence gives back the claim of a record in a domain, whoever made it, after its
+// endpoint promised never to run its stream. A claim covers one stream at one
+// endpoint, so it can no longer run anything. The flight ends as Absent.
+func (n *Node) Fence(now time.Duration, id uint64, r *schema.Record, domain string) {
+	n.now = now
+	key := request.Key{Organisation: r.Organisation, ID: r.Id}
+	f := &flight{wish: Wish{Key: key}, hash: keyHash(key), home: r.Call, domain: domain}
+	u := n.sendUpdate(f, &schema.Update{
+		Released: true, Fenced: true, Dispatcher: r.Dispatcher, DispatcherIncarnation: r.DispatcherIncarnation,
+	})
+	u.flight = id
+	u.until = now + n.cfg.Timeout
+	n.runLocal()
 }
--- a/claim/holder.go
+++ b/claim/holder.go
@@ -142,6 +142,8 @@
 		n.answerClaim(r, w, schema.Verdict_CONFLICT)
 	case r.sameClaim(from, inc, m.Call) && (m.Intent != schema.Intent_RUN || r.state == schema.RecordState_CLAIMED):
 		n.wait(r, w)
+	case r.state == schema.RecordState_CLAIMED && m.Replaces != 0 && r.sameClaim(from, inc, m.Replaces):
+		n.wait(n.claimRecord(r, key, hash, from, inc, m), w)
 	case r.state == schema.RecordState_SEALED && m.Intent == schema.Intent_SEAL:
 		n.wait(r, w)
 	case r.state == schema.RecordState_REFUSED && supersedes(m, r, n.now):
@@ -323,7 +325,8 @@
 	n.send(to, &schema.Message{Body: &schema.Message_ClaimResult{ClaimResult: res}})
 }
 
-// onUpdate notes how a claim ended. Only its dispatcher can end it.
+// onUpdate notes how a claim ended. Only its dispatcher can end it, unless the
+// endpoint has fenced it.
 func (n *Node) onUpdate(from uint32, inc uint64, m *schema.Update) {
 	key := request.Key{Organisation: m.Organisation, ID: m.Id}
 	hash := keyHash(key)
@@ -331,7 +334,11 @@
 	if !ok || (holder != n.cfg.Self.ID && !n.standsInFor(holder, hash)) {
 		return
 	}
-	if r := n.records[key]; r != nil && r.sameClaim(from, inc, m.ClaimCall) {
+	dispatcher, dispatcherInc := from, inc
+	if m.Fenced {
+		dispatcher, dispatcherInc = m.Dispatcher, m.DispatcherIncarnation
+	}
+	if r := n.records[key]; r != nil && r.sameClaim(dispatcher, dispatcherInc, m.ClaimCall) {
 		n.applyUpdate(r, m)
 	}
 	n.send(from, &schema.Message{Body: &schema.Message_UpdateAck{UpdateAck: &schema.UpdateAck{Call: m.Call}}})
@@ -345,8 +352,6 @@
 		}
 		r.state = schema.RecordState_REFUSED
 		r.refusedAttempt, r.refusedAt = m.RefusedAttempt, 0
-	case m.Endpoint != "":
-		r.endpoint = m.Endpoint
 	default:
 		r.state = m.State
 	}
--- a/claim/node.go
+++ b/claim/node.go
@@ -69,6 +69,8 @@
 	Verdict Verdict
 	Reason  request.Reason
 	Record  *schema.Record
+	// Domain is where the record is held, with Held.
+	Domain string
 }
 
 // Output is what one or more steps decided, in order.
--- a/cmd/chivefield/standin.go
+++ b/cmd/chivefield/standin.go
@@ -33,6 +33,7 @@
 	Output  float64       `long:"output-speed" default:"60" description:"Output tokens a second of one request"`
 	Batch   float64       `long:"batch-cost" default:"0.03" description:"Share by which each further request slows the others"`
 	Cache   int           `long:"cache-blocks" default:"2000" description:"Prompt blocks kept"`
+	NoFence bool          `long:"ignore-fencing" description:"Run whatever is sent"`
 	Lag     time.Duration `long:"report-lag" default:"1s" description:"Age of the load report"`
 }
 
@@ -42,6 +43,7 @@
 		Slots: c.Slots, PrefillSpeed: c.Prefill, OutputSpeed: c.Output, BatchCost: c.Batch, CacheBlocks: c.Cache,
 	})
 	e.ReportLag = c.Lag
+	e.IgnoresFencing = c.NoFence
 	return listenAndServe(c.Listen, e.Handler())
 }
 
--- a/core/calls.go
+++ b/core/calls.go
@@ -19,6 +19,7 @@
 	claiming              // assigned, waiting for the claim
 	running               // dispatched
 	attached              // reading another dispatch's answer
+	fencing               // giving back another dispatch's claim
 	refusing              // making "not run" certain
 )
 
@@ -37,6 +38,9 @@
 	retries  int
 	// gone: the caller has left.
 	gone bool
+	// record and domain are of the dispatch that is attached to.
+	record *schema.Record
+	domain string
 	// stopReason is set once a stop was ordered.
 	stopReason request.Reason
 }
@@ -71,29 +75,32 @@
 
 // fly starts a claim flight for a call.
 func (n *Node) fly(c *call, intent claim.Intent) {
-	n.lastFlight++
-	c.flight = n.lastFlight
-	n.flights[c.flight] = c
+	unused := c.flight
+	n.newFlight(c)
 	n.claims.Acquire(n.now, c.flight, claim.Wish{
-		Intent: intent, Key: c.spec.Key, Digest: c.spec.Digest, Attempt: c.spec.Attempt,
+		Intent: intent, Replaces: unused, HomeOnly: !c.spec.TrustFirst, Key: c.spec.Key, Digest: c.spec.Digest, Attempt: c.spec.Attempt,
 		Repeat: c.spec.Repeat(), Arrived: c.arrived,
 		Endpoint: c.assigned.Endpoint, Stream: n.stream(c),
 	})
 }
 
-// stream names the dispatch at the endpoint. No other dispatch has the name.
+func (n *Node) newFlight(c *call) {
+	delete(n.flights, c.flight)
+	n.lastFlight++
+	c.flight = n.lastFlight
+	n.flights[c.flight] = c
+}
+
+// stream names the dispatch at the endpoint. No other dispatch has the name,
+// not even a retry of the same call: fencing one must not touch the other.
 func (n *Node) stream(c *call) string {
-	return fmt.Sprintf("%d-%x-%d", n.cfg.Claim.Self.ID, n.cfg.Claim.Incarnation, c.handle)
+	return fmt.Sprintf("%d-%x-%d-%d", n.cfg.Claim.Self.ID, n.cfg.Claim.Incarnation, c.handle, c.retries)
 }
 
 func (n *Node) assigned(a sched.Assignment) {
 	c := n.calls[a.Handle]
 	c.assigned = a
-	if c.granted {
-		n.claims.Moved(n.now, c.flight, a.Endpoint)
-		n.dispatch(c)
-		return
-	}
+	c.granted = false
 	c.stage = claiming
 	n.fly(c, claim.Run)
 }
@@ -119,7 +126,7 @@
 	case claim.Absent:
 		n.enqueue(c)
 	case claim.Held:
-		n.held(c, r.Record)
+		n.held(c, r)
 	case claim.Conflict:
 		delete(n.calls, c.handle)
 		n.emit(Conflict{Handle: c.handle})
@@ -159,12 +166,14 @@
 }
 
 // held answers from another dispatch of the same key.
-func (n *Node) held(c *call, r *schema.Record) {
+func (n *Node) held(c *call, held claim.Result) {
+	r := held.Record
 	if r.State == schema.RecordState_CANCELLED {
 		n.finish(c, request.Cancelled, request.ReasonRefused, 0)
 		return
 	}
 	c.stage = attached
+	c.record, c.domain = r, held.Domain
 	n.emit(Attach{Handle: c.handle, Record: r})
 }
 
@@ -284,6 +293,10 @@
 		n.retry(c)
 		return
 	}
+	if ev.End == Fenced {
+		n.startOver(c)
+		return
+	}
 	n.sched.Tokens(n.now, c.handle, ev.Tokens)
 	n.sched.Done(n.now, c.handle)
 	flight := c.flight
@@ -307,6 +320,8 @@
 
 func (n *Node) endedAttachment(c *call, end End) {
 	switch end {
+	case Fenced:
+		n.fence(c)
 	case Whole:
 		n.finish(c, request.Answered, request.ReasonDone, 0)
 	case Stopped:
@@ -318,8 +333,28 @@
 	}
 }
 
-// retry sends a request that provably ran nowhere to another endpoint, under
-// the claim it has, within its budget.
+// fence gives back the claim of a dispatch that its endpoint promises never to
+// run; then the request goes its own way.
+func (n *Node) fence(c *call) {
+	c.stage = fencing
+	n.newFlight(c)
+	n.claims.Fence(n.now, c.flight, c.record, c.domain)
+}
+
+// startOver asks anew whether the request runs, after another VM had its
+// endpoint refuse this dispatch and gave its claim back.
+func (n *Node) startOver(c *call) {
+	n.sched.Done(n.now, c.handle)
+	n.claims.NotDispatched(n.now, c.flight)
+	n.endFlight(c)
+	c.spec.Attempt = request.Undeclared
+	c.retries++
+	c.stage = finding
+	n.fly(c, claim.Find)
+}
+
+// retry sends a request that provably ran nowhere to another endpoint, within
+// its budget. The new claim takes the place of the one it has.
 func (n *Node) retry(c *call) {
 	c.retries++
 	if c.retries > maxRetries {
--- a/core/events.go
+++ b/core/events.go
@@ -52,6 +52,9 @@
 	Stopped
 	// Missing: an attachment found no such stream.
 	Missing
+	// Fenced: the endpoint refused the dispatch, or promises the attachment,
+	// that the stream never ran and never will.
+	Fenced
 )
 
 // Ended says how a dispatch or an attachment ended.
@@ -191,8 +194,8 @@
 	Clean bool
 }
 
-// Fenced says that the peers took this incarnation for dead: it must end.
-type Fenced struct{}
+// Expelled says that the peers took this incarnation for dead: it must end.
+type Expelled struct{}
 
 // Drained says that nothing is left to do before the process ends.
 type Drained struct{}
@@ -207,5 +210,5 @@
 func (InForce) isEffect()  {}
 func (Judged) isEffect()   {}
 func (Takeover) isEffect() {}
-func (Fenced) isEffect()   {}
+func (Expelled) isEffect() {}
 func (Drained) isEffect()  {}
--- a/core/node.go
+++ b/core/node.go
@@ -182,7 +182,7 @@
 		n.claimResult(r)
 	}
 	if o.Fenced {
-		n.emit(Fenced{})
+		n.emit(Expelled{})
 	}
 }
 
--- a/core/session_test.go
+++ b/core/session_test.go
@@ -344,8 +344,8 @@
 			s.say(n, "in force %d", ef.Rules.Version)
 		case Takeover:
 			s.say(n, "takes over from vm%d, clean %t", ef.VM, ef.Clean)
-		case Fenced:
-			s.say(n, "fenced")
+		case Expelled:
+			s.say(n, "expelled")
 		case Drained:
 			s.say(n, "drained")
 		}
--- a/daemon/endpoints.go
+++ b/daemon/endpoints.go
@@ -83,6 +83,8 @@
 		return core.NotTaken
 	case endpoint.Cancelled:
 		return core.Stopped
+	case endpoint.Fenced:
+		return core.Fenced
 	}
 	e, stream, stopped := c.runState()
 	if stopped && model {
@@ -136,7 +138,7 @@
 	}
 	c.setAnswer(a)
 	next := 0
-	for range resumeTries {
+	for range attachTries {
 		var res endpoint.Result
 		next, res = d.endpoints.Resume(ctx, "http://"+e.Address, r.Stream, next, a)
 		switch res {
@@ -151,12 +153,20 @@
 		case <-time.After(resumeEvery):
 		}
 	}
-	if next == 0 {
-		return core.Missing
+	if next > 0 {
+		return core.Broken
 	}
-	return core.Broken
+	if e.ChecksFencing && d.endpoints.Fence(ctx, "http://"+e.Address, r.Stream) {
+		d.log.Info().Str("request", c.spec.Key.String()).Str("endpoint", e.Name).Str("stream", r.Stream).Msg("fence")
+		return core.Fenced
+	}
+	return core.Missing
 }
 
+// attachTries bounds how often a stream is asked for that the endpoint does not
+// know: its dispatch may be on the way.
+const attachTries = 10
+
 // fetchPlain asks the VM that called a plain service for its answer.
 func (d *Daemon) fetchPlain(ctx context.Context, c *callerCall, r *schema.Record, a *answer) core.End {
 	l := d.links[r.Dispatcher]
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -107,7 +107,7 @@
 			d.noteVerdict(ef.Verdict)
 		case core.Takeover:
 			d.log.Warn().Uint32("vm", ef.VM).Bool("clean", ef.Clean).Msg("takeover")
-		case core.Fenced:
+		case core.Expelled:
 			d.log.Error().Msg("fenced")
 			d.fenced.Store(true)
 		case core.Drained:
--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -71,6 +71,7 @@
 // deployment is a set of processes.
 type deployment struct {
 	t        *testing.T
+	lease    time.Duration
 	platform string
 	engines  []string
 	service  string
@@ -133,7 +134,19 @@
 // deploy starts a platform, two engines, a service and one VM for each name of
 // a failure domain, and puts a configuration in force.
 func deploy(t *testing.T, domains ...string) *deployment {
-	d := &deployment{t: t, platform: freePort(t), service: freePort(t), keys: map[string]bool{}, relays: map[[2]int]*relay{}}
+	return deployLeased(t, longLease, domains...)
+}
+
+// Leases. The long one outlasts any pause of a busy machine, so that a killed
+// VM's death is always proven within it; the short one is for tests that have
+// to wait for it.
+const (
+	longLease  = 30 * time.Second
+	shortLease = time.Second
+)
+
+func deployLeased(t *testing.T, lease time.Duration, domains ...string) *deployment {
+	d := &deployment{t: t, lease: lease, platform: freePort(t), service: freePort(t), keys: map[string]bool{}, relays: map[[2]int]*relay{}}
 	start(t, "standin", "platform", "--listen", d.platform)
 	start(t, "standin", "service", "--listen", d.service)
 	for i := range 2 {
@@ -182,7 +195,7 @@
 	fmt.Fprintf(&b, "[vm]\nid = %d\nname = \"vm%d\"\nfailure_domain = %q\n", v.id, v.id, v.domain)
 	fmt.Fprintf(&b, "[listen]\ncallers = %q\npeers = %q\noperators = %q\n", v.callers, v.peers, v.operators)
 	fmt.Fprintf(&b, "[platform]\naddress = %q\npoll_interval = \"20ms\"\n[keys]\npeer = %q\noperator = %q\n", d.platform, peerKey, operatorKey)
-	fmt.Fprintf(&b, "[claims]\nlease = \"1s\"\ntrust_connection_close = true\n[shutdown]\nbound = \"60s\"\n")
+	fmt.Fprintf(&b, "[claims]\nlease = %q\ntrust_connection_close = true\n[shutdown]\nbound = \"60s\"\n", d.lease.String())
 	for _, p := range d.vms {
 		if p != v {
 			fmt.Fprintf(&b, "[[peers]]\nid = %d\nname = \"vm%d\"\nfailure_domain = %q\naddress = %q\n", p.id, p.id, p.domain, d.relays[[2]int{v.id, p.id}].addr)
@@ -206,7 +219,7 @@
 	b.WriteString("[[kinds]]\nname = \"invoice\"\ndeadline = \"10s\"\npath = \"/invoice\"\nnon_idempotent = true\n")
 	b.WriteString("[[assignments]]\norganisation = \"*\"\nkind = \"draft\"\ntier = 1\n[[assignments]]\norganisation = \"*\"\nkind = \"*\"\ntier = 0\n")
 	for i, e := range d.engines {
-		fmt.Fprintf(&b, "[[endpoints]]\nname = \"engine%d\"\naddress = %q\nfailure_domain = \"a\"\nmodels = [\"m\"]\nslots = 64\nprefill_tokens_per_s = 8000\noutput_tokens_per_s = 100\nprefill_price = 1.0\noutput_price = 2.0\n", i, e)
+		fmt.Fprintf(&b, "[[endpoints]]\nname = \"engine%d\"\naddress = %q\nfailure_domain = \"a\"\nmodels = [\"m\"]\nchecks_fencing = true\nslots = 64\nprefill_tokens_per_s = 8000\noutput_tokens_per_s = 100\nprefill_price = 1.0\noutput_price = 2.0\n", i, e)
 	}
 	fmt.Fprintf(&b, "[[endpoints]]\nname = \"service\"\naddress = %q\nfailure_domain = \"a\"\nkinds = [\"invoice\"]\nslots = 64\n", d.service)
 	return b.String()
--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -38,19 +38,17 @@
 
 // load sends many requests at once and waits for all. While they are under way
 // it calls fault.
-func (d *deployment) load(vms []*vm, count int, make func(i int) sending, fault func()) []history.Seen {
+func (d *deployment) load(vms []*vm, count int, request func(i int) sending, fault func()) []history.Seen {
 	var wg sync.WaitGroup
-	last := make2(count)
+	last := make([]history.Seen, count)
 	for i := range count {
-		wg.Go(func() { last[i] = d.insist(vms, i, make(i)) })
+		wg.Go(func() { last[i] = d.insist(vms, i, request(i)) })
 	}
 	fault()
 	wg.Wait()
 	return last
 }
 
-func make2(n int) []history.Seen { return make([]history.Seen, n) }
-
 // waitRunning waits until the engines have run at least n requests.
 func (d *deployment) waitRunning(n int) {
 	waitFor(func() bool { return len(d.ran()) >= n })
@@ -85,7 +83,7 @@
 // it still holds its keys. Symptom to prevent: it dispatches what the others
 // have meanwhile served.
 func TestFreeze(t *testing.T) {
-	d := deploy(t, "a", "a")
+	d := deployLeased(t, shortLease, "a", "a")
 	frozen, other := d.vms[0], d.vms[1:]
 	d.load(d.vms, 30, check, func() { d.waitRunning(10) })
 	frozen.signal(syscall.SIGSTOP)
@@ -171,7 +169,7 @@
 // unknown, and settled after healing.
 func TestDomainsCut(t *testing.T) {
 	is := is.New(t)
-	d := deploy(t, "a", "a", "b", "b")
+	d := deployLeased(t, shortLease, "a", "a", "b", "b")
 	cut := func(on bool) {
 		for _, a := range d.vms[:2] {
 			for _, b := range d.vms[2:] {
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -60,6 +60,8 @@
 	Broken
 	// Missing: the endpoint knows no such stream.
 	Missing
+	// Fenced: the endpoint refused the stream, having promised never to run it.
+	Fenced
 )
 
 // Client calls endpoints. Its HTTP client must not repeat requests: calls are
@@ -105,6 +107,9 @@
 		// The engines' protocol: such a request was not admitted.
 		return NotTaken
 	}
+	if resp.StatusCode == http.StatusGone {
+		return Fenced
+	}
 	if resp.StatusCode != http.StatusOK {
 		return Broken
 	}
@@ -184,6 +189,28 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// neverStarted is what an engine that fences says of a stream it did not know.
+const neverStarted = "never_started"
+
+// Fence asks an engine never to run a stream. It reports true only if the
+// engine promises that the stream has not run and will not.
+func (c *Client) Fence(ctx context.Context, base, stream string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, base+"/v1/streams/"+stream+"?fence=1", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var out struct {
+		State string `json:"state"`
+	}
+	err = json.NewDecoder(resp.Body).Decode(&out)
+	return err == nil && resp.StatusCode == http.StatusOK && out.State == neverStarted
+}
+
 // Marks of a stream of server-sent events.
 const (
 	doneMark      = "[DONE]"
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -23,20 +23,46 @@
 func (s *Scheduler) assign() {
 	s.countWants()
 	for _, tq := range s.queue.tiers {
-		failed := make(map[shape]bool)
+		full := make(map[shape]bool)
+		firm := make(map[shape]bool)
 		tq.inOrder(func(w *waiting) bool {
 			k := shapeOf(&w.spec)
-			if failed[k] && !s.urgent(w) {
-				return true
-			}
-			if !s.place(w) {
-				failed[k] = true
+			switch {
+			case !full[k]:
+				full[k] = s.place(w) == noRoom
+			case s.hopeless(w):
+			case !firm[k] && s.urgent(w):
+				firm[k] = !s.makeRoom(w)
 			}
 			return true
 		})
 	}
 }
 
+// placement is what became of a request that was looked at.
+type placement int
+
+const (
+	// settled: assigned or given up.
+	settled placement = iota
+	// waits: there is room, but it waits for a better place.
+	waits
+	// noRoom: nothing it could use has room.
+	noRoom
+)
+
+// hopeless gives up a request that cannot be done in time any more.
+func (s *Scheduler) hopeless(w *waiting) bool {
+	if s.now <= w.latest {
+		return false
+	}
+	why, ok := s.possible(w)
+	if !ok {
+		s.drop(w, why)
+	}
+	return !ok
+}
+
 // shape groups requests that can use the same endpoints; if one of a shape
 // finds no room, the next of that shape will not either.
 type shape struct {
@@ -54,7 +80,11 @@
 // countWants counts the waiting requests that each endpoint could serve.
 func (s *Scheduler) countWants() {
 	shapes := make(map[shape]int)
-	s.queue.each(func(w *waiting) { shapes[shapeOf(&w.spec)]++ })
+	s.queue.each(func(w *waiting) {
+		if !w.byChoice {
+			shapes[shapeOf(&w.spec)]++
+		}
+	})
 	clear(s.want)
 	for sh, n := range shapes {
 		probe := request.Spec{Model: sh.model, Kind: sh.kind}
@@ -67,22 +97,23 @@
 }
 
 // place assigns a request, makes room for it, or gives it up.
-func (s *Scheduler) place(w *waiting) bool {
+func (s *Scheduler) place(w *waiting) placement {
 	best, candidates, feasible := s.choose(w)
-	if best != nil {
+	w.byChoice = false
+	switch {
+	case best != nil && s.worthWaiting(w, candidates):
+		w.byChoice = true
+		return waits
+	case best != nil:
 		s.bind(w, best, candidates)
-		return true
-	}
-	if !feasible {
-		if why, ok := s.possible(w); !ok {
-			s.drop(w, why)
-			return true
-		}
+		return settled
+	case !feasible && s.hopeless(w):
+		return settled
 	}
 	if s.urgent(w) {
 		s.makeRoom(w)
 	}
-	return false
+	return noRoom
 }
 
 // choose runs filter, score and pick over the endpoints. feasible says whether
@@ -113,6 +144,36 @@
 	return best, all, feasible
 }
 
+const (
+	// waitGain is how much cheaper a full endpoint must be to be waited for.
+	waitGain = 1.5
+	// patience is the part of its time, to the first token or in all, that a
+	// request waits for a cheaper endpoint.
+	patience = 0.15
+)
+
+// worthWaiting reports whether a request should wait for a full endpoint that
+// has its prompt's beginning, rather than have it read again at the one picked.
+func (s *Scheduler) worthWaiting(w *waiting, all []Candidate) bool {
+	total := w.spec.Deadline - w.arrived
+	if w.spec.FirstToken > 0 {
+		total = min(total, w.spec.FirstToken)
+	}
+	if float64(s.now-w.arrived) >= patience*float64(total) {
+		return false
+	}
+	picked, full := 0.0, -1.0
+	for i := range all {
+		switch c := &all[i]; {
+		case c.Why == WhyPicked:
+			picked = c.Cost
+		case c.Why == WhyFull && (full < 0 || c.Cost < full):
+			full = c.Cost
+		}
+	}
+	return full >= 0 && picked > waitGain*full
+}
+
 // consider filters and scores one endpoint. Why is empty if it may be picked.
 func (s *Scheduler) consider(e *endpoint, w *waiting) Candidate {
 	if why, ok := e.usable(s.now); !ok {
@@ -157,27 +218,7 @@
 
 // urgent reports whether a request misses its deadline or its target for the
 // first token if it waits much longer.
-func (s *Scheduler) urgent(w *waiting) bool {
-	best := time.Duration(-1)
-	first := time.Duration(0)
-	for _, e := range s.endpoints {
-		if _, ok := e.usable(s.now); !ok || !serves(e, &w.spec) {
-			continue
-		}
-		c := e.predictIdle(s.now, &w.spec)
-		if best < 0 || c.Finish < best {
-			best, first = c.Finish, c.FirstToken
-		}
-	}
-	if best < 0 {
-		return false
-	}
-	slack := w.spec.Deadline - s.now - best
-	if float64(slack) < urgentShare*float64(best)+float64(urgentMargin) {
-		return true
-	}
-	return w.spec.FirstToken > 0 && s.now+first+urgentMargin > w.arrived+w.spec.FirstToken
-}
+func (s *Scheduler) urgent(w *waiting) bool { return s.now >= w.urgentAt }
 
 // urgentMargin is the time that asking peers and stopping work takes.
 const urgentMargin = 100 * time.Millisecond
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -13,6 +13,11 @@
 	handle  uint64
 	spec    request.Spec
 	arrived time.Duration
+	// urgentAt and latest are when it becomes urgent, and impossible.
+	urgentAt, latest time.Duration
+	// byChoice: it could run now and waits for a better place. It must not keep
+	// lower tiers from room that it does not want.
+	byChoice bool
 	// yield is the state of asking peers for room.
 	yield yieldState
 	// reserved is the endpoint on which room was made for it.
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -166,23 +166,36 @@
 	return false
 }
 
-// possible reports whether a request could be done in time with room.
+// possible reports whether a request could be done in time with room, and notes
+// from when on it is urgent and until when it is possible.
 func (s *Scheduler) possible(w *waiting) (request.Reason, bool) {
-	found := false
+	best, found := s.bestIdle(&w.spec)
+	if !found {
+		return request.ReasonNoEndpoint, false
+	}
+	w.latest = w.spec.Deadline - best.Finish
+	w.urgentAt = w.latest - time.Duration(urgentShare*float64(best.Finish)) - urgentMargin
+	if w.spec.FirstToken > 0 {
+		w.urgentAt = min(w.urgentAt, w.arrived+w.spec.FirstToken-best.FirstToken-urgentMargin)
+	}
+	if s.now > w.latest {
+		return request.ReasonTooLate, false
+	}
+	return "", true
+}
+
+// bestIdle is the quickest that a request could be done if all were idle.
+func (s *Scheduler) bestIdle(spec *request.Spec) (best Candidate, found bool) {
 	for _, e := range s.endpoints {
-		if _, ok := e.usable(s.now); !ok || !serves(e, &w.spec) {
+		if _, ok := e.usable(s.now); !ok || !serves(e, spec) {
 			continue
 		}
-		found = true
-		c := e.predictIdle(s.now, &w.spec)
-		if inTime(s.now, &c, &w.spec) {
-			return "", true
+		c := e.predictIdle(s.now, spec)
+		if !found || c.Finish < best.Finish {
+			best, found = c, true
 		}
 	}
-	if !found {
-		return request.ReasonNoEndpoint, false
-	}
-	return request.ReasonTooLate, false
+	return best, found
 }
 
 func (s *Scheduler) refuse(w *waiting, why request.Reason) {
--- a/sched/score.go
+++ b/sched/score.go
@@ -21,7 +21,7 @@
 	tightShare = 0.7
 	// localityWeight multiplies the price of reading a prompt where rendezvous
 	// hashing does not place its beginning.
-	localityWeight = 8
+	localityWeight = 20
 )
 
 // locality is the price of spreading a prompt's beginning over endpoints: what
--- a/sched/yield.go
+++ b/sched/yield.go
@@ -24,16 +24,18 @@
 
 // makeRoom stops lower-tier work for an urgent request: here first, then at the
 // VMs that share the endpoints.
-func (s *Scheduler) makeRoom(w *waiting) {
+//
+// It reports whether something was done or is under way.
+func (s *Scheduler) makeRoom(w *waiting) bool {
 	if w.reserved != "" {
-		return
+		return true
 	}
 	if r := s.victim(w.spec.Tier, func(e *endpoint) bool { return s.couldUse(e, w) }); r != nil {
 		s.reserve(w, r.endpoint)
 		s.stop(r, nil)
-		return
+		return true
 	}
-	s.askPeers(w)
+	return s.askPeers(w)
 }
 
 // couldUse reports whether room at an endpoint would let the request finish.
@@ -98,9 +100,9 @@
 }
 
 // askPeers asks every VM that shares the endpoints, once.
-func (s *Scheduler) askPeers(w *waiting) {
+func (s *Scheduler) askPeers(w *waiting) bool {
 	if w.yield.call != 0 || len(s.peers) == 0 {
-		return
+		return false
 	}
 	y := &schema.Yield{Tier: uint32(w.spec.Tier)}
 	for _, e := range s.endpoints {
@@ -109,13 +111,14 @@
 		}
 	}
 	if len(y.Endpoints) == 0 {
-		return
+		return false
 	}
 	s.lastYield++
 	y.Call = s.lastYield
 	w.yield = yieldState{call: y.Call, askedAt: s.now, open: slices.Clone(s.peers)}
 	s.asked[y.Call] = w
 	s.out.Yields = append(s.out.Yields, y)
+	return true
 }
 
 // othersRun reports whether other VMs may run work on an endpoint; without
@@ -213,7 +216,7 @@
 	for _, tq := range s.queue.tiers {
 		for _, o := range tq.orgs {
 			for _, w := range o.items {
-				if serves(e, &w.spec) {
+				if !w.byChoice && serves(e, &w.spec) {
 					return uint32(tq.tier) + 1
 				}
 			}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -34,7 +34,11 @@
 	// ReportLag is how old the load report is.
 	ReportLag time.Duration
 
+	// IgnoresFencing is how engines are that run whatever they are sent.
+	IgnoresFencing bool
+
 	mu      sync.Mutex
+	fenced  map[string]bool
 	start   time.Time
 	model   *engine.Model
 	faults  EngineFaults
@@ -80,7 +84,7 @@
 
 // NewEngine returns an engine that runs until the process ends.
 func NewEngine(name string, cfg engine.Config) *Engine {
-	e := &Engine{Name: name, start: time.Now(), streams: map[string]*stream{}, ran: map[string]int{}}
+	e := &Engine{Name: name, start: time.Now(), streams: map[string]*stream{}, fenced: map[string]bool{}, ran: map[string]int{}}
 	e.model = engine.New(cfg, 0)
 	go e.run()
 	return e
@@ -196,6 +200,11 @@
 		http.Error(w, "not admitted", http.StatusServiceUnavailable)
 		return
 	}
+	if e.fenced[id] {
+		e.mu.Unlock()
+		http.Error(w, "fenced", http.StatusGone)
+		return
+	}
 	s := &stream{id: id, key: r.Header.Get("X-Request-Key"), chat: strings.Contains(r.URL.Path, "chat"), output: c.MaxTokens, changed: make(chan struct{})}
 	e.streams[id] = s
 	e.ran[s.key]++
@@ -220,7 +229,13 @@
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s := e.streams[r.PathValue("id")]
+	id := r.PathValue("id")
+	s := e.streams[id]
+	if s == nil && r.URL.Query().Has("fence") && !e.IgnoresFencing {
+		e.fenced[id] = true
+		encode(w, map[string]string{"state": "never_started"})
+		return
+	}
 	if s == nil {
 		http.NotFound(w, r)
 		return
