--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,52 @@
+package settings
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/chivefield/chivefield/config"
+)
+
+const good = `
+[vm]
+id = 1
+failure_domain = "a"
+[listen]
+callers = "127.0.0.1:1"
+peers = "127.0.0.1:2"
+operators = "127.0.0.1:3"
+[platform]
+address = "127.0.0.1:4"
+[keys]
+peer = "0123456789abcdef"
+operator = "0123456789abcdeF"
+`
+
+// TestFaults: each bad setting is refused at start, with the key's name.
+func TestFaults(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse([]byte(good))
+	is.NoErr(err)
+	for _, c := range []struct{ add, path string }{
+		{"[claims]\nleese = \"1s\"", "claims.leese"},
+		{"[claims]\nlease = \"1\"", "claims.lease"},
+		{"[claims]\nlease = \"1ms\"", "claims.lease"},
+		{"[claims]\nlease = \"3s\"\ntimeout = \"2s\"", "claims.timeout"},
+		{"[claims]\nundeclared_attempt = \"maybe\"", "claims.undeclared_attempt"},
+		{"[[peers]]\nid = 1\nfailure_domain = \"a\"\naddress = \"127.0.0.1:9\"", "peers[0].id"},
+		{"[[peers]]\nid = 2\nfailure_domain = \"a\"\naddress = \"vm2.example:9\"", "peers[0].address"},
+		{"[tls]\ncertificate_file = \"c\"", "tls"},
+		{"[limits]\nmax_body_bytes = -1", "document"},
+		{"[vm", "line 14, column 3"},
+	} {
+		_, err := Parse([]byte(good + c.add))
+		var f *config.FaultsError
+		is.True(errors.As(err, &f))
+		is.Equal(c.add+": "+f.Faults[0].Path, c.add+": "+c.path)
+	}
+	_, err = Parse([]byte(strings.Replace(good, "127.0.0.1:2", "127.0.0.1:1", 1)))
+	is.True(strings.Contains(err.Error(), "addresses of their own"))
+}
