Windows adapt to first tokens that come late

Cause: with digests 3 s old, 8 VMs overcommit engines; requests then queue in the engine, where tiers do not count, and short deadlines pass after the dispatch. Ruled out: predictions (the slowness learned already steers away, too late).

--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -55,7 +55,12 @@
 	restUntil                 time.Duration
 	leaving                   bool
 	peers                     map[uint32]peerUsage
-	index                     *lru.Cache[uint64, struct{}]
+	// window is how many requests all VMs together should run there. It falls
+	// when first tokens come late though few prompts were ahead: then requests
+	// queue in the engine, where tiers do not count.
+	window   float64
+	shrunkAt time.Duration
+	index    *lru.Cache[uint64, struct{}]
 	// hash identifies the endpoint in rendezvous hashing.
 	hash uint32
 }
@@ -75,7 +80,8 @@
 	return &endpoint{
 		Endpoint: e, running: make(map[uint64]*run), prefillRatio: 1, outputRatio: 1,
 		peers: make(map[uint32]peerUsage), index: index, leaving: e.Leaving,
-		hash: uint32(rendezvous.Hash(e.Name, "")),
+		window: float64(e.Slots),
+		hash:   uint32(rendezvous.Hash(e.Name, "")),
 	}
 }
 
@@ -91,12 +97,13 @@
 			running += p.running
 		}
 	}
-	fair := e.Slots
-	if mine+others > e.Slots {
-		fair = (e.Slots*mine + mine + others - 1) / (mine + others)
+	window := min(int(e.window), e.Slots)
+	fair := window
+	if mine+others > window {
+		fair = (window*mine + mine + others - 1) / (mine + others)
 	}
 	// Room that others use now is not free, whatever would be fair.
-	free := e.Slots - running
+	free := window - running
 	return max(min(fair, free), 0) + e.granted
 }
 
@@ -151,6 +158,28 @@
 	e.observedAt = now
 }
 
+const (
+	// lateFactor and lateSlack say when a first token shows a queue in the engine.
+	lateFactor = 2
+	lateSlack  = 300 * time.Millisecond
+	// shrink and grow are the steps of the window; it shrinks once in shrinkEvery.
+	shrink      = 0.8
+	grow        = 0.25
+	shrinkEvery = time.Second
+)
+
+// adapt moves the window by additive increase and multiplicative decrease.
+func (e *endpoint) adapt(now time.Duration, expected, took time.Duration) {
+	if took <= lateFactor*expected+lateSlack {
+		e.window = min(e.window+grow, float64(e.Slots))
+		return
+	}
+	if now >= e.shrunkAt+shrinkEvery {
+		e.shrunkAt = now
+		e.window = max(1, e.window*shrink)
+	}
+}
+
 // maxRatio bounds one observation, so that a single pause does not last.
 const maxRatio = 20
 
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -104,6 +104,10 @@
 		if e == nil {
 			e = newEndpoint(cfg)
 		}
+		e.window = min(e.window, float64(cfg.Slots))
+		if cfg.Slots > e.Slots {
+			e.window = float64(cfg.Slots)
+		}
 		e.Endpoint = cfg
 		e.leaving = e.leaving || cfg.Leaving
 		s.byName[cfg.Name] = e
@@ -272,6 +276,7 @@
 	}
 	r.firstToken = now
 	r.endpoint.prefill -= r.uncached
+	r.endpoint.adapt(now, r.expected, now-r.assigned)
 	r.endpoint.observePrefill(now, r.expected, now-r.assigned)
 	s.dirty = true
 }
