--- a/daemon/endpoints.go
+++ b/daemon/endpoints.go
@@ -16,8 +16,8 @@
 	"github.com/chivefield/chivefield/schema"
 )
 
-// progressEvery is how many tokens lie between two progress events.
-const progressEvery = 16
+// progressEvery is the least time between two progress events of a stream.
+const progressEvery = 250 * time.Millisecond
 
 // dispatch sends a granted request to its endpoint, once.
 func (d *Daemon) dispatch(ctx context.Context, ef core.Dispatch) {
@@ -63,13 +63,18 @@
 
 // tokenEvents tells the core of the first token and of progress.
 func (d *Daemon) tokenEvents(ctx context.Context, handle uint64) func(int) {
+	var last time.Time
 	return func(total int) {
+		now := time.Now()
 		switch {
 		case total == 1:
 			d.push(ctx, core.FirstToken{Handle: handle})
-		case total%progressEvery == 0:
+		case now.Sub(last) >= progressEvery:
 			d.push(ctx, core.Progress{Handle: handle, Tokens: total})
+		default:
+			return
 		}
+		last = now
 	}
 }
 
--- a/load/baseline.go
+++ b/load/baseline.go
@@ -51,6 +51,9 @@
 // FirstToken implements Policy.
 func (b *baseline) FirstToken(time.Duration, *run) {}
 
+// Progress implements Policy.
+func (b *baseline) Progress(time.Duration, *run, int) {}
+
 // Done implements Policy.
 func (b *baseline) Done(_ time.Duration, r *run) {
 	if !b.s.killed[r.vm] {
--- a/load/current.go
+++ b/load/current.go
@@ -174,6 +174,11 @@
 	c.step(r.vm, core.FirstToken{Handle: r.handle})
 }
 
+// Progress implements Policy.
+func (c *current) Progress(_ time.Duration, r *run, tokens int) {
+	c.step(r.vm, core.Progress{Handle: r.handle, Tokens: tokens})
+}
+
 // Done implements Policy.
 func (c *current) Done(_ time.Duration, r *run) {
 	c.step(r.vm, core.Ended{Handle: r.handle, End: core.Whole, Tokens: r.a.output})
--- a/load/sim.go
+++ b/load/sim.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/chivefield/chivefield/engine"
@@ -32,6 +33,7 @@
 	Arrive(now time.Duration, vm int, a *arrival, attempt int)
 	// FirstToken and Done are events of a run that the policy dispatched.
 	FirstToken(now time.Duration, r *run)
+	Progress(now time.Duration, r *run, tokens int)
 	Done(now time.Duration, r *run)
 	// Every is called at a fixed interval, Cache with cache events.
 	Every(now time.Duration)
@@ -92,6 +94,7 @@
 	byName   map[string]int
 	kinds    []engineKind
 	runs     map[string]*run
+	active   []string
 	policy   Policy
 	report   *Report
 	results  map[string]*result
@@ -142,6 +145,7 @@
 		s.after(a.at, func() { s.arrive(a, a.vm) })
 	}
 	s.after(0, s.every)
+	s.after(0, s.progress)
 	s.faults()
 	end := s.sc.length + 3*time.Minute
 	for len(s.queue) > 0 {
@@ -154,6 +158,21 @@
 	}
 }
 
+// progress tells how far the streams have come.
+func (s *sim) progress() {
+	for _, stream := range s.active {
+		r := s.runs[stream]
+		if n := s.engines[r.endpoint].Written(stream); n > 1 && !r.ended {
+			s.policy.Progress(s.now, r, n)
+		}
+	}
+	s.active = slices.DeleteFunc(s.active, func(stream string) bool { return s.runs[stream].ended })
+	s.after(progressEvery, s.progress)
+}
+
+// progressEvery is the interval of a stream's progress events.
+const progressEvery = 250 * time.Millisecond
+
 func (s *sim) every() {
 	s.policy.Every(s.now)
 	s.after(everyInterval, s.every)
@@ -162,9 +181,12 @@
 func (s *sim) faults() {
 	switch {
 	case s.sc.slow:
-		slow := s.byName["e3-0"]
-		s.after(faultFrom, func() { s.setSlow(slow, slowFactor) })
-		s.after(faultTo, func() { s.setSlow(slow, 1) })
+		// One of the cheapest engines, which get most work, and one of the quickest.
+		for _, name := range []string{"e0-0", "e3-0"} {
+			slow := s.byName[name]
+			s.after(faultFrom, func() { s.setSlow(slow, slowFactor) })
+			s.after(faultTo, func() { s.setSlow(slow, 1) })
+		}
 	case s.sc.kill:
 		s.after(faultFrom, func() { s.kill(0) })
 	case s.sc.cut:
@@ -218,6 +240,7 @@
 			s.after(serviceTime, func() { s.finishRun(r) })
 			return
 		}
+		s.active = append(s.active, r.stream)
 		s.engines[r.endpoint].Submit(s.now, r.stream, r.a.prefix, r.a.prompt, r.a.output)
 		s.pump(r.endpoint)
 	})
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -59,7 +59,10 @@
 	uncached   int
 	firstToken time.Duration // 0 before it
 	tokens     int
-	stopping   bool
+	// progressAt and progressTokens are the last point at which its speed was seen.
+	progressAt     time.Duration
+	progressTokens int
+	stopping       bool
 	// stoppedFor is the peer's yield that waits for the stop.
 	stoppedFor *yieldDebt
 }
@@ -275,6 +278,7 @@
 		return
 	}
 	r.firstToken = now
+	r.progressAt, r.progressTokens = now, 1
 	r.endpoint.prefill -= r.uncached
 	r.endpoint.adapt(now, r.expected, now-r.assigned)
 	r.endpoint.observePrefill(now, r.expected, now-r.assigned)
@@ -284,11 +288,23 @@
 // Tokens notes how many tokens have come in all.
 func (s *Scheduler) Tokens(now time.Duration, handle uint64, total int) {
 	s.now = now
-	if r := s.runs[handle]; r != nil {
-		r.tokens = total
+	r := s.runs[handle]
+	if r == nil || total <= r.tokens {
+		return
 	}
+	if r.firstToken != 0 && now >= r.progressAt+progressSpan && total-r.progressTokens >= minProgress {
+		r.endpoint.observeOutput(now, total-r.progressTokens, now-r.progressAt)
+		r.progressAt, r.progressTokens = now, total
+	}
+	r.tokens = total
 }
 
+const (
+	// progressSpan and minProgress say how much of a stream shows its speed.
+	progressSpan = 400 * time.Millisecond
+	minProgress  = 1
+)
+
 // Done notes the end of a request, however it ended.
 func (s *Scheduler) Done(now time.Duration, handle uint64) {
 	s.now = now
@@ -296,9 +312,6 @@
 	if r == nil {
 		return
 	}
-	if r.firstToken != 0 && r.tokens > 1 {
-		r.endpoint.observeOutput(now, r.tokens, now-r.firstToken)
-	}
 	s.release(r)
 }
 
