Traffic between VMs: HTTP/2 for calls, company for messages that can wait

Ruled out: the messages themselves (1,184 B/s idle for a cell of 8). Change: calls over HTTP/2, whose repeated headers are small; heartbeats, digests, updates wait 40 ms for company; unchanged digests go out once a second; how a claim ended is copied with the next claim. Watches stay on connections of their own, since their end proves a death.

--- a/claim/copies.go
+++ b/claim/copies.go
@@ -14,6 +14,9 @@
 	maxInFlight = 64
 )
 
+// noFlush is when nothing is to be copied.
+const noFlush = 1<<63 - 1
+
 // flightOfCopies is a Duplicate that waits for its ack.
 type flightOfCopies struct {
 	seq      uint64
@@ -34,6 +37,12 @@
 	}
 	if b := n.backup(r.hash); b != nil && !b.solo {
 		b.dirty = append(b.dirty, r.key)
+		// How a claim ended is copied with the next claim, or soon.
+		if r.state == schema.RecordState_CLAIMED || r.state == schema.RecordState_SEALED || r.refusedAt != 0 {
+			b.flushAt = n.now
+		} else {
+			b.flushAt = min(b.flushAt, n.now+n.cfg.Retry)
+		}
 	}
 }
 
@@ -42,6 +51,7 @@
 	p.dirty = nil
 	p.inFlight = nil
 	p.syncSent = false
+	p.flushAt = n.now
 	if !p.member || p.solo || n.phase != active {
 		return
 	}
@@ -68,9 +78,10 @@
 		return
 	}
 	for _, p := range n.peers {
-		if !p.member || p.solo {
+		if !p.member || p.solo || n.now < p.flushAt && !n.leaveAsked {
 			continue
 		}
+		p.flushAt = noFlush
 		for len(p.dirty) > 0 && len(p.inFlight) < maxInFlight {
 			count := min(copiesPerMessage, len(p.dirty))
 			n.sendCopies(p, p.dirty[:count])
@@ -181,6 +192,9 @@
 	for i, f := range p.inFlight {
 		if f.seq == m.Seq {
 			p.inFlight = append(p.inFlight[:i:i], p.inFlight[i+1:]...)
+			if len(p.dirty) > 0 || !p.syncSent {
+				p.flushAt = min(p.flushAt, n.now)
+			}
 			n.noteCopies(p, f)
 			return
 		}
--- a/claim/roster.go
+++ b/claim/roster.go
@@ -56,6 +56,8 @@
 	dirty      []request.Key
 	inFlight   []*flightOfCopies
 	syncSent   bool
+	// flushAt is when the queued copies go out.
+	flushAt time.Duration
 
 	// The peer as holder, this VM as backup.
 
--- a/cmd/chivefield/demo.go
+++ b/cmd/chivefield/demo.go
@@ -53,27 +53,36 @@
 
 // Execute implements flags.Commander.
 func (c *demoCommand) Execute([]string) error {
-	d := &demo{listeners: map[string]net.Listener{}, log: &eventFilter{out: os.Stdout, all: c.Verbose}}
-	if err := d.open(); err != nil {
-		return err
-	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
+	d, g, err := startDemo(ctx, &eventFilter{out: os.Stdout, all: c.Verbose}, []string{"north", "north", "south", "south"})
+	if err != nil {
+		return err
+	}
+	if err := d.tell(); err != nil {
+		return err
+	}
+	fmt.Println("\n# SIGTERM: each VM hands over its keys and ends")
+	stop()
+	return g.Wait()
+}
+
+// startDemo runs a VM for each name of a failure domain, and the stand-ins.
+func startDemo(ctx context.Context, log io.Writer, domains []string) (*demo, *errgroup.Group, error) {
+	d := &demo{listeners: map[string]net.Listener{}, log: log}
+	if err := d.open(domains); err != nil {
+		return nil, nil, err
+	}
 	var g errgroup.Group
 	for _, v := range d.vms {
 		set, err := settings.Parse([]byte(d.settings(v)))
 		if err != nil {
-			return err
+			return nil, nil, err
 		}
 		dm := daemon.New(daemon.Options{Settings: set, Log: logging.New(d.log).With().Int("vm", v.id).Logger(), Listen: d.listen})
 		g.Go(func() error { return dm.Run(ctx) })
 	}
-	if err := d.tell(); err != nil {
-		return err
-	}
-	fmt.Println("\n# SIGTERM: each VM hands over its keys and ends")
-	stop()
-	return g.Wait()
+	return d, &g, nil
 }
 
 // eventFilter passes on the lines that tell the story.
@@ -98,9 +107,9 @@
 }
 
 // open listens on free addresses and starts the stand-ins.
-func (d *demo) open() error {
+func (d *demo) open(domains []string) error {
 	var addrs []string
-	for range 16 {
+	for range 4 + 3*len(domains) {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return err
@@ -117,7 +126,7 @@
 		})
 		d.serve(a, e.Handler())
 	}
-	for i, domain := range []string{"north", "north", "south", "south"} {
+	for i, domain := range domains {
 		a := addrs[4+3*i:]
 		d.vms = append(d.vms, &demoVM{id: i + 1, domain: domain, callers: a[0], peers: a[1], operators: a[2]})
 	}
@@ -135,7 +144,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "[vm]\nid = %d\nfailure_domain = %q\n", v.id, v.domain)
 	fmt.Fprintf(&b, "[listen]\ncallers = %q\npeers = %q\noperators = %q\n", v.callers, v.peers, v.operators)
-	fmt.Fprintf(&b, "[platform]\naddress = %q\npoll_interval = \"20ms\"\n", d.platform)
+	fmt.Fprintf(&b, "[platform]\naddress = %q\n", d.platform)
 	fmt.Fprintf(&b, "[keys]\npeer = %q\noperator = %q\n[claims]\ntrust_connection_close = true\n", demoPeerKey, demoOperatorKey)
 	for _, p := range d.vms {
 		if p != v {
@@ -153,6 +162,7 @@
 	fmt.Fprintf(&b, "[[organisations]]\nname = \"karrawong\"\nkey_sha256 = %q\n", hex.EncodeToString(sum[:]))
 	b.WriteString("[[kinds]]\nname = \"check\"\ndeadline = \"3s\"\nmodel = \"m\"\nexpected_output = 60\n")
 	b.WriteString("[[kinds]]\nname = \"draft\"\ndeadline = \"30s\"\nmodel = \"m\"\nexpected_output = 200\n")
+	b.WriteString("[[kinds]]\nname = \"lookup\"\ndeadline = \"5s\"\npath = \"/lookup\"\n")
 	b.WriteString("[[kinds]]\nname = \"invoice\"\ndeadline = \"5s\"\npath = \"/invoice\"\nnon_idempotent = true\n")
 	b.WriteString("[[assignments]]\norganisation = \"*\"\nkind = \"draft\"\ntier = 1\n")
 	b.WriteString("[[assignments]]\norganisation = \"*\"\nkind = \"*\"\ntier = 0\n")
@@ -160,7 +170,7 @@
 		fmt.Fprintf(&b, "[[endpoints]]\nname = \"engine%d\"\naddress = %q\nfailure_domain = \"north\"\nmodels = [\"m\"]\nchecks_fencing = true\n", i, a)
 		fmt.Fprintf(&b, "slots = 2\nprefill_tokens_per_s = 4000\noutput_tokens_per_s = %d\nprefill_price = %d\noutput_price = %d\n", 60*(i+1), i+1, 4*(i+1))
 	}
-	fmt.Fprintf(&b, "[[endpoints]]\nname = \"accounts\"\naddress = %q\nfailure_domain = \"south\"\nkinds = [\"invoice\"]\nslots = 8\n", d.service)
+	fmt.Fprintf(&b, "[[endpoints]]\nname = \"accounts\"\naddress = %q\nfailure_domain = \"south\"\nkinds = [\"invoice\", \"lookup\"]\nslots = 8\n", d.service)
 	return b.String()
 }
 
--- a/cmd/chivefield/main.go
+++ b/cmd/chivefield/main.go
@@ -21,6 +21,7 @@
 	Load    loadCommand    `command:"load" description:"Measure policies on the users' workloads in virtual time"`
 	Demo    demoCommand    `command:"demo" description:"Run the whole path on built-in stand-ins and tell what happens"`
 	Slopes  slopesCommand  `command:"slopes" description:"Measure the slopes from which docs/CAPACITY.md is worked out"`
+	Traffic trafficCommand `command:"traffic" description:"Measure what VMs send each other, over real connections"`
 	Standin standinCommand `command:"standin" description:"Run a stand-in of an outside system, for trials"`
 	Version versionCommand `command:"version" description:"Print the version"`
 }
--- a/cmd/chivefield/operate.go
+++ b/cmd/chivefield/operate.go
@@ -34,28 +34,37 @@
 
 const callTimeout = 15 * time.Second
 
+// call prints the answer of a daemon.
 func (o *operatorFlags) call(method, path string, body []byte) error {
+	out, err := o.fetch(method, path, body)
+	if err != nil {
+		return err
+	}
+	_, err = os.Stdout.Write(out)
+	return err
+}
+
+func (o *operatorFlags) fetch(method, path string, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+o.Address+path, bytes.NewReader(body))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	req.Header.Set("Authorization", "Bearer "+o.Key)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	out, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
-		return &StatusError{Status: resp.StatusCode, Body: string(out)}
+		return nil, &StatusError{Status: resp.StatusCode, Body: string(out)}
 	}
-	_, err = os.Stdout.Write(out)
-	return err
+	return out, nil
 }
 
 type statusCommand struct{ operatorFlags }
--- /dev/null
+++ b/cmd/chivefield/traffic.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/chivefield/chivefield/daemon"
+)
+
+// trafficCommand measures what the VMs of one domain send each other, over real
+// connections on loopback.
+type trafficCommand struct {
+	VMs     []int         `long:"vms" default:"2" default:"4" default:"6" default:"8" description:"Sizes of the domain"`
+	Rates   []int         `long:"rate" default:"0" default:"5" default:"10" default:"20" description:"Requests a second at each VM"`
+	Seconds time.Duration `long:"for" default:"5s" description:"Length of each measurement"`
+}
+
+// Execute implements flags.Commander.
+func (c *trafficCommand) Execute([]string) error {
+	fmt.Println("| VMs of the domain | requests/s a VM | peer bytes in and out, B/s a VM | calls/s a VM | processor time, all duties and stand-ins, % of a core a VM |")
+	fmt.Println("| --- | --- | --- | --- | --- |")
+	for _, n := range c.VMs {
+		for _, r := range c.Rates {
+			if err := c.measure(n, r); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (c *trafficCommand) measure(n, rate int) error {
+	ctx, stop := context.WithCancel(context.Background())
+	domains := strings.Split(strings.Repeat("d ", n-1)+"d", " ")
+	d, g, err := startDemo(ctx, io.Discard, domains)
+	if err != nil {
+		stop()
+		return err
+	}
+	defer func() {
+		stop()
+		_ = g.Wait()
+	}()
+	op := operatorFlags{Address: d.vms[0].operators, Key: demoOperatorKey}
+	if _, err := op.fetch(http.MethodPost, "/config", []byte(d.document())); err != nil {
+		return err
+	}
+	for _, v := range d.vms {
+		d.waitReady(v)
+	}
+	time.Sleep(time.Second)
+	before, err := d.counters()
+	if err != nil {
+		return err
+	}
+	usedBefore := processorTime()
+	d.offer(rate, c.Seconds)
+	used := processorTime() - usedBefore
+	after, err := d.counters()
+	if err != nil {
+		return err
+	}
+	per := c.Seconds.Seconds() * float64(n)
+	fmt.Printf("| %d | %d | %.0f | %.1f | %.2f |\n", n, rate, (after.bytes-before.bytes)/per, (after.calls-before.calls)/per, 100*used.Seconds()/per)
+	return nil
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// offer sends plain calls at a steady rate to every VM.
+func (d *demo) offer(rate int, length time.Duration) {
+	if rate == 0 {
+		time.Sleep(length)
+		return
+	}
+	tick := time.NewTicker(time.Second / time.Duration(rate))
+	defer tick.Stop()
+	for i := range rate * int(length/time.Second) {
+		<-tick.C
+		for vm := range d.vms {
+			go d.offerOne(vm, fmt.Sprintf("%032x-%d", i, vm))
+		}
+	}
+}
+
+func (d *demo) offerOne(vm int, id string) {
+	req, _ := http.NewRequest(http.MethodPost, "http://"+d.vms[vm].callers+"/v1/services/lookup", strings.NewReader("x"))
+	req.Header.Set("Authorization", "Bearer "+demoAPIKey)
+	req.Header.Set(daemon.HeaderID, id)
+	req.Header.Set(daemon.HeaderAttempt, "1")
+	resp, err := http.DefaultClient.Do(req)
+	if err == nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+}
+
+// traffic is the sum over the VMs.
+type traffic struct{ bytes, calls float64 }
+
+func (d *demo) counters() (traffic, error) {
+	var t traffic
+	for _, v := range d.vms {
+		op := operatorFlags{Address: v.operators, Key: demoOperatorKey}
+		data, err := op.fetch(http.MethodGet, "/metrics", nil)
+		if err != nil {
+			return t, err
+		}
+		var m map[string]struct{ Count float64 }
+		if err := json.Unmarshal(data, &m); err != nil {
+			return t, err
+		}
+		t.bytes += m["peer.bytes_in"].Count + m["peer.bytes_out"].Count
+		t.calls += m["peer.calls"].Count
+	}
+	return t, nil
+}
--- a/core/node.go
+++ b/core/node.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/chivefield/chivefield/claim"
 	"github.com/chivefield/chivefield/config"
 	"github.com/chivefield/chivefield/sched"
@@ -35,6 +37,8 @@
 	lastFlight uint64
 	learned    estimator
 	digestAt   time.Duration
+	digestSent time.Duration
+	lastDigest *schema.Digest
 	draining   bool
 	drained    bool
 	out        []Effect
@@ -144,12 +148,27 @@
 	n.stopLate()
 	if n.now >= n.digestAt {
 		n.digestAt = n.now + n.cfg.DigestEvery
-		n.broadcast(&schema.Message{Body: &schema.Message_Digest{Digest: n.sched.MakeDigest(n.now)}})
+		n.sendDigest()
 	}
 	n.configTick()
 	n.progressDrain()
 }
 
+// digestsKept is how many intervals an unchanged digest is not repeated, well
+// under the time for which peers believe it.
+const digestsKept = 10
+
+// sendDigest tells peers of this VM's use of endpoints when it has changed, and
+// now and then when it has not.
+func (n *Node) sendDigest() {
+	d := n.sched.MakeDigest(n.now)
+	if proto.Equal(d, n.lastDigest) && n.now < n.digestSent+digestsKept*n.cfg.DigestEvery {
+		return
+	}
+	n.lastDigest, n.digestSent = d, n.now
+	n.broadcast(&schema.Message{Body: &schema.Message_Digest{Digest: d}})
+}
+
 func (n *Node) broadcast(m *schema.Message) {
 	for _, id := range n.sharers() {
 		n.emit(Send{To: id, Message: m})
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -74,7 +74,10 @@
 
 	endpoints *endpoint.Client
 	platform  *platform.Client
-	peerHTTP  *http.Client
+	// peerHTTP holds the watches, each on a connection of its own; exchangeHTTP
+	// carries the calls over HTTP/2, whose headers cost little when repeated.
+	peerHTTP     *http.Client
+	exchangeHTTP *http.Client
 
 	group *errgroup.Group
 	stop  context.CancelFunc
@@ -103,7 +106,12 @@
 	}
 	d.endpoints = &endpoint.Client{HTTP: d.client(maxIdlePerEndpoint), ResumeEvery: resumeEvery, ResumeTries: resumeTries}
 	d.platform = &platform.Client{Base: "http://" + d.set.Platform.Address, HTTP: d.client(maxIdlePerPeer)}
-	d.peerHTTP = d.client(maxIdlePerPeer)
+	d.peerHTTP = d.countedClient()
+	d.exchangeHTTP = d.countedClient()
+	var h2 http.Protocols
+	h2.SetUnencryptedHTTP2(true)
+	h2.SetHTTP2(true)
+	d.exchangeHTTP.Transport.(*http.Transport).Protocols = &h2
 	d.status.Store(&core.Status{Why: "starting"})
 	for _, p := range d.set.Peers {
 		d.links[p.Id] = newLink(p)
@@ -125,6 +133,19 @@
 	}}
 }
 
+// countedClient is a client whose bytes count as traffic between VMs.
+func (d *Daemon) countedClient() *http.Client {
+	c := d.client(maxIdlePerPeer)
+	c.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := d.opts.Dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return d.counted(conn), nil
+	}
+	return c
+}
+
 // coreConfig turns settings into the core's configuration.
 func (d *Daemon) coreConfig() core.Config {
 	vms := []claim.VM{{ID: d.set.Vm.Id, Domain: d.set.Vm.FailureDomain}}
@@ -163,6 +184,7 @@
 		return err
 	}
 	d.peerHTTP.Transport.(*http.Transport).TLSClientConfig = trust
+	d.exchangeHTTP.Transport.(*http.Transport).TLSClientConfig = trust
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	d.stop = stop
 	defer stop()
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -185,5 +185,11 @@
 // kernel may close a watch, since its end is taken for the process's death.
 func (d *Daemon) servePeers(l net.Listener) {
 	s := d.server(d.peerHandler())
+	var both http.Protocols
+	both.SetHTTP1(true)
+	both.SetHTTP2(true)
+	both.SetUnencryptedHTTP2(true)
+	s.Protocols = &both
+	l = countedListener{Listener: l, d: d}
 	go func() { _ = s.Serve(l) }()
 }
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -52,31 +52,60 @@
 // exchange sends what waits for a peer, one call at a time, so that messages
 // gather into batches by themselves while a call is under way.
 func (d *Daemon) exchange(ctx context.Context, l *link) error {
-	client := schema.NewPeerServiceProtobufClient(d.peerURL(l), &keyedClient{http: d.peerHTTP, key: d.set.Keys.Peer})
+	client := schema.NewPeerServiceProtobufClient(d.peerURL(l), &keyedClient{http: d.exchangeHTTP, key: d.set.Keys.Peer})
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case m := <-l.out:
-			env := &schema.Envelope{From: d.set.Vm.Id, Incarnation: d.inc, Messages: drainLink(l, m)}
+			env := &schema.Envelope{From: d.set.Vm.Id, Incarnation: d.inc, Messages: gather(ctx, l, m)}
 			d.call(ctx, client, l, env)
 		}
 	}
 }
 
-func drainLink(l *link, first *schema.Message) []*schema.Message {
+// gather takes what waits for a peer. Messages that nobody waits for are held
+// back a little, for company: what a call costs is mostly the call itself.
+func gather(ctx context.Context, l *link, first *schema.Message) []*schema.Message {
 	batch := []*schema.Message{first}
-	for len(batch) < maxBatch {
+	hold := time.NewTimer(holdBack)
+	defer hold.Stop()
+	for urgent := !canWait(first); len(batch) < maxBatch; {
+		if urgent {
+			select {
+			case m := <-l.out:
+				batch = append(batch, m)
+				continue
+			default:
+				return batch
+			}
+		}
 		select {
 		case m := <-l.out:
 			batch = append(batch, m)
-		default:
+			urgent = !canWait(m)
+		case <-hold.C:
+			return batch
+		case <-ctx.Done():
 			return batch
 		}
 	}
 	return batch
 }
 
+// holdBack is how long messages that can wait do so, well under a heartbeat's interval.
+const holdBack = 40 * time.Millisecond
+
+// canWait reports whether nobody waits for a message.
+func canWait(m *schema.Message) bool {
+	switch m.Body.(type) {
+	case *schema.Message_Heartbeat, *schema.Message_Update, *schema.Message_UpdateAck,
+		*schema.Message_Digest, *schema.Message_ConfigWant:
+		return true
+	}
+	return false
+}
+
 func (d *Daemon) call(ctx context.Context, client schema.PeerService, l *link, env *schema.Envelope) {
 	bound, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
