Kinds cannot change where they are claimed; the checker is checked

Cause, by reading: a kind that became non-idempotent in the configuration moved its claims to the home domain, where attempts from before were unknown: a repeat could run again. TestControlTerm: a kill in place of SIGTERM is found.

--- a/config/ledger.go
+++ b/config/ledger.go
@@ -175,12 +175,36 @@
 	if d.BaseVersion != l.log.Version {
 		return Stale, []Fault{{Path: "base_version", Problem: fmt.Sprintf("is %d, in force is %d", d.BaseVersion, l.log.Version)}}
 	}
-	if faults := Check(d); len(faults) > 0 {
+	if faults := append(Check(d), changedModes(l.log.Document, d)...); len(faults) > 0 {
 		return Invalid, faults
 	}
 	return Accepted, nil
 }
 
+// changedModes finds kinds whose claims would move. Where a kind's keys are
+// claimed follows from its mode; an attempt claimed under the old mode would not
+// be found by its repeat under the new one, and the request would run twice.
+func changedModes(old, d *schema.Document) []Fault {
+	modes := make(map[string]bool)
+	for _, k := range old.GetKinds() {
+		modes[k.Name] = homeOnly(k)
+	}
+	var faults []Fault
+	for i, k := range d.Kinds {
+		if was, ok := modes[k.Name]; ok && was != homeOnly(k) {
+			faults = append(faults, Fault{
+				Path:    fmt.Sprintf("kinds[%d]", i),
+				Problem: "non_idempotent and trust_first_attempt decide where the kind is claimed and cannot change; use a new name",
+			})
+		}
+	}
+	return faults
+}
+
+// homeOnly reports whether every attempt of a kind is claimed in the key's home
+// domain.
+func homeOnly(k *schema.Kind) bool { return k.NonIdempotent && !k.TrustFirstAttempt }
+
 // Decode reads a record of the log.
 func Decode(data []byte) (*schema.LogRecord, error) {
 	r := &schema.LogRecord{}
--- a/config/ledger_test.go
+++ b/config/ledger_test.go
@@ -105,6 +105,8 @@
 		body.SchemaVersion = SchemaVersion + 1
 	case d.HasArg("unknown-field"):
 		body.ProtoReflect().SetUnknown(protowire.AppendVarint(protowire.AppendTag(nil, 999, protowire.VarintType), 1))
+	case d.HasArg("mode"):
+		body.Kinds[0].NonIdempotent = true
 	case d.HasArg("faulty"):
 		body.RecordTtl = "forever"
 	}
--- a/config/rules.go
+++ b/config/rules.go
@@ -74,7 +74,7 @@
 		Tier:         request.Tier(tier.Number),
 		Weight:       max(1, org.Weight),
 		Idempotent:   !kind.NonIdempotent,
-		TrustFirst:   !kind.NonIdempotent || kind.TrustFirstAttempt,
+		TrustFirst:   !homeOnly(kind),
 		Model:        kind.Model,
 		OutputTokens: int(kind.ExpectedOutput),
 		FirstToken:   parsed(tier.FirstTokenTarget),
--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -118,6 +118,24 @@
 	d.verify(true)
 }
 
+// TestControlTerm is TestTerm with a kill instead of a shutdown: callers are cut
+// off, and the checker must say so.
+func TestControlTerm(t *testing.T) {
+	d := deploy(t, "a", "a")
+	v := d.vms[0]
+	var wg sync.WaitGroup
+	for i := range 20 {
+		wg.Go(func() { d.send(v, check(i)) })
+	}
+	d.waitRunning(10)
+	v.signal(syscall.SIGKILL)
+	wg.Wait()
+	h := history.History{Seen: d.seen, Ran: d.ran(), MustFinish: true}
+	if len(h.Check()) == 0 {
+		t.Fatal("the checker passed callers that were cut off")
+	}
+}
+
 // TestAnswerLost: endpoints run a request and lose the answer. Symptom to
 // prevent: a second run. A model's stream is resumed; a plain call is unknown,
 // however often it is asked for.
