--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -76,7 +76,7 @@
 		return addr
 	}
 	platform := serve((&standin.Platform{}).Handler())
-	v.engine = standin.NewEngine("e", engine.Config{Slots: 8, PrefillSpeed: 8000, OutputSpeed: 500, CacheBlocks: 10})
+	v.engine = standin.NewEngine("e", engine.Config{Slots: 8, PrefillSpeed: 8000, OutputSpeed: v.outputSpeed(), CacheBlocks: 10})
 	engineAddr := serve(v.engine.Handler())
 	v.service = serve((&standin.Service{Name: "s"}).Handler())
 	v.callers, v.peers, v.operators = listen(), listen(), listen()
@@ -114,6 +114,14 @@
 	return v
 }
 
+// outputSpeed makes a benchmark's tokens cost nothing but their passing on.
+func (v *oneVM) outputSpeed() float64 {
+	if _, ok := v.t.(*testing.B); ok {
+		return 1e9
+	}
+	return 500
+}
+
 func (v *oneVM) configure(engineAddr string) {
 	sum := func(key string) string { s := sha256.Sum256([]byte(key)); return hex.EncodeToString(s[:]) }
 	doc := fmt.Sprintf(`
@@ -277,3 +285,16 @@
 		}
 	}
 }
+
+// BenchmarkTokens passes on streams of 2,000 tokens; the engine's side and the
+// caller's are in this process too.
+func BenchmarkTokens(b *testing.B) {
+	const tokens = 2000
+	v := startVM(b)
+	for b.Loop() {
+		if status, _ := v.do(v.callers, "POST", completions, testAPIKey, nil, `{"model":"m","prompt":"p","max_tokens":2000,"stream":true}`); status != http.StatusOK {
+			b.Fatal(status)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*tokens), "ns/token")
+}
