Room made for a request is tried and kept

Cause, by reading pick.go and yield.go: a request with room reserved was not looked at once another of its kind had found none (TestReservedIsTried: 0 assignments, now the urgent one); and a VM that stopped work for a peer gave the room to its own next draft (TestYieldedRoomIsKept: 1 assignment, now 0 for 500 ms). Both red first.

--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -61,6 +61,9 @@
 	window   float64
 	shrunkAt time.Duration
 	index    *lru.Cache[uint64, struct{}]
+	// yieldedTo is the tier for which room was made here lately.
+	yieldedTo    request.Tier
+	yieldedUntil time.Duration
 	// hash identifies the endpoint in rendezvous hashing.
 	hash uint32
 }
@@ -107,8 +110,15 @@
 	return max(min(fair, free), 0) + e.granted
 }
 
-// higherWaits reports whether another VM has work of a higher tier that waits.
+// yieldHold is how long room that was made for a peer's request is kept for it.
+const yieldHold = 500 * time.Millisecond
+
+// higherWaits reports whether another VM has work of a higher tier that waits,
+// by its digest or because room was just made for it.
 func (e *endpoint) higherWaits(now time.Duration, t request.Tier) bool {
+	if now < e.yieldedUntil && e.yieldedTo < t {
+		return true
+	}
 	for _, p := range e.peers {
 		if p.anyWaiting && p.waitingTier < t && now-p.at < digestTTL {
 			return true
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -28,6 +28,8 @@
 		tq.inOrder(func(w *waiting) bool {
 			k := shapeOf(&w.spec)
 			switch {
+			case w.reserved != "":
+				s.place(w)
 			case !full[k]:
 				full[k] = s.place(w) == noRoom
 			case s.hopeless(w):
--- /dev/null
+++ b/sched/sched_test.go
@@ -0,0 +1,69 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chivefield/chivefield/request"
+	"github.com/chivefield/chivefield/schema"
+)
+
+func oneEngine(slots int) *Scheduler {
+	s := New(Config{MaxQueued: 100})
+	s.SetPeers([]uint32{2})
+	s.SetEndpoints(0, []Endpoint{{Name: "e", Models: []string{"m"}, Slots: slots, PrefillSpeed: 1000, OutputSpeed: 100}})
+	return s
+}
+
+func spec(tier request.Tier, deadline time.Duration) request.Spec {
+	return request.Spec{
+		Key: request.Key{Organisation: "o"}, Tier: tier, Weight: 1, Idempotent: true, Model: "m",
+		PromptTokens: 100, OutputTokens: 100, Deadline: deadline,
+	}
+}
+
+// TestReservedIsTried: an urgent check was given up beside the room made for it
+// (found by reading). Sequence: two checks wait, the one with more time is looked
+// at first because its organisation was served less; a peer makes room for the
+// urgent one. Cause: once one request of a kind found no room, no other of that
+// kind was tried.
+func TestReservedIsTried(t *testing.T) {
+	is := is.New(t)
+	s := oneEngine(1)
+	s.Submit(0, 1, spec(0, time.Hour)) // runs, and is of no lower tier
+	is.Equal(len(s.Take().Assignments), 1)
+	urgent := spec(0, 1300*time.Millisecond)
+	urgent.Key.Organisation = "z"
+	patient := spec(0, time.Hour)
+	patient.Key.Organisation = "a"
+	s.Digest(0, 2, &schema.Digest{Usage: []*schema.Usage{{Endpoint: "e", Running: 1}}})
+	s.Submit(0, 2, patient)
+	s.Submit(0, 3, urgent)
+	out := s.Take()
+	is.Equal(len(out.Yields), 1) // the peer is asked
+	s.YieldResult(time.Millisecond, 2, &schema.YieldResult{Call: out.Yields[0].Call, Endpoint: "e"})
+	out = s.Take()
+	is.Equal(len(out.Assignments), 1)
+	is.Equal(out.Assignments[0].Handle, uint64(3))
+}
+
+// TestYieldedRoomIsKept: a check asked a peer for room, the peer stopped a draft
+// and at once gave the room to its next draft (found by reading). Cause: the
+// peer learned from a digest, later, that a higher tier waited.
+func TestYieldedRoomIsKept(t *testing.T) {
+	is := is.New(t)
+	s := oneEngine(1)
+	s.Submit(0, 1, spec(1, time.Hour))
+	s.Submit(0, 2, spec(1, time.Hour))
+	is.Equal(len(s.Take().Assignments), 1)
+	s.Yield(time.Millisecond, 2, &schema.Yield{Call: 7, Tier: 0, Endpoints: []string{"e"}})
+	is.Equal(s.Take().Stops, []uint64{1})
+	s.Done(2*time.Millisecond, 1)
+	out := s.Take()
+	is.Equal(len(out.YieldResults), 1)
+	is.Equal(len(out.Assignments), 0) // the room is the peer's
+	s.Tick(time.Second)
+	is.Equal(len(s.Take().Assignments), 1) // but not for ever
+}
--- a/sched/yield.go
+++ b/sched/yield.go
@@ -140,12 +140,14 @@
 		s.answerYield(&yieldDebt{peer: from, call: y.Call}, "")
 		return
 	}
+	r.endpoint.yieldedTo = request.Tier(y.Tier)
 	s.stop(r, &yieldDebt{peer: from, call: y.Call})
 }
 
 // payYield answers a peer once the work stopped for it has ended.
 func (s *Scheduler) payYield(r *run) {
 	if r.stoppedFor != nil {
+		r.endpoint.yieldedUntil = s.now + yieldHold
 		s.answerYield(r.stoppedFor, r.endpoint.Name)
 	}
 }
