Lower tiers keep off the endpoints that a higher tier waits for

Two faults: drafts were sent to engines that a check could not use in time only because of the prompts ahead, and once one request had asked its peers for room no other of its kind did. TestLowerTierKeepsOff was red (1 assignment) and is green. Ruled out: that tier 2 ran during the overload: second by second, no tier 2 request was dispatched from 20 s to 48 s; it has 60 s and was served after. The tests' map of listeners was read while written (race detector): mended, in the demo too.

--- a/cmd/chivefield/demo.go
+++ b/cmd/chivefield/demo.go
@@ -136,8 +136,9 @@
 func (d *demo) listen(addr string) (net.Listener, error) { return d.listeners[addr], nil }
 
 func (d *demo) serve(addr string, h http.Handler) {
+	l := d.listeners[addr]
 	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
-	go func() { _ = s.Serve(d.listeners[addr]) }()
+	go func() { _ = s.Serve(l) }()
 }
 
 func (d *demo) settings(v *demoVM) string {
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -70,8 +70,9 @@
 	}
 	serve := func(h http.Handler) string {
 		addr := listen()
+		l := listeners[addr]
 		s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
-		go func() { _ = s.Serve(listeners[addr]) }()
+		go func() { _ = s.Serve(l) }()
 		t.Cleanup(func() { _ = s.Close() })
 		return addr
 	}
--- a/load/scenario.go
+++ b/load/scenario.go
@@ -51,6 +51,7 @@
 	length   time.Duration
 	netDelay time.Duration
 	burst    bool
+	overload bool
 	slow     bool
 	stale    bool
 	kill     bool
@@ -58,7 +59,7 @@
 }
 
 // Variants of each workload.
-var Variants = []string{"", "burst", "straggler", "stale", "vm-killed", "partition"}
+var Variants = []string{"", "burst", "overload", "straggler", "stale", "vm-killed", "partition"}
 
 // Workloads are the users'.
 var Workloads = []string{"karrawong", "atelier"}
@@ -86,6 +87,7 @@
 	}
 	s.Name = name
 	s.burst = variant == "burst"
+	s.overload = variant == "overload"
 	s.slow = variant == "straggler"
 	s.stale = variant == "stale"
 	s.kill = variant == "vm-killed"
@@ -152,6 +154,9 @@
 const (
 	burstFrom, burstTo = 20 * time.Second, 28 * time.Second
 	burstFactor        = 3
+	// An overload lasts longer than any deadline but the most patient.
+	overloadFrom, overloadTo = 10 * time.Second, 50 * time.Second
+	overloadFactor           = 4
 )
 
 // arrivals draws the workload from a seed.
@@ -162,6 +167,9 @@
 		if s.burst && at >= burstFrom && at < burstTo {
 			rate *= burstFactor
 		}
+		if s.overload && at >= overloadFrom && at < overloadTo {
+			rate *= overloadFactor
+		}
 		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
 		list = append(list, s.draw(rng, at, len(list)))
 	}
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -22,9 +22,9 @@
 // assign goes through the queue, higher tiers first, and binds what has room.
 func (s *Scheduler) assign() {
 	s.countWants()
+	clear(s.wanted)
 	for _, tq := range s.queue.tiers {
 		full := make(map[shape]bool)
-		firm := make(map[shape]bool)
 		tq.inOrder(func(w *waiting) bool {
 			k := shapeOf(&w.spec)
 			switch {
@@ -32,15 +32,38 @@
 				s.place(w)
 			case !full[k]:
 				full[k] = s.place(w) == noRoom
+				if full[k] {
+					s.wantFor(w)
+				}
 			case s.hopeless(w):
-			case !firm[k] && s.urgent(w):
-				firm[k] = !s.makeRoom(w)
+			case s.urgent(w):
+				s.makeRoom(w)
 			}
 			return true
 		})
 	}
 }
 
+// wantFor keeps lower tiers from the endpoints that a request without room
+// could use: their prompts would lengthen the wait there, until the request
+// cannot be done in time although lower-tier work goes on.
+func (s *Scheduler) wantFor(w *waiting) {
+	for _, e := range s.endpoints {
+		if _, ok := s.wanted[e]; !ok && s.couldUse(e, w) {
+			s.wanted[e] = w.spec.Tier
+		}
+	}
+}
+
+// keptFrom reports whether an endpoint is wanted by a higher tier, here or at
+// another VM.
+func (s *Scheduler) keptFrom(e *endpoint, t request.Tier) bool {
+	if by, ok := s.wanted[e]; ok && by < t {
+		return true
+	}
+	return e.higherWaits(s.now, t)
+}
+
 // placement is what became of a request that was looked at.
 type placement int
 
@@ -188,7 +211,7 @@
 	case w.reserved == e.Name:
 	case len(e.running) >= e.share(s.now, s.want[e])-s.heldBack(e):
 		c.Why = WhyFull
-	case e.higherWaits(s.now, w.spec.Tier):
+	case s.keptFrom(e, w.spec.Tier):
 		c.Why = WhyYields
 	}
 	score(s.now, e, &c, &w.spec, w.arrived)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -85,6 +85,9 @@
 	dirty bool
 	// want counts, for an endpoint, the waiting requests that could use it.
 	want map[*endpoint]int
+	// wanted are the endpoints that a request without room could use, with the
+	// highest such tier; of the present pass.
+	wanted map[*endpoint]request.Tier
 }
 
 // New returns a scheduler without endpoints.
@@ -92,6 +95,7 @@
 	return &Scheduler{
 		cfg: cfg, byName: make(map[string]*endpoint), waiting: make(map[uint64]*waiting),
 		runs: make(map[uint64]*run), asked: make(map[uint64]*waiting), want: make(map[*endpoint]int),
+		wanted: make(map[*endpoint]request.Tier),
 	}
 }
 
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -67,3 +67,23 @@
 	s.Tick(time.Second)
 	is.Equal(len(s.Take().Assignments), 1) // but not for ever
 }
+
+// TestLowerTierKeepsOff: checks were given up while drafts went on being sent to
+// the engine they wanted. Sequence: an engine with free slots has so many prompts
+// ahead that a check would not be in time behind them; a patient draft would, and
+// lengthens the wait. Cause: only full engines counted as wanted.
+func TestLowerTierKeepsOff(t *testing.T) {
+	is := is.New(t)
+	s := oneEngine(8)
+	long := spec(0, time.Hour)
+	long.PromptTokens = 5000 // 5 s of reading
+	s.Submit(0, 1, long)
+	is.Equal(len(s.Take().Assignments), 1)
+	s.Submit(0, 2, spec(0, 4*time.Second))
+	s.Submit(0, 3, spec(1, time.Hour))
+	is.Equal(len(s.Take().Assignments), 0) // the draft waits behind the check
+	s.FirstToken(time.Second, 1)
+	out := s.Take()
+	is.Equal(len(out.Assignments), 2)
+	is.Equal(out.Assignments[0].Handle, uint64(2))
+}
--- a/sched/yield.go
+++ b/sched/yield.go
@@ -24,18 +24,16 @@
 
 // makeRoom stops lower-tier work for an urgent request: here first, then at the
 // VMs that share the endpoints.
-//
-// It reports whether something was done or is under way.
-func (s *Scheduler) makeRoom(w *waiting) bool {
+func (s *Scheduler) makeRoom(w *waiting) {
 	if w.reserved != "" {
-		return true
+		return
 	}
 	if r := s.victim(w.spec.Tier, func(e *endpoint) bool { return s.couldUse(e, w) }); r != nil {
 		s.reserve(w, r.endpoint)
 		s.stop(r, nil)
-		return true
+		return
 	}
-	return s.askPeers(w)
+	s.askPeers(w)
 }
 
 // couldUse reports whether room at an endpoint would let the request finish.
@@ -100,9 +98,9 @@
 }
 
 // askPeers asks every VM that shares the endpoints, once.
-func (s *Scheduler) askPeers(w *waiting) bool {
+func (s *Scheduler) askPeers(w *waiting) {
 	if w.yield.call != 0 || len(s.peers) == 0 {
-		return false
+		return
 	}
 	y := &schema.Yield{Tier: uint32(w.spec.Tier)}
 	for _, e := range s.endpoints {
@@ -111,14 +109,13 @@
 		}
 	}
 	if len(y.Endpoints) == 0 {
-		return false
+		return
 	}
 	s.lastYield++
 	y.Call = s.lastYield
 	w.yield = yieldState{call: y.Call, askedAt: s.now, open: slices.Clone(s.peers)}
 	s.asked[y.Call] = w
 	s.out.Yields = append(s.out.Yields, y)
-	return true
 }
 
 // othersRun reports whether other VMs may run work on an endpoint; without
