Estimates keep within what the caller allows

Cause, by reading: the learned length of a kind's answers replaced the caller's max_tokens, so a short answer could be refused as too long. A field that was only written is gone.

--- a/core/calls.go
+++ b/core/calls.go
@@ -36,8 +36,6 @@
 	assigned sched.Assignment
 	refusal  sched.Refusal
 	retries  int
-	// gone: the caller has left.
-	gone bool
 	// record and domain are of the dispatch that is attached to.
 	record *schema.Record
 	domain string
@@ -52,7 +50,7 @@
 	c := &call{handle: ev.Handle, spec: ev.Spec, arrived: n.now}
 	n.calls[ev.Handle] = c
 	if c.spec.OutputTokens > 0 {
-		c.spec.OutputTokens = n.learned.expect(c.spec.Kind, c.spec.OutputTokens)
+		c.spec.OutputTokens = n.learned.expect(c.spec.Kind, c.spec.OutputTokens, c.spec.MaxOutput)
 	}
 	switch {
 	case n.draining:
@@ -218,7 +216,6 @@
 	if c == nil {
 		return
 	}
-	c.gone = true
 	if c.stage == running {
 		return
 	}
--- a/core/estimate.go
+++ b/core/estimate.go
@@ -11,12 +11,17 @@
 // estimateRate is the weight of a new answer.
 const estimateRate = 0.1
 
-// expect returns the learned length of an answer, or what was configured.
-func (e estimator) expect(kind string, configured int) int {
+// expect returns the learned length of an answer, or what was configured, but
+// no more than the caller allows; limit 0 is none.
+func (e estimator) expect(kind string, configured, limit int) int {
+	n := configured
 	if v, ok := e[kind]; ok {
-		return max(1, int(v))
+		n = max(1, int(v))
 	}
-	return configured
+	if limit > 0 {
+		n = min(n, limit)
+	}
+	return n
 }
 
 func (e estimator) observe(kind string, tokens int) {
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -197,9 +197,7 @@
 	}
 	c.spec.PromptTokens = prompt.Tokens(text)
 	c.spec.Prefix = prompt.Blocks(text)
-	if in.MaxTokens > 0 {
-		c.spec.OutputTokens = min(in.MaxTokens, c.spec.OutputTokens)
-	}
+	c.spec.MaxOutput = max(0, in.MaxTokens)
 }
 
 // requestID returns the caller's id; without one the request cannot be
--- a/request/request.go
+++ b/request/request.go
@@ -86,6 +86,8 @@
 	PromptTokens int
 	// OutputTokens is the expected length of the answer.
 	OutputTokens int
+	// MaxOutput bounds the answer; 0 is no bound.
+	MaxOutput int
 	// Prefix are hashes of the prompt's leading blocks, each covering all before it.
 	Prefix []uint64
 	// Deadline is the time by which the whole answer must be there.
