A VM taken for dead by its peers ends

Cause, by reading: the daemon noted that it was expelled and went on serving, with claims that nobody answered. TestExpelled: before, it ran into the test's timeout (20 s); after, the process ends with an error 1.3 s into the test and its peer serves on. Ruled out: that the core forgot (it stops granting at once).

--- a/claim/roster.go
+++ b/claim/roster.go
@@ -394,7 +394,7 @@
 }
 
 func (n *Node) onFenced(m *schema.Fenced) {
-	if m.Incarnation != n.cfg.Incarnation {
+	if m.Incarnation != n.cfg.Incarnation || n.fenced {
 		return
 	}
 	n.fenced = true
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -85,8 +85,8 @@
 	done <-chan struct{}
 	// drained is closed when the core has nothing left to do.
 	drained chan struct{}
-	// fenced is set when the peers took this process for dead.
-	fenced atomic.Bool
+	// expelled is closed when the peers took this process for dead.
+	expelled chan struct{}
 }
 
 // New prepares a daemon. The incarnation is the time of start, so a later
@@ -102,7 +102,7 @@
 		opts: opts, set: opts.Settings, log: opts.Log, start: time.Now(), inc: uint64(time.Now().UnixNano()),
 		events: make(chan item, eventBuffer), appends: make(chan *appendJob, appendBuffer),
 		links: make(map[uint32]*link), answers: newAnswers(), metrics: metrics.NewRegistry(),
-		calls: make(map[uint64]*callerCall), judged: newVerdicts(), drained: make(chan struct{}),
+		calls: make(map[uint64]*callerCall), judged: newVerdicts(), drained: make(chan struct{}), expelled: make(chan struct{}),
 	}
 	d.endpoints = &endpoint.Client{HTTP: d.client(maxIdlePerEndpoint), ResumeEvery: resumeEvery, ResumeTries: resumeTries}
 	d.platform = &platform.Client{Base: "http://" + d.set.Platform.Address, HTTP: d.client(maxIdlePerPeer)}
@@ -222,13 +222,15 @@
 	}
 }
 
-// shutdown waits for the signal, then for the core to be drained, and ends the
+// shutdown waits for the signal, or for the word of the peers that this process
+// is dead to them, then for the core to be drained, and ends the
 // process's duties. A bound ends it with truthful outcomes in any case.
 func (d *Daemon) shutdown(signal, work context.Context, callers *http.Server) error {
 	select {
 	case <-work.Done():
 		return nil
 	case <-signal.Done():
+	case <-d.expelled:
 	}
 	d.log.Info().Msg("draining")
 	d.push(work, core.Drain{})
@@ -243,10 +245,12 @@
 	defer cancel()
 	_ = callers.Shutdown(bound)
 	d.stop()
-	if d.fenced.Load() {
+	select {
+	case <-d.expelled:
 		return &FencedError{VM: d.set.Vm.Id}
+	default:
+		return nil
 	}
-	return nil
 }
 
 // flushBound is how long answers that are complete may take to reach callers.
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -109,7 +109,7 @@
 			d.log.Warn().Uint32("vm", ef.VM).Bool("clean", ef.Clean).Msg("takeover")
 		case core.Expelled:
 			d.log.Error().Msg("fenced")
-			d.fenced.Store(true)
+			close(d.expelled)
 		case core.Drained:
 			close(d.drained)
 		}
--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -270,3 +271,26 @@
 	}
 	is.Equal(len(versions), 1) // the same everywhere
 }
+
+// TestExpelled: a VM that the platform's list dropped while it was paused goes
+// on with claims that others have taken over (found by reading: the daemon noted
+// that it was taken for dead, and went on). It must end by itself, with an error
+// for its supervisor.
+func TestExpelled(t *testing.T) {
+	is := is.New(t)
+	d := deployLeased(t, shortLease, "a", "a")
+	paused, other := d.vms[0], d.vms[1]
+	paused.signal(syscall.SIGSTOP)
+	body := strings.NewReader(`[{"id":1,"state":"gone"}]`)
+	resp, err := http.Post("http://"+d.platform+"/control/vms", "application/json", body)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	waitFor(func() bool {
+		_, status := d.operator(other, http.MethodGet, "/status", "")
+		return strings.Contains(status, `"Members":0`)
+	})
+	paused.signal(syscall.SIGCONT)
+	is.True(paused.cmd.Wait() != nil) // it ends, and not with status 0
+	is.Equal(d.send(other, sending{id: "after", kind: "check", attempt: 1, tokens: 3}).Outcome, request.Answered)
+	d.verify(false)
+}
