An operator's drain ends the process

Found by trying the command: the VM drained and stayed. Ruled out: the core (it was drained); the process waited for a signal alone.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -222,8 +222,8 @@
 	}
 }
 
-// shutdown waits for the signal, or for the word of the peers that this process
-// is dead to them, then for the core to be drained, and ends the
+// shutdown waits for the signal, for the end of an operator's drain, or for the
+// word of the peers that this process is dead to them, then for the core to be drained, and ends the
 // process's duties. A bound ends it with truthful outcomes in any case.
 func (d *Daemon) shutdown(signal, work context.Context, callers *http.Server) error {
 	select {
@@ -231,6 +231,7 @@
 		return nil
 	case <-signal.Done():
 	case <-d.expelled:
+	case <-d.drained:
 	}
 	d.log.Info().Msg("draining")
 	d.push(work, core.Drain{})
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -36,6 +36,8 @@
 	callers, peers, operators string
 	service                   string
 	engine                    *standin.Engine
+	// ended is closed when the daemon has ended.
+	ended chan struct{}
 	log                       *lockedBuffer
 }
 
@@ -103,13 +105,16 @@
 	}
 	d := New(Options{Settings: set, Log: logging.New(v.log), Listen: func(addr string) (net.Listener, error) { return listeners[addr], nil }})
 	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- d.Run(ctx) }()
-	t.Cleanup(func() {
-		stop()
-		if err := <-done; err != nil {
+	v.ended = make(chan struct{})
+	go func() {
+		defer close(v.ended)
+		if err := d.Run(ctx); err != nil {
 			t.Error(err)
 		}
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-v.ended
 	})
 	v.configure(engineAddr)
 	return v
@@ -238,6 +243,16 @@
 	is.Equal(len(v.engine.Ran()), 2)
 }
 
+// TestDrainEnds: an operator's drain left a process that served nothing and never
+// ended. Cause: only a signal was waited for, not the end of the work.
+func TestDrainEnds(t *testing.T) {
+	is := is.New(t)
+	v := startVM(t)
+	status, _ := v.do(v.operators, "POST", "/drain", testOperatorKey, nil, "")
+	is.Equal(status, 202)
+	<-v.ended
+}
+
 // TestKeysStayOut: a key in a log line would be a key for whoever reads logs.
 func TestKeysStayOut(t *testing.T) {
 	is := is.New(t)
