--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -38,7 +38,7 @@
 	engine                    *standin.Engine
 	// ended is closed when the daemon has ended.
 	ended chan struct{}
-	log                       *lockedBuffer
+	log   *lockedBuffer
 }
 
 type lockedBuffer struct {
