Scheduler: state that nothing read is gone

From reading the whole change: a timeout for yields, the time of asking and the list of open answers were kept and never read, and room granted by peers was added to a share and at once taken off again. The package comment promised a wait for every peer's answer that the code never made: it now says what is done.

--- a/core/session_test.go
+++ b/core/session_test.go
@@ -173,7 +173,7 @@
 			Self: vms[n.id-1], Incarnation: n.inc, VMs: vms, CellSize: 8, Lease: time.Second,
 			Retry: 50 * time.Millisecond, Timeout: 2 * time.Second, TTL: time.Hour, MaxRecords: 1000,
 		},
-		Sched:       sched.Config{MaxQueued: 100, YieldTimeout: 300 * time.Millisecond},
+		Sched:       sched.Config{MaxQueued: 100},
 		DigestEvery: 100 * time.Millisecond, ConfigEvery: 200 * time.Millisecond, CarryEvery: time.Hour,
 	}, s.now)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -45,7 +45,6 @@
 	configEvery = 500 * time.Millisecond
 	carryEvery  = 10 * time.Minute
 	claimRetry  = 50 * time.Millisecond
-	yieldWait   = 300 * time.Millisecond
 	cellSize    = 8
 	recordTTL   = 15 * time.Minute
 )
@@ -158,7 +157,7 @@
 			Lease: d.set.Lease, Retry: claimRetry, Timeout: d.set.ClaimTimeout,
 			TTL: recordTTL, MaxRecords: int(d.set.Claims.MaxRecords),
 		},
-		Sched:       sched.Config{MaxQueued: int(d.set.Limits.MaxQueuedRequests), YieldTimeout: yieldWait},
+		Sched:       sched.Config{MaxQueued: int(d.set.Limits.MaxQueuedRequests)},
 		DigestEvery: digestEvery, ConfigEvery: configEvery, CarryEvery: carryEvery,
 	}
 }
--- a/load/current.go
+++ b/load/current.go
@@ -44,7 +44,7 @@
 				Self: vms[i], Incarnation: uint64(i+1) << 32, VMs: vms, CellSize: 8, Lease: time.Second,
 				Retry: 50 * time.Millisecond, Timeout: 2 * time.Second, TTL: 15 * time.Minute, MaxRecords: 200000,
 			},
-			Sched:       sched.Config{MaxQueued: 10000, YieldTimeout: 300 * time.Millisecond},
+			Sched:       sched.Config{MaxQueued: 10000},
 			DigestEvery: 100 * time.Millisecond, ConfigEvery: 500 * time.Millisecond, CarryEvery: time.Hour,
 		}, 0))
 		c.handles = append(c.handles, map[uint64]*arrival{})
--- a/load/slopes.go
+++ b/load/slopes.go
@@ -73,7 +73,7 @@
 				Self: list[i], Incarnation: uint64(i+1) << 32, VMs: list, CellSize: cell, Lease: time.Second,
 				Retry: 50 * time.Millisecond, Timeout: 2 * time.Second, TTL: 15 * time.Minute, MaxRecords: 1 << 20, NoBackup: noBackup,
 			},
-			Sched:       sched.Config{MaxQueued: 10000, YieldTimeout: 300 * time.Millisecond},
+			Sched:       sched.Config{MaxQueued: 10000},
 			DigestEvery: 100 * time.Millisecond, ConfigEvery: 500 * time.Millisecond, CarryEvery: time.Hour,
 		}, 0))
 	}
--- a/sched/doc.go
+++ b/sched/doc.go
@@ -15,7 +15,8 @@
 //   - Within reach of an endpoint, a lower tier is never assigned while a higher
 //     tier that could use the room waits here or, as far as digests tell,
 //     at another VM.
-//   - A request is refused for want of room only when no lower-tier idempotent
-//     work that holds room it could use runs here, and every VM that shares
-//     such an endpoint has answered the same, or did not answer in time.
+//   - A request is refused only when it cannot be done in time any more. Before
+//     that, while its slack lasts, lower-tier idempotent work that holds room it
+//     could use is stopped here, and the VMs that share such an endpoint are asked
+//     to stop theirs. A VM that does not answer is not waited for beyond the slack.
 package sched
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -47,8 +47,6 @@
 	// without a first token yet.
 	running map[uint64]*run
 	prefill int
-	// granted is room that peers gave up for single requests.
-	granted int
 	// Observed against nominal time; 1 is as configured, 2 is half as fast.
 	prefillRatio, outputRatio float64
 	observedAt                time.Duration
@@ -107,7 +105,7 @@
 	}
 	// Room that others use now is not free, whatever would be fair.
 	free := window - running
-	return max(min(fair, free), 0) + e.granted
+	return max(min(fair, free), 0)
 }
 
 // yieldHold is how long room that was made for a peer's request is kept for it.
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -209,7 +209,7 @@
 	case !inTime(s.now, &c, &w.spec):
 		c.Why = WhyTooSlow
 	case w.reserved == e.Name:
-	case len(e.running) >= e.share(s.now, s.want[e])-s.heldBack(e):
+	case len(e.running) >= e.share(s.now, s.want[e]):
 		c.Why = WhyFull
 	case s.keptFrom(e, w.spec.Tier):
 		c.Why = WhyYields
@@ -218,9 +218,6 @@
 	return c
 }
 
-// heldBack is the room that was made for requests that have not taken it yet.
-func (s *Scheduler) heldBack(e *endpoint) int { return e.granted }
-
 func (s *Scheduler) bind(w *waiting, e *endpoint, candidates []Candidate) {
 	s.queue.charge(&w.spec)
 	s.forget(w)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -12,8 +12,6 @@
 type Config struct {
 	// MaxQueued bounds the waiting requests.
 	MaxQueued int
-	// YieldTimeout is how long peers are waited for before a refusal.
-	YieldTimeout time.Duration
 }
 
 // Assignment binds a request to an endpoint.
--- a/sched/yield.go
+++ b/sched/yield.go
@@ -10,10 +10,7 @@
 
 // yieldState is a request's asking peers for room.
 type yieldState struct {
-	call    uint64
-	askedAt time.Duration
-	// open are the peers without an answer.
-	open []uint32
+	call uint64
 }
 
 // yieldDebt is a peer's request for which work is being stopped here.
@@ -87,13 +84,9 @@
 // reserve keeps the room that a stop will make for one request.
 func (s *Scheduler) reserve(w *waiting, e *endpoint) {
 	w.reserved = e.Name
-	e.granted++
 }
 
 func (s *Scheduler) dropReservation(w *waiting) {
-	if e := s.byName[w.reserved]; e != nil {
-		e.granted--
-	}
 	w.reserved = ""
 }
 
@@ -113,7 +106,7 @@
 	}
 	s.lastYield++
 	y.Call = s.lastYield
-	w.yield = yieldState{call: y.Call, askedAt: s.now, open: slices.Clone(s.peers)}
+	w.yield = yieldState{call: y.Call}
 	s.asked[y.Call] = w
 	s.out.Yields = append(s.out.Yields, y)
 }
@@ -156,13 +149,12 @@
 }
 
 // YieldResult takes a peer's answer.
-func (s *Scheduler) YieldResult(now time.Duration, from uint32, m *schema.YieldResult) {
+func (s *Scheduler) YieldResult(now time.Duration, _ uint32, m *schema.YieldResult) {
 	s.now = now
 	w := s.asked[m.Call]
 	if w == nil {
 		return
 	}
-	w.yield.open = slices.DeleteFunc(w.yield.open, func(id uint32) bool { return id == from })
 	if e := s.byName[m.Endpoint]; e != nil && w.reserved == "" {
 		s.reserve(w, e)
 	}
