--- /dev/null
+++ b/core/allowance/allowance.go
@@ -0,0 +1,210 @@
+// Package allowance bounds what each organisation spends over all VMs together.
+//
+// Invariant: over any window the VMs together let through at most what the
+// operator's rate and burst allow plus the tolerance the operator grants. Each
+// VM earns rate/N and holds at most its Nth part of burst and tolerance, where N
+// counts every VM it ever heard of, reachable or not. Amounts move between VMs
+// only by being taken off the giver's balance before they are sent, so a lost
+// message loses an amount and can never double it. A restarted process begins
+// with nothing, because it cannot know what its predecessor spent a moment ago.
+package allowance
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Terms are what an organisation may spend, over all VMs.
+type Terms struct {
+	Organisation string
+	// Rate in units a second; 0 is unlimited.
+	Rate, Burst float64
+}
+
+// Tolerance is by how much the operator lets the bound over a window be passed.
+type Tolerance struct {
+	Window time.Duration
+	// Over is a share of what the window allows, Slack a fixed amount in units.
+	Over, Slack float64
+}
+
+// reserve is the part of the tolerance that is left unused, for the moments in
+// which a VM that was just added is not known to all others.
+const reserve = 0.15
+
+// giveShare is the part of its balance that a VM gives to one that lacks.
+const giveShare = 0.4
+
+// Ledger is one VM's balances. It is not safe for concurrent use.
+type Ledger struct {
+	tol      Tolerance
+	vms      int
+	full     bool
+	accounts map[string]*account
+}
+
+type account struct {
+	terms   Terms
+	balance float64
+	at      time.Duration
+	// lacked is what was refused since the last Wants, in units.
+	lacked float64
+	// fresh accounts have not had a balance yet.
+	fresh bool
+}
+
+// New returns a ledger. full says that no earlier process of the deployment
+// spent anything, so that balances may start at their bound.
+func New(tol Tolerance, full bool) *Ledger {
+	return &Ledger{tol: tol, full: full, accounts: make(map[string]*account)}
+}
+
+// SetVMs says over how many VMs the allowances are spread; 0 means not known,
+// and nothing is spent.
+func (l *Ledger) SetVMs(now time.Duration, n int) {
+	for _, a := range l.accounts {
+		l.accrue(now, a)
+	}
+	l.vms = n
+}
+
+// SetTerms puts the organisations' terms in force.
+func (l *Ledger) SetTerms(now time.Duration, terms []Terms) {
+	present := make(map[string]bool, len(terms))
+	for _, t := range terms {
+		present[t.Organisation] = true
+		a := l.accounts[t.Organisation]
+		if a == nil {
+			l.accounts[t.Organisation] = &account{terms: t, at: now, fresh: true}
+			continue
+		}
+		l.accrue(now, a)
+		a.terms = t
+		a.balance = min(a.balance, l.bound(t))
+	}
+	for name := range l.accounts {
+		if !present[name] {
+			delete(l.accounts, name)
+		}
+	}
+}
+
+// bound is the most that this VM may hold.
+func (l *Ledger) bound(t Terms) float64 {
+	if l.vms == 0 {
+		return 0
+	}
+	window := t.Rate*l.tol.Window.Seconds() + t.Burst
+	return (t.Burst + (1-reserve)*(l.tol.Over*window+l.tol.Slack)) / float64(l.vms)
+}
+
+func (l *Ledger) accrue(now time.Duration, a *account) {
+	if l.vms == 0 {
+		a.at = now
+		return
+	}
+	bound := l.bound(a.terms)
+	if a.fresh {
+		a.fresh = false
+		if l.full {
+			a.balance = bound
+		}
+	}
+	earned := a.terms.Rate / float64(l.vms) * max(0, (now-a.at).Seconds())
+	a.balance = min(bound, a.balance+earned)
+	a.at = now
+}
+
+// Verdict is the outcome of Spend.
+type Verdict struct {
+	OK bool
+	// Lacking is what the balance is short of, in units.
+	Lacking float64
+	// Wait is the time in which this VM alone earns what is lacking.
+	Wait time.Duration
+	// Balance is what was there before.
+	Balance float64
+}
+
+// maxWait bounds Verdict.Wait.
+const maxWait = time.Minute
+
+// Spend takes an amount off the organisation's balance if it is there.
+// Organisations without a limit, or unknown here, spend freely.
+func (l *Ledger) Spend(now time.Duration, organisation string, amount float64) Verdict {
+	a := l.accounts[organisation]
+	if a == nil || a.terms.Rate <= 0 {
+		return Verdict{OK: true}
+	}
+	l.accrue(now, a)
+	v := Verdict{OK: a.balance >= amount, Balance: a.balance}
+	if v.OK {
+		a.balance -= amount
+		return v
+	}
+	v.Lacking = amount - a.balance
+	a.lacked += v.Lacking
+	v.Wait = maxWait
+	if l.vms > 0 {
+		seconds := v.Lacking * float64(l.vms) / a.terms.Rate
+		v.Wait = min(maxWait, time.Duration(seconds*float64(time.Second)))
+	}
+	return v
+}
+
+// Amount is units of one organisation.
+type Amount struct {
+	Organisation string
+	Units        float64
+}
+
+// Wants returns what was lacking since the last call, by organisation.
+func (l *Ledger) Wants() []Amount {
+	var wants []Amount
+	for name, a := range l.accounts {
+		if a.lacked > 0 {
+			wants = append(wants, Amount{name, a.lacked})
+			a.lacked = 0
+		}
+	}
+	slices.SortFunc(wants, func(x, y Amount) int { return strings.Compare(x.Organisation, y.Organisation) })
+	return wants
+}
+
+// Give takes off what this VM can spare for a VM that lacks an amount.
+func (l *Ledger) Give(now time.Duration, want Amount) float64 {
+	a := l.accounts[want.Organisation]
+	if a == nil || a.terms.Rate <= 0 {
+		return 0
+	}
+	l.accrue(now, a)
+	give := min(want.Units, a.balance*giveShare)
+	if give <= 0 {
+		return 0
+	}
+	a.balance -= give
+	return give
+}
+
+// Receive takes in what another VM gave. A balance passes this VM's bound only
+// by what a waiting request lacks, given in waiting; the rest is lost, since
+// hoarded amounts would add up to more than the operator's burst.
+func (l *Ledger) Receive(now time.Duration, got Amount, waiting float64) {
+	a := l.accounts[got.Organisation]
+	if a == nil || a.terms.Rate <= 0 {
+		return
+	}
+	l.accrue(now, a)
+	a.balance = min(max(l.bound(a.terms), a.balance, waiting), a.balance+got.Units)
+}
+
+// Balance is what the organisation may spend here now, in units.
+func (l *Ledger) Balance(now time.Duration, organisation string) float64 {
+	a := l.accounts[organisation]
+	if a == nil {
+		return 0
+	}
+	l.accrue(now, a)
+	return a.balance
+}
--- /dev/null
+++ b/core/budget/budget.go
@@ -0,0 +1,35 @@
+// Package budget bounds how often requests are sent once more. All VMs together
+// may repeat a share of the requests plus a fixed number in any window. Each VM
+// earns the share for its own requests and starts with its part of the fixed
+// number, never holding more than that part; so whatever VMs hear of each other,
+// their sum over any window stays within the bound.
+package budget
+
+// Budget is one VM's part for one service.
+type Budget struct {
+	ratio, cap float64
+	tokens     float64
+}
+
+// New returns a budget that earns ratio for each request and holds at most cap.
+// It starts empty unless full: a restarted process does not know what its
+// predecessor spent a moment ago.
+func New(ratio, cap float64, full bool) *Budget {
+	b := &Budget{ratio: ratio, cap: cap}
+	if full {
+		b.tokens = cap
+	}
+	return b
+}
+
+// Request earns for one request of a caller.
+func (b *Budget) Request() { b.tokens = min(b.cap, b.tokens+b.ratio) }
+
+// Spend takes one repeat, and reports whether there was one left.
+func (b *Budget) Spend() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/core/dispatch/dispatch.go
@@ -0,0 +1,272 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chivefield/chivefield/core/members"
+)
+
+// Job is one request that needs an endpoint.
+type Job struct {
+	Handle       uint64
+	Service      string
+	Organisation string
+	// Tier orders jobs: 0 first.
+	Tier int
+	// Prompt and Output are tokens; both 0 for plain services.
+	Prompt, Output int
+	// Objective is the time by which the first event should be there, Abandon the
+	// time after which nobody waits for it.
+	Objective, Abandon time.Duration
+	// Domain is the failure domain of this VM.
+	Domain string
+	// Tried endpoints are not picked again.
+	Tried []string
+
+	arrived time.Duration
+}
+
+// Decision is what to do with a waiting job.
+type Decision struct {
+	Handle uint64
+	// Endpoint is nil if the job is refused.
+	Endpoint *members.Endpoint
+	// RetryAfter says when room is expected, for refused jobs.
+	RetryAfter time.Duration
+	// Reason says why it was refused, or why this endpoint was picked.
+	Reason string
+	// Predicted is the time to the first event that was expected.
+	Predicted time.Duration
+	// Candidates is how many endpoints were usable, Waiting how many jobs wait.
+	Candidates, Waiting int
+}
+
+// Reasons of refusals.
+const (
+	ReasonNoEndpoint = "no_endpoint"
+	ReasonTooLate    = "too_late"
+	ReasonFull       = "queue_full"
+)
+
+// Use is the load that one VM puts on an endpoint.
+type Use struct {
+	Running, Waiting int
+	PromptTokens     int
+	// Slowness is against the nominal speed; 0 if not known.
+	Slowness float64
+}
+
+// Scheduler is one VM's queues and its view of the endpoints. It is not safe
+// for concurrent use.
+type Scheduler struct {
+	services map[string]*service
+	running  map[uint64]*run
+	out      []Decision
+}
+
+type service struct {
+	name      string
+	endpoints map[string]*endpoint
+	list      []*endpoint
+	queue     []*Job
+	pace      pace
+}
+
+// endpoint is the view of one endpoint.
+type endpoint struct {
+	members.Endpoint
+	engine bool
+	own    map[uint64]*run
+	others map[string]peerUse
+	// slow is the learned slowness against the service's usual pace; 1 is usual.
+	slow estimate
+	// restUntil is when an endpoint that failed may get requests again.
+	restUntil time.Duration
+	failures  int
+}
+
+type peerUse struct {
+	Use
+	at time.Duration
+}
+
+// run is a job at an endpoint.
+type run struct {
+	job     *Job
+	ep      *endpoint
+	sent    time.Duration
+	started bool
+	last    time.Duration
+	events  int
+	ahead   int
+}
+
+// New returns a scheduler without endpoints.
+func New() *Scheduler {
+	return &Scheduler{services: make(map[string]*service), running: make(map[uint64]*run)}
+}
+
+func (s *Scheduler) service(name string) *service {
+	sv := s.services[name]
+	if sv == nil {
+		sv = &service{name: name, endpoints: make(map[string]*endpoint)}
+		s.services[name] = sv
+	}
+	return sv
+}
+
+// SetEndpoints replaces the usable endpoints of a service. engine says that
+// they are model engines.
+func (s *Scheduler) SetEndpoints(now time.Duration, name string, list []*members.Endpoint, engine bool) []Decision {
+	sv := s.service(name)
+	old := sv.endpoints
+	sv.endpoints = make(map[string]*endpoint, len(list))
+	sv.list = sv.list[:0]
+	for _, m := range list {
+		ep := old[m.ID]
+		if ep == nil {
+			ep = &endpoint{own: make(map[uint64]*run), others: make(map[string]peerUse)}
+		}
+		ep.Endpoint, ep.engine = *m, engine
+		sv.endpoints[m.ID] = ep
+		sv.list = append(sv.list, ep)
+	}
+	s.place(now, sv)
+	return s.take()
+}
+
+// Submit queues a job and places what can be placed.
+func (s *Scheduler) Submit(now time.Duration, j Job) []Decision {
+	sv := s.service(j.Service)
+	j.arrived = now
+	sv.enqueue(&j)
+	s.place(now, sv)
+	return s.take()
+}
+
+// Withdraw takes back a waiting job.
+func (s *Scheduler) Withdraw(now time.Duration, name string, handle uint64) {
+	sv := s.service(name)
+	sv.queue = slices.DeleteFunc(sv.queue, func(j *Job) bool { return j.Handle == handle })
+}
+
+// Event says that an event of a stream came, or the answer of a plain service.
+// The first one of a run says that its prompt was read.
+func (s *Scheduler) Event(now time.Duration, handle uint64) {
+	r := s.running[handle]
+	if r == nil {
+		return
+	}
+	sv := s.service(r.job.Service)
+	if r.started {
+		sv.pace.observeEvent(r.ep, now-r.last)
+	} else {
+		sv.pace.observeFirst(r, now-r.sent)
+	}
+	r.started, r.last = true, now
+	r.events++
+}
+
+// Outcome is how a run at an endpoint ended.
+type Outcome int
+
+// Outcomes of runs.
+const (
+	// Answered: the endpoint answered, whatever its answer was.
+	Answered Outcome = iota
+	// Unreachable: nothing could be sent to it.
+	Unreachable
+	// Rejected: it said that it did not run the request.
+	Rejected
+	// Broken: it broke off, sent garbage or failed.
+	Broken
+	// Left: the caller left, or its time ran out.
+	Left
+)
+
+// End says that a run is over, and places what fits into its room.
+func (s *Scheduler) End(now time.Duration, handle uint64, o Outcome) []Decision {
+	r := s.running[handle]
+	if r == nil {
+		return nil
+	}
+	delete(s.running, handle)
+	delete(r.ep.own, handle)
+	r.ep.note(now, o)
+	sv := s.service(r.job.Service)
+	s.place(now, sv)
+	return s.take()
+}
+
+// Tick refuses jobs that wait in vain and places others as loads fade.
+func (s *Scheduler) Tick(now time.Duration) []Decision {
+	for _, sv := range s.services {
+		if len(sv.queue) > 0 {
+			s.place(now, sv)
+		}
+	}
+	return s.take()
+}
+
+// Waiting is the number of jobs that wait.
+func (s *Scheduler) Waiting() int {
+	n := 0
+	for _, sv := range s.services {
+		n += len(sv.queue)
+	}
+	return n
+}
+
+// Uses returns this VM's load at the endpoints it uses or knows the pace of.
+func (s *Scheduler) Uses() map[string]Use {
+	uses := make(map[string]Use)
+	for _, sv := range s.services {
+		for _, ep := range sv.list {
+			u := ep.ownUse()
+			if u.Running+u.Waiting > 0 || u.Slowness > 0 {
+				uses[ep.ID] = u
+			}
+		}
+	}
+	return uses
+}
+
+// PeerUses takes in another VM's whole load, by endpoint.
+func (s *Scheduler) PeerUses(now time.Duration, vm string, uses func(endpoint string) (Use, bool)) {
+	for _, sv := range s.services {
+		for _, ep := range sv.list {
+			u, ok := uses(ep.ID)
+			if !ok {
+				delete(ep.others, vm)
+				continue
+			}
+			ep.others[vm] = peerUse{u, now}
+			if u.Slowness > 0 {
+				ep.slow.hear(u.Slowness)
+			}
+		}
+	}
+}
+
+func (s *Scheduler) take() []Decision {
+	out := s.out
+	s.out = nil
+	return out
+}
+
+func (s *Scheduler) assign(now time.Duration, sv *service, j *Job, c candidate) {
+	r := &run{job: j, ep: c.ep, sent: now, last: now, ahead: c.ahead}
+	c.ep.own[j.Handle] = r
+	s.running[j.Handle] = r
+	ep := c.ep.Endpoint
+	s.out = append(s.out, Decision{
+		Handle: j.Handle, Endpoint: &ep, Predicted: c.first, Candidates: len(sv.list), Waiting: len(sv.queue), Reason: c.why,
+	})
+}
+
+func (s *Scheduler) refuse(sv *service, j *Job, reason string, after time.Duration) {
+	s.out = append(s.out, Decision{
+		Handle: j.Handle, Reason: reason, RetryAfter: after, Candidates: len(sv.list), Waiting: len(sv.queue),
+	})
+}
--- /dev/null
+++ b/core/members/members.go
@@ -0,0 +1,180 @@
+// Package members keeps the endpoints that the platform's registry lists, and
+// decides which of them may get new requests. It is pure: changes and the time
+// come in, and the list for each service is derived.
+package members
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Endpoint is one incarnation of a server of a service.
+type Endpoint struct {
+	ID            string
+	Service       string
+	Address       string
+	FailureDomain string
+	Slots         int
+	Leaving       bool
+	// SlowStart is how much longer the endpoint stays slow after its start.
+	SlowStart time.Duration
+}
+
+// Change is one record of the registry: an endpoint, or its removal.
+type Change struct {
+	ID       string
+	Endpoint *Endpoint
+}
+
+// returnGrace is how long after the registry's return an entry that lapsed
+// while it was away may stay missing. The registry promises live entries back
+// within about two seconds.
+const returnGrace = 2500 * time.Millisecond
+
+// Set is the endpoints known to one VM.
+type Set struct {
+	known map[string]*entry
+	// awayUntil is when the registry last came back; lapsed entries are kept
+	// until returnGrace after it.
+	away      bool
+	returned  time.Duration
+	everAway  bool
+	byService map[string][]*Endpoint
+	version   uint64
+}
+
+type entry struct {
+	Endpoint
+	// missing entries are not in the registry any more, and are dropped at
+	// expires unless they come back.
+	missing bool
+	expires time.Duration
+}
+
+// New returns an empty set.
+func New() *Set { return &Set{known: make(map[string]*entry)} }
+
+// Version grows whenever the usable endpoints change.
+func (s *Set) Version() uint64 { return s.version }
+
+// Away says that the registry cannot be read.
+func (s *Set) Away() { s.away, s.everAway = true, true }
+
+// Back says that the registry can be read again.
+func (s *Set) Back(now time.Duration) {
+	if s.away {
+		s.away, s.returned = false, now
+	}
+}
+
+// Apply takes in one record of the registry.
+func (s *Set) Apply(now time.Duration, c Change) {
+	if c.Endpoint == nil {
+		s.remove(now, c.ID)
+		return
+	}
+	old := s.known[c.ID]
+	if old != nil && !old.missing && old.Endpoint == *c.Endpoint {
+		return
+	}
+	e := *c.Endpoint
+	if old != nil && old.Leaving {
+		// An endpoint that leaves never comes back as the same incarnation; a
+		// registry that lags could say so, and requests would be cut off.
+		e.Leaving = true
+	}
+	s.known[c.ID] = &entry{Endpoint: e}
+	s.changed()
+}
+
+// Replace takes in the whole registry: what is not in list was removed.
+func (s *Set) Replace(now time.Duration, list []Change) {
+	present := make(map[string]bool, len(list))
+	for _, c := range list {
+		if c.Endpoint != nil {
+			present[c.ID] = true
+		}
+		s.Apply(now, c)
+	}
+	for id := range s.known {
+		if !present[id] {
+			s.remove(now, id)
+		}
+	}
+}
+
+// remove handles an entry that is gone from the registry. While the registry
+// was away entries lapse though the endpoints live; taking them all for gone
+// would leave nothing to serve with, so they stay in use until the registry has
+// had time to list them again.
+func (s *Set) remove(now time.Duration, id string) {
+	e := s.known[id]
+	if e == nil || e.missing {
+		return
+	}
+	if !e.Leaving && s.everAway && (s.away || now < s.returned+returnGrace) {
+		e.missing = true
+		e.expires = s.returned + returnGrace
+		if s.away {
+			e.expires = now + returnGrace
+		}
+		return
+	}
+	delete(s.known, id)
+	s.changed()
+}
+
+// Expire drops lapsed entries that did not come back in time.
+func (s *Set) Expire(now time.Duration) {
+	for id, e := range s.known {
+		if e.missing && !s.away && now >= e.expires && now >= s.returned+returnGrace {
+			delete(s.known, id)
+			s.changed()
+		}
+	}
+}
+
+func (s *Set) changed() {
+	s.version++
+	s.byService = nil
+}
+
+// Usable returns the endpoints of a service that may get new requests, by id.
+// The slice must not be changed.
+func (s *Set) Usable(service string) []*Endpoint {
+	if s.byService == nil {
+		s.index()
+	}
+	return s.byService[service]
+}
+
+// Services returns the names of services with usable endpoints.
+func (s *Set) Services() []string {
+	if s.byService == nil {
+		s.index()
+	}
+	names := make([]string, 0, len(s.byService))
+	for n := range s.byService {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (s *Set) index() {
+	s.byService = make(map[string][]*Endpoint)
+	for _, e := range s.known {
+		if e.Leaving {
+			continue
+		}
+		ep := e.Endpoint
+		s.byService[e.Service] = append(s.byService[e.Service], &ep)
+	}
+	for _, list := range s.byService {
+		slices.SortFunc(list, func(a, b *Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	}
+}
+
+// Len is the number of entries known, usable or not.
+func (s *Set) Len() int { return len(s.known) }
--- /dev/null
+++ b/entry/caller.go
@@ -0,0 +1,250 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chivefield/chivefield/core/allowance"
+	"github.com/chivefield/chivefield/core/dispatch"
+	"github.com/chivefield/chivefield/core/routing"
+)
+
+const (
+	// defaultTimeLeft is assumed where neither the caller nor the route says how
+	// long an answer is awaited.
+	defaultTimeLeft = 30 * time.Second
+	// startingUp is when a caller should return to a VM that knows no
+	// configuration yet.
+	startingUp = 300 * time.Millisecond
+	// routeTiers bounds the tiers of routes; an organisation's tier goes before.
+	routeTiers = 1000
+	// leastPatience is the shortest time that a caller waits for a first event.
+	leastPatience = 2 * time.Second
+	// objectivePatience and pausePatience are how many objectives and pauses a
+	// caller waits for an event before it leaves.
+	objectivePatience = 4
+	pausePatience     = 8
+)
+
+// caller is one request of a caller, from arrival to its final answer.
+type caller struct {
+	d       *Daemon
+	w       http.ResponseWriter
+	r       *http.Request
+	call    Call
+	route   *routing.Route
+	org     *routing.Organisation
+	service string
+	body    []byte
+	arrived time.Time
+	// limit is when the request gets its final answer at the latest.
+	limit time.Time
+	units float64
+	// sent counts the endpoints that may have read the request.
+	sent  int
+	tried []string
+	// ran says that an endpoint may have run it.
+	ran  bool
+	held int64
+}
+
+// refusal is an answer of the system's own.
+type refusal struct {
+	status int
+	reason string
+	after  time.Duration
+}
+
+// serveCaller serves one request.
+func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
+	d.active.Add(1)
+	defer d.active.Add(-1)
+	if d.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c := &caller{d: d, w: w, r: r, arrived: time.Now(), call: d.codec.Call(r.Header)}
+	if bad := c.admit(); bad != nil {
+		c.refuse(*bad)
+		return
+	}
+	defer d.bodies.giveBack(c.held)
+	ctx, cancel := context.WithDeadline(r.Context(), c.limit)
+	defer cancel()
+	if bad := c.spend(ctx); bad != nil {
+		c.refuse(*bad)
+		return
+	}
+	d.shares.request(c.service)
+	c.run(ctx)
+}
+
+// admit finds the route and the organisation and reads the body.
+func (c *caller) admit() *refusal {
+	t := c.d.table.Load()
+	if t == nil {
+		return &refusal{http.StatusServiceUnavailable, "no_configuration", startingUp}
+	}
+	limits := t.Document.Limits
+	if limits.MaxHeaderBytes > 0 && headerBytes(c.r) > limits.MaxHeaderBytes {
+		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header_too_large"}
+	}
+	if !strings.HasPrefix(c.r.RequestURI, "/") {
+		return &refusal{status: http.StatusBadRequest, reason: "bad_target"}
+	}
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	c.route = t.Route(c.r.Host, path)
+	if c.route == nil {
+		return &refusal{status: http.StatusNotFound, reason: "no_route"}
+	}
+	if t.NeedsKeys() {
+		c.org = t.Organisation(c.call.Key)
+		if c.org == nil && !c.route.Public {
+			return &refusal{status: http.StatusUnauthorized, reason: "unknown_key"}
+		}
+	}
+	c.service = c.route.Pick(xxhash.Sum64String(c.call.ID))
+	c.setLimit()
+	return c.readBody(limits.MaxBodyBytes)
+}
+
+func (c *caller) setLimit() {
+	left := defaultTimeLeft
+	if c.call.HasTimeLeft {
+		left = c.call.TimeLeft
+	}
+	if c.route.Timeout > 0 && (c.route.Timeout < left || !c.call.HasTimeLeft) {
+		left = c.route.Timeout
+	}
+	c.limit = c.arrived.Add(left)
+}
+
+// headerBytes is the size of a request's head.
+func headerBytes(r *http.Request) int {
+	n := len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
+// readBody reads the whole body, so that it can be sent again and that a caller
+// who stops in its middle costs no endpoint anything.
+func (c *caller) readBody(most int) *refusal {
+	if c.r.Body == nil || c.r.ContentLength == 0 {
+		return nil
+	}
+	if most <= 0 {
+		most = math.MaxInt32
+	}
+	if c.r.ContentLength > int64(most) {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
+	}
+	if n := c.r.ContentLength; n > 0 {
+		if !c.d.bodies.take(n) {
+			return &refusal{http.StatusServiceUnavailable, "no_memory", startingUp}
+		}
+		c.held = n
+		c.body = make([]byte, n)
+		if _, err := io.ReadFull(c.r.Body, c.body); err != nil {
+			return c.brokenBody(err)
+		}
+		return nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, int64(most)))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
+	}
+	if err != nil {
+		return c.brokenBody(err)
+	}
+	if !c.d.bodies.take(int64(len(body))) {
+		return &refusal{http.StatusServiceUnavailable, "no_memory", startingUp}
+	}
+	c.held, c.body = int64(len(body)), body
+	return nil
+}
+
+func (c *caller) brokenBody(err error) *refusal {
+	c.d.bodies.giveBack(c.held)
+	c.held = 0
+	c.d.log.Info().Str("request", c.call.ID).Err(err).Msg("body_broken")
+	return &refusal{status: http.StatusBadRequest, reason: "body_broken"}
+}
+
+// spend takes the request off its organisation's allowance.
+func (c *caller) spend(ctx context.Context) *refusal {
+	if c.org == nil {
+		return nil
+	}
+	c.units = 1
+	if c.org.CountsTokens {
+		c.units = c.org.PlainTokens
+		if c.call.HasTokens {
+			c.units = float64(c.call.Prompt + c.call.MaxOutput)
+		}
+	}
+	v := c.d.shares.spend(ctx, c.org.Name, c.units, c.d.peers.ask)
+	if v.OK {
+		return nil
+	}
+	c.d.log.Info().Str("request", c.call.ID).Str("organisation", c.org.Name).Float64("units", c.units).
+		Float64("balance", v.Balance).Dur("wait", v.Wait).Msg("over_allowance")
+	c.units = 0
+	return &refusal{http.StatusTooManyRequests, "over_allowance", v.Wait}
+}
+
+// job describes the request to the scheduler.
+func (c *caller) job() dispatch.Job {
+	now := c.d.now()
+	arrived := now - time.Since(c.arrived)
+	limit := now + time.Until(c.limit)
+	j := dispatch.Job{
+		Handle: c.d.lastHandle.Add(1), Service: c.service, Tier: c.route.Tier, Domain: c.d.set.Vm.FailureDomain,
+		Prompt: c.call.Prompt, Output: c.call.MaxOutput, Tried: c.tried,
+		Objective: arrived + c.route.Objective, Abandon: limit,
+	}
+	if c.call.GuessedOutput > 0 {
+		j.Output = c.call.GuessedOutput
+	}
+	if c.org != nil {
+		j.Organisation = c.org.Name
+		j.Tier += c.org.Tier * routeTiers
+	}
+	if c.route.Repeat == routing.Stream {
+		j.Abandon = min(limit, arrived+c.patience())
+	}
+	return j
+}
+
+// patience is how long a caller of a stream waits for an event.
+func (c *caller) patience() time.Duration {
+	return max(leastPatience, objectivePatience*c.route.Objective, pausePatience*c.route.MaxPause)
+}
+
+// refuse answers for the system itself.
+func (c *caller) refuse(bad refusal) {
+	c.d.count("refusals." + bad.reason)
+	c.d.log.Info().Str("request", c.call.ID).Int("status", bad.status).Str("reason", bad.reason).
+		Dur("retry_after", bad.after).Int("sent", c.sent).Dur("held", time.Since(c.arrived)).Msg("refused")
+	if c.org != nil && c.units > 0 && !c.ran {
+		c.d.shares.refund(allowance.Amount{Organisation: c.org.Name, Units: c.units})
+	}
+	h := c.w.Header()
+	c.d.codec.Refusal(h, c.call.ID)
+	if bad.after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(bad.after.Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Length", "0")
+	c.w.WriteHeader(bad.status)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,315 @@
+// Package entry is the daemon of one entry VM on a platform whose balancer
+// brings callers, whose registry lists endpoints and whose store holds the
+// operator's configuration. Decisions are the pure packages' below core; here
+// are connections, goroutines and the order in which things happen.
+//
+// Each request has an id of its own and arrives at one VM on one connection, so
+// VMs agree on nothing before a dispatch. They share their loads, what is left
+// of allowances, and what one of them read from the store.
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chivefield/chivefield/core/routing"
+	"github.com/chivefield/chivefield/settings"
+	"github.com/chivefield/chivefield/upstream"
+)
+
+// Options are what a daemon takes from outside.
+type Options struct {
+	Settings *settings.Entry
+	Log      zerolog.Logger
+	Codec    Codec
+	Store    Store
+	// Reload reads the settings anew; nil if they never change.
+	Reload func() (*settings.Entry, error)
+	// Hangup delivers requests to read the settings anew.
+	Hangup <-chan struct{}
+	// Listen, ListenPacket and Dial default to the net package's.
+	Listen func(addr string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// Daemon is one VM's process.
+type Daemon struct {
+	opts  Options
+	set   *settings.Entry
+	log   zerolog.Logger
+	codec Codec
+	start time.Time
+
+	table atomic.Pointer[routing.Table]
+	// endpointsKnown is set once the registry was read.
+	endpointsKnown atomic.Bool
+	draining       atomic.Bool
+	active         atomic.Int64
+	lastHandle     atomic.Uint64
+
+	sched   *scheduling
+	shares  *sharing
+	pool    *upstream.Pool
+	idle    *idleLimit
+	bodies  *memoryBudget
+	metrics metrics.Registry
+	peers   *peers
+}
+
+const (
+	// maxIdlePerEndpoint bounds kept connections; an endpoint's own bound is
+	// shared by all VMs.
+	maxIdlePerEndpoint = 16
+	sweepEvery         = time.Second
+	// headerTimeout bounds the reading of a request's head. Callers stay within
+	// what the operator sets, which is less.
+	headerTimeout = 10 * time.Second
+	// maxHeaderBytes guards memory; the operator's own limit is checked after.
+	maxHeaderBytes = 64 << 10
+	// bodyShare is the part of the memory limit that bodies may take together.
+	bodyShare = 0.2
+)
+
+// New prepares a daemon.
+func New(opts Options) *Daemon {
+	if opts.Listen == nil {
+		opts.Listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	}
+	if opts.Dial == nil {
+		opts.Dial = (&net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: false}}).DialContext
+	}
+	d := &Daemon{
+		opts: opts, set: opts.Settings, log: opts.Log, codec: opts.Codec, start: time.Now(),
+		metrics: metrics.NewRegistry(), idle: newIdleLimit(),
+	}
+	d.pool = upstream.NewPool(opts.Dial, maxIdlePerEndpoint)
+	d.bodies = newMemoryBudget(int64(float64(d.set.Limits.MemoryMb) * bodyShare * (1 << 20)))
+	d.sched = newScheduling(d.now)
+	d.shares = newSharing(d.set, d.now)
+	d.peers = newPeers(d)
+	return d
+}
+
+// now is the time since the start of the process, by the monotonic clock.
+func (d *Daemon) now() time.Duration { return time.Since(d.start) }
+
+// Run serves until ctx ends and the graceful shutdown is over.
+func (d *Daemon) Run(ctx context.Context) error {
+	callers, err := d.opts.Listen(d.set.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	ready, err := d.opts.Listen(d.set.Listen.Ready)
+	if err != nil {
+		return err
+	}
+	var operators net.Listener
+	if d.set.Listen.Metrics != "" {
+		if operators, err = d.opts.Listen(d.set.Listen.Metrics); err != nil {
+			return err
+		}
+	}
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	front := &http.Server{
+		Handler: http.HandlerFunc(d.serveCaller), ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ConnState: d.idle.connState, ErrorLog: nil,
+	}
+	d.serve(group, work, front, callers)
+	d.serve(group, work, &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout}, ready)
+	if operators != nil {
+		d.serve(group, work, &http.Server{Handler: http.HandlerFunc(d.serveMetrics), ReadHeaderTimeout: headerTimeout}, operators)
+	}
+	if err := d.peers.listen(); err != nil {
+		return err
+	}
+	group.Go(func() error { return d.peers.receive(work) })
+	group.Go(func() error { return d.peers.tell(work) })
+	group.Go(func() error { return d.followConfig(work) })
+	group.Go(func() error { return d.followEndpoints(work) })
+	group.Go(func() error { return d.announce(work) })
+	group.Go(func() error { return d.sched.tick(work) })
+	group.Go(func() error { return d.sweep(work) })
+	group.Go(func() error { return d.reload(work) })
+	group.Go(func() error { return d.shutdown(ctx, work, front, stop) })
+	d.log.Info().Str("vm", d.set.Vm.Name).Str("failure_domain", d.set.Vm.FailureDomain).
+		Bool("first_start", d.set.Vm.FirstStart).Msg("started")
+	err = group.Wait()
+	d.log.Info().Str("vm", d.set.Vm.Name).Err(err).Msg("stopped")
+	return err
+}
+
+// serve runs a server until the process's duties end.
+func (d *Daemon) serve(group *errgroup.Group, work context.Context, s *http.Server, l net.Listener) {
+	group.Go(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-work.Done()
+		return s.Close()
+	})
+}
+
+// serveReady answers the balancer.
+func (d *Daemon) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != d.codec.ReadyPath() {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if !d.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// ready says whether requests can be served here. An outage of the store does
+// not change that: what was known stays in force.
+func (d *Daemon) ready() bool {
+	return !d.draining.Load() && d.table.Load() != nil && d.endpointsKnown.Load()
+}
+
+func (d *Daemon) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain")
+	writeMetrics(w, d.metrics)
+}
+
+func (d *Daemon) sweep(ctx context.Context) error {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			d.pool.Sweep()
+		}
+	}
+}
+
+const (
+	// refusalSeen is how long after SIGTERM new connections may still come: the
+	// balancer asks once a second and acts on the second refusal.
+	refusalSeen = 2600 * time.Millisecond
+	// quietBefore is how long nothing must have run before the process ends.
+	quietBefore = 300 * time.Millisecond
+	// graceMargin is left of the time until SIGKILL.
+	graceMargin = 700 * time.Millisecond
+	drainPoll   = 50 * time.Millisecond
+)
+
+// shutdown waits for the signal, refuses readiness, lets the balancer see that
+// while it goes on serving, and ends the process when nothing runs any more.
+func (d *Daemon) shutdown(signal, work context.Context, front *http.Server, stop context.CancelFunc) error {
+	select {
+	case <-work.Done():
+		return nil
+	case <-signal.Done():
+	}
+	since := time.Now()
+	d.draining.Store(true)
+	d.log.Info().Int64("active", d.active.Load()).Msg("draining")
+	bound := d.set.Grace - graceMargin
+	quiet := since
+	for time.Since(since) < bound {
+		time.Sleep(drainPoll)
+		if d.active.Load() > 0 {
+			quiet = time.Now()
+		}
+		if time.Since(since) > refusalSeen && time.Since(quiet) > quietBefore {
+			break
+		}
+	}
+	end, cancel := context.WithTimeout(work, max(0, bound-time.Since(since))+drainPoll)
+	defer cancel()
+	if err := front.Shutdown(end); err != nil {
+		d.log.Warn().Err(err).Int64("active", d.active.Load()).Msg("drain_bound_reached")
+	}
+	stop()
+	return nil
+}
+
+// reload reads the settings anew on request. Only what may change while the
+// process runs is taken over; addresses stay.
+func (d *Daemon) reload(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.opts.Hangup:
+		}
+		if d.opts.Reload == nil {
+			continue
+		}
+		if _, err := d.opts.Reload(); err != nil {
+			d.log.Error().Err(err).Msg("settings_refused")
+			continue
+		}
+		d.log.Info().Msg("settings_reloaded")
+	}
+}
+
+// memoryBudget bounds the bytes of bodies that are held at once.
+type memoryBudget struct {
+	left atomic.Int64
+}
+
+func newMemoryBudget(n int64) *memoryBudget {
+	b := &memoryBudget{}
+	b.left.Store(n)
+	return b
+}
+
+func (b *memoryBudget) take(n int64) bool {
+	if b.left.Add(-n) < 0 {
+		b.left.Add(n)
+		return false
+	}
+	return true
+}
+
+func (b *memoryBudget) giveBack(n int64) { b.left.Add(n) }
+
+// idleLimit closes callers' connections that are idle for longer than the
+// operator allows. The limit changes while connections are open, which the
+// server's own fields cannot.
+type idleLimit struct {
+	limit  atomic.Int64
+	mu     sync.Mutex
+	timers map[net.Conn]*time.Timer
+}
+
+func newIdleLimit() *idleLimit { return &idleLimit{timers: make(map[net.Conn]*time.Timer)} }
+
+func (l *idleLimit) set(d time.Duration) { l.limit.Store(int64(d)) }
+
+func (l *idleLimit) connState(c net.Conn, s http.ConnState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.timers[c]; t != nil {
+		t.Stop()
+		delete(l.timers, c)
+	}
+	limit := time.Duration(l.limit.Load())
+	if limit <= 0 || s != http.StateIdle && s != http.StateNew {
+		return
+	}
+	l.timers[c] = time.AfterFunc(limit, func() { _ = c.Close() })
+}
+
+// numGoroutine is a gauge of the process's load.
+func numGoroutine() int { return runtime.NumGoroutine() }
--- /dev/null
+++ b/entry/errors.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"strconv"
+	"strings"
+)
+
+// RejectedError reports an endpoint that did not run a request.
+type RejectedError struct{ Status int }
+
+// Error describes the failure.
+func (e *RejectedError) Error() string {
+	return "the endpoint did not run the request, status " + itoa(e.Status)
+}
+
+// UntrustedAnswerError reports an answer that cannot be the endpoint's own whole
+// answer, or promises what it cannot know.
+type UntrustedAnswerError struct{ Status int }
+
+// Error describes the failure.
+func (e *UntrustedAnswerError) Error() string {
+	return "the answer cannot be passed on, status " + itoa(e.Status)
+}
+
+// FailedAnswerError reports an endpoint's own failure that is tried elsewhere.
+type FailedAnswerError struct{ Status int }
+
+// Error describes the failure.
+func (e *FailedAnswerError) Error() string { return "the endpoint failed, status " + itoa(e.Status) }
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// splitList splits a header's list.
+func splitList(v string) []string {
+	var list []string
+	for _, s := range strings.Split(v, ",") {
+		if s = strings.TrimSpace(s); s != "" {
+			list = append(list, s)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/entry/forward.go
@@ -0,0 +1,358 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/chivefield/chivefield/core/dispatch"
+	"github.com/chivefield/chivefield/core/members"
+	"github.com/chivefield/chivefield/core/routing"
+	"github.com/chivefield/chivefield/core/sse"
+	"github.com/chivefield/chivefield/upstream"
+)
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+const (
+	// maxAnswer bounds an answer that is not a stream, in bytes.
+	maxAnswer = 16 << 20
+	// maxAttempts bounds endpoints that are tried in vain without a byte sent.
+	maxAttempts = 6
+)
+
+// attempt is the outcome of one try at an endpoint.
+type attempt struct {
+	outcome dispatch.Outcome
+	// delivered says that the caller has its final answer, whole or broken.
+	delivered bool
+	// again says that the repeat was already taken off the budget.
+	again bool
+	status int
+	err    error
+}
+
+// run tries endpoints until the caller has an answer.
+func (c *caller) run(ctx context.Context) {
+	var last attempt
+	var s *stream
+	for try := 0; ; try++ {
+		dec, ok := c.d.sched.place(ctx, c.jobFor(s))
+		if !ok {
+			c.giveUp(s, last)
+			return
+		}
+		if dec.Endpoint == nil {
+			c.end(s, last, dec.Reason, dec.RetryAfter)
+			return
+		}
+		c.logPlaced(dec)
+		if c.route.Repeat == routing.Stream && s == nil {
+			s = &stream{c: c, lastID: c.call.LastEventID}
+		}
+		last = c.try(ctx, dec, s)
+		c.d.sched.end(dec.Handle, last.outcome)
+		if last.delivered {
+			return
+		}
+		c.tried = append(c.tried, dec.Endpoint.ID)
+		c.d.log.Info().Str("request", c.call.ID).Str("endpoint", dec.Endpoint.ID).Int("outcome", int(last.outcome)).
+			Int("sent", c.sent).Bool("ran", c.ran).Err(last.err).Msg("attempt_failed")
+		if ctx.Err() != nil {
+			c.giveUp(s, last)
+			return
+		}
+		if !c.mayRetry(last, try) {
+			c.end(s, last, "attempts_spent", shortWait)
+			return
+		}
+	}
+}
+
+// shortWait is when a caller may return after an endpoint refused its request:
+// elsewhere there may be room at once.
+const shortWait = 100 * time.Millisecond
+
+// jobFor is the job of the next try. A stream that is under way waits as long
+// as its caller waits for the next event.
+func (c *caller) jobFor(s *stream) dispatch.Job {
+	j := c.job()
+	if s != nil && s.begun {
+		j.Abandon = c.d.now() + min(time.Until(c.limit), c.patience()/2)
+		j.Objective = c.d.now()
+	}
+	return j
+}
+
+// mayRetry says whether another endpoint may be tried.
+func (c *caller) mayRetry(last attempt, try int) bool {
+	if try >= maxAttempts {
+		return false
+	}
+	if last.outcome == dispatch.Unreachable || last.again {
+		return true
+	}
+	if c.ran && !c.route.Repeatable() {
+		return false
+	}
+	return c.sent < c.route.MaxEndpoints && c.d.shares.mayRepeat(c.service)
+}
+
+// giveUp ends a request whose caller left or whose time is over.
+func (c *caller) giveUp(s *stream, last attempt) {
+	if c.r.Context().Err() != nil {
+		c.d.count("callers_left")
+		c.d.log.Info().Str("request", c.call.ID).Dur("held", time.Since(c.arrived)).Msg("caller_left")
+		panic(http.ErrAbortHandler)
+	}
+	c.end(s, last, "time_over", shortWait)
+}
+
+// end gives the caller the truth: a failed answer of an endpoint if that is all
+// there is, "not run" only if that is so, else a failure that promises nothing.
+func (c *caller) end(s *stream, last attempt, reason string, after time.Duration) {
+	if s != nil && s.begun {
+		c.d.count("streams_broken")
+		c.d.log.Warn().Str("request", c.call.ID).Str("reason", reason).Int("events", s.events).Msg("stream_broken")
+		panic(http.ErrAbortHandler)
+	}
+	switch {
+	case !c.ran:
+		c.refuse(refusal{http.StatusServiceUnavailable, reason, after})
+	case reason == "time_over":
+		c.refuse(refusal{status: http.StatusGatewayTimeout, reason: reason})
+	default:
+		c.refuse(refusal{status: http.StatusBadGateway, reason: reason})
+	}
+}
+
+func (c *caller) logPlaced(dec dispatch.Decision) {
+	c.d.log.Info().Str("request", c.call.ID).Str("route", c.route.Name).Str("endpoint", dec.Endpoint.ID).
+		Str("address", dec.Endpoint.Address).Dur("predicted", dec.Predicted).Int("candidates", dec.Candidates).
+		Int("waiting", dec.Waiting).Dur("waited", time.Since(c.arrived)).Int("try", len(c.tried)).Msg("placed")
+}
+
+// headers are those for the endpoint.
+func (c *caller) headers(ep *members.Endpoint, lastEventID string) http.Header {
+	h := c.r.Header.Clone()
+	dropHop(h)
+	o := Outgoing{Endpoint: ep.ID, TimeLeft: time.Until(c.limit), LastEventID: lastEventID}
+	if c.org != nil {
+		o.Organisation = c.org.Name
+	}
+	c.d.codec.Outgoing(h, o)
+	return h
+}
+
+func dropHop(h http.Header) {
+	for _, v := range h.Values("Connection") {
+		for _, name := range splitList(v) {
+			h.Del(name)
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+// try sends the request to one endpoint and passes its answer on.
+func (c *caller) try(ctx context.Context, dec dispatch.Decision, s *stream) attempt {
+	ep := dec.Endpoint
+	lastID := c.call.LastEventID
+	if s != nil {
+		lastID = s.lastID
+	}
+	req := &upstream.Request{
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: c.headers(ep, lastID),
+		Body: c.body, HasBody: c.r.ContentLength != 0 || c.r.Header.Get("Content-Length") != "",
+		Mine: func(resp *http.Response) bool { return c.mine(resp) },
+	}
+	tctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ans, err := c.d.pool.Do(tctx, ep.ID, ep.Address, req, false)
+	var ex *upstream.ExchangeError
+	if errors.As(err, &ex) && ex.Stage == upstream.NotSent {
+		if ctx.Err() != nil {
+			return attempt{outcome: dispatch.Left, err: err}
+		}
+		return attempt{outcome: dispatch.Unreachable, err: err}
+	}
+	c.sent++
+	if err != nil {
+		c.ran = true
+		if ctx.Err() != nil {
+			return attempt{outcome: dispatch.Left, err: err}
+		}
+		return attempt{outcome: dispatch.Broken, err: err}
+	}
+	defer ans.Finish()
+	return c.pass(ctx, dec.Handle, ans, s)
+}
+
+// mine says whether an answer belongs to this request. Answers without an id are
+// the endpoint's word on a request that it did not read.
+func (c *caller) mine(resp *http.Response) bool {
+	id := c.d.codec.Reply(resp).ID
+	return id == c.call.ID || id == "" && resp.StatusCode >= http.StatusBadRequest
+}
+
+// notRunStatuses promise that a request was not run; from an endpoint that does
+// not say so itself they must not be passed on.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// pass judges an answer and passes it on if it is one.
+func (c *caller) pass(ctx context.Context, handle uint64, ans *upstream.Answer, s *stream) attempt {
+	reply := c.d.codec.Reply(ans.Response)
+	if reply.NotRun {
+		_, _ = io.Copy(io.Discard, io.LimitReader(ans, maxAnswer))
+		return attempt{outcome: dispatch.Rejected, status: ans.StatusCode, err: &RejectedError{Status: ans.StatusCode}}
+	}
+	c.ran = true
+	ok := ans.StatusCode < http.StatusMultipleChoices
+	if reply.Encoded || ok && !reply.Sealed || promisesNotRun(ans.StatusCode) {
+		return attempt{outcome: dispatch.Broken, status: ans.StatusCode, err: &UntrustedAnswerError{Status: ans.StatusCode}}
+	}
+	if ok && s != nil {
+		return s.pass(ctx, handle, ans)
+	}
+	if s != nil && s.begun {
+		return attempt{outcome: dispatch.Broken, status: ans.StatusCode, err: &UntrustedAnswerError{Status: ans.StatusCode}}
+	}
+	body, err := io.ReadAll(io.LimitReader(ans, maxAnswer))
+	if err != nil {
+		if ctx.Err() != nil {
+			return attempt{outcome: dispatch.Left, err: err}
+		}
+		return attempt{outcome: dispatch.Broken, err: err}
+	}
+	if ans.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() && c.sent < c.route.MaxEndpoints &&
+		time.Until(c.limit) > shortWait && c.d.shares.mayRepeat(c.service) {
+		return attempt{outcome: dispatch.Broken, status: ans.StatusCode, again: true, err: &FailedAnswerError{Status: ans.StatusCode}}
+	}
+	c.d.sched.event(handle)
+	c.write(ans.Response, body)
+	return attempt{outcome: dispatch.Answered, delivered: true}
+}
+
+// write passes on a whole answer.
+func (c *caller) write(resp *http.Response, body []byte) {
+	copyHeaders(c.w.Header(), resp.Header)
+	c.w.Header().Set("Content-Length", itoa(len(body)))
+	c.w.WriteHeader(resp.StatusCode)
+	_, err := c.w.Write(body)
+	c.logAnswered(resp.StatusCode, 0, err)
+}
+
+func (c *caller) logAnswered(status, events int, err error) {
+	took := time.Since(c.arrived)
+	c.d.count("answers")
+	c.d.observe("answer", took)
+	c.d.log.Info().Str("request", c.call.ID).Int("status", status).Int("events", events).Dur("took", took).
+		Int("sent", c.sent).Err(err).Msg("answered")
+}
+
+func copyHeaders(to, from http.Header) {
+	h := from.Clone()
+	dropHop(h)
+	for name, values := range h {
+		to[name] = values
+	}
+	if _, ok := from["Date"]; !ok {
+		to["Date"] = nil
+	}
+	if _, ok := from["Content-Type"]; !ok {
+		to["Content-Type"] = nil
+	}
+}
+
+// stream passes events of one request on, over one or more endpoints.
+type stream struct {
+	c *caller
+	// begun says that the caller has the head of the answer.
+	begun bool
+	// lastID is the last whole event that the caller has.
+	lastID string
+	events int
+	split  sse.Splitter
+}
+
+// readSize is the buffer for events, in bytes.
+const readSize = 4 << 10
+
+// pass passes the events of one endpoint's answer on.
+func (s *stream) pass(ctx context.Context, handle uint64, ans *upstream.Answer) attempt {
+	s.split.Reset()
+	buf := make([]byte, readSize)
+	for {
+		n, err := ans.Read(buf)
+		if n > 0 {
+			whole, werr := s.split.Write(buf[:n])
+			if werr != nil {
+				return attempt{outcome: dispatch.Broken, err: werr}
+			}
+			if len(whole) > 0 {
+				s.c.d.sched.event(handle)
+				if werr := s.send(ans.Response, whole); werr != nil {
+					return attempt{outcome: dispatch.Left, err: werr, delivered: true}
+				}
+			}
+		}
+		if err == io.EOF {
+			return s.finish(ans.Response)
+		}
+		if err != nil {
+			if ctx.Err() != nil {
+				return attempt{outcome: dispatch.Left, err: err}
+			}
+			return attempt{outcome: dispatch.Broken, err: err}
+		}
+	}
+}
+
+// finish ends the stream as complete.
+func (s *stream) finish(resp *http.Response) attempt {
+	if torn := s.split.Torn(); len(torn) > 0 {
+		if err := s.send(resp, torn); err != nil {
+			return attempt{outcome: dispatch.Left, err: err, delivered: true}
+		}
+	}
+	if !s.begun {
+		s.begin(resp)
+	}
+	s.c.logAnswered(resp.StatusCode, s.events, nil)
+	return attempt{outcome: dispatch.Answered, delivered: true}
+}
+
+func (s *stream) begin(resp *http.Response) {
+	s.begun = true
+	copyHeaders(s.c.w.Header(), resp.Header)
+	s.c.w.WriteHeader(resp.StatusCode)
+	s.c.d.observe("first_event", time.Since(s.c.arrived))
+}
+
+// send passes whole events on at once.
+func (s *stream) send(resp *http.Response, events []byte) error {
+	if !s.begun {
+		s.begin(resp)
+	}
+	if _, err := s.c.w.Write(events); err != nil {
+		return err
+	}
+	s.events++
+	if s.split.LastID != "" {
+		s.lastID = s.split.LastID
+	}
+	return http.NewResponseController(s.c.w).Flush()
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// reservoir is the number of samples that a histogram keeps.
+const reservoir = 256
+
+func (d *Daemon) count(name string) {
+	metrics.GetOrRegisterCounter(name, d.metrics).Inc(1)
+}
+
+func (d *Daemon) observe(name string, took time.Duration) {
+	h := d.metrics.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewUniformSample(reservoir))
+	}).(metrics.Histogram)
+	h.Update(took.Microseconds())
+}
+
+// quantiles are those that histograms are served with.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// writeMetrics writes one line a figure, in order of name.
+func writeMetrics(w io.Writer, r metrics.Registry) {
+	var lines []string
+	r.Each(func(name string, m any) {
+		switch m := m.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("chivefield_%s_total %d", name, m.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("chivefield_%s %d", name, m.Value()))
+		case metrics.Histogram:
+			s := m.Snapshot()
+			for _, q := range quantiles {
+				lines = append(lines, fmt.Sprintf("chivefield_%s_us{quantile=%q} %.0f", name, fmt.Sprint(q), s.Percentile(q)))
+			}
+			lines = append(lines, fmt.Sprintf("chivefield_%s_us_count %d", name, s.Count()))
+		}
+	})
+	slices.Sort(lines)
+	_, _ = io.WriteString(w, strings.Join(lines, "\n")+"\n")
+}
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,255 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chivefield/chivefield/core/allowance"
+	"github.com/chivefield/chivefield/core/dispatch"
+	"github.com/chivefield/chivefield/schema"
+)
+
+const (
+	// noteEvery is how often a VM tells others its load.
+	noteEvery = 100 * time.Millisecond
+	// vmsEvery is how many notes pass between two that list the known VMs.
+	vmsEvery = 10
+	// maxDatagram is the largest note; a larger one is sent without loads.
+	maxDatagram = 8 << 10
+	// maxAsked bounds the VMs that are asked for an allowance at once.
+	maxAsked = 16
+)
+
+// peers exchanges notes with the other VMs by datagrams. A lost datagram costs a
+// moment's knowledge or an amount of allowance, never a double one; and no
+// connection can fall silent.
+type peers struct {
+	d    *Daemon
+	conn *net.UDPConn
+	inc  uint64
+
+	mu sync.Mutex
+	// addrs are all VMs ever heard of, by address, without this one.
+	addrs map[string]*peer
+}
+
+type peer struct {
+	addr  *net.UDPAddr
+	inc   uint64
+	last  uint64
+	heard time.Duration
+}
+
+func newPeers(d *Daemon) *peers {
+	return &peers{d: d, inc: uint64(time.Now().UnixNano()), addrs: make(map[string]*peer)}
+}
+
+func (p *peers) listen() error {
+	addr, err := net.ResolveUDPAddr("udp4", p.d.set.Listen.Peers)
+	if err != nil {
+		return err
+	}
+	p.conn, err = net.ListenUDP("udp4", addr)
+	return err
+}
+
+// learn takes in the address of a VM.
+func (p *peers) learn(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.learnLocked(address)
+	p.d.shares.setVMs(len(p.addrs) + 1)
+}
+
+func (p *peers) learnLocked(address string) *peer {
+	if address == p.d.set.Listen.Peers {
+		return nil
+	}
+	if known := p.addrs[address]; known != nil {
+		return known
+	}
+	addr, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		p.d.log.Warn().Str("address", address).Err(err).Msg("peer_address_refused")
+		return nil
+	}
+	pe := &peer{addr: addr}
+	p.addrs[address] = pe
+	p.d.log.Info().Str("address", address).Int("vms", len(p.addrs)+1).Msg("peer_known")
+	return pe
+}
+
+func (p *peers) list() []*net.UDPAddr {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	addrs := make([]*net.UDPAddr, 0, len(p.addrs))
+	for _, pe := range p.addrs {
+		addrs = append(addrs, pe.addr)
+	}
+	return addrs
+}
+
+func (p *peers) names() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	names := make([]string, 0, len(p.addrs))
+	for a := range p.addrs {
+		names = append(names, a)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (p *peers) note() *schema.PeerNote {
+	n := &schema.PeerNote{Vm: p.d.set.Vm.Name, Incarnation: p.inc, Address: p.d.set.Listen.Peers, FailureDomain: p.d.set.Vm.FailureDomain}
+	if t := p.d.table.Load(); t != nil {
+		n.ConfigVersion = t.Document.Version
+	}
+	return n
+}
+
+// tell sends this VM's load to the others.
+func (p *peers) tell(ctx context.Context) error {
+	t := time.NewTicker(noteEvery)
+	defer t.Stop()
+	for i := uint64(0); ; i++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		n := p.note()
+		n.Number = i + 1
+		n.Uses = p.d.sched.uses()
+		if i%vmsEvery == 0 {
+			n.Vms = p.names()
+		}
+		for _, a := range p.list() {
+			p.send(n, a)
+		}
+	}
+}
+
+func (p *peers) send(n *schema.PeerNote, to *net.UDPAddr) {
+	b, err := proto.Marshal(n)
+	if err != nil {
+		p.d.log.Error().Err(err).Msg("note_unsendable")
+		return
+	}
+	if len(b) > maxDatagram {
+		p.d.count("notes_too_long")
+		return
+	}
+	if _, err := p.conn.WriteToUDP(b, to); err != nil {
+		p.d.count("note_errors")
+	}
+}
+
+// ask asks other VMs for an allowance.
+func (p *peers) ask(want allowance.Amount) {
+	n := p.note()
+	n.Wants = []*schema.AllowanceGrant{{Organisation: want.Organisation, Amount: want.Units}}
+	for i, a := range p.list() {
+		if i >= maxAsked {
+			return
+		}
+		p.send(n, a)
+	}
+}
+
+func (p *peers) receive(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() })
+	defer stop()
+	buf := make([]byte, maxDatagram)
+	for {
+		size, from, err := p.conn.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			p.d.count("note_errors")
+			continue
+		}
+		n := &schema.PeerNote{}
+		if err := proto.Unmarshal(buf[:size], n); err != nil {
+			p.d.count("notes_unreadable")
+			continue
+		}
+		p.take(n, from)
+	}
+}
+
+// take takes in one note.
+func (p *peers) take(n *schema.PeerNote, from *net.UDPAddr) {
+	p.mu.Lock()
+	pe := p.learnLocked(n.Address)
+	for _, a := range n.Vms {
+		p.learnLocked(a)
+	}
+	vms := len(p.addrs) + 1
+	if pe != nil {
+		pe.heard = p.d.now()
+	}
+	p.mu.Unlock()
+	p.d.shares.setVMs(vms)
+	if n.Number > 0 {
+		p.d.sched.peerUses(n.Vm, n.Uses)
+	}
+	for _, g := range n.Grants {
+		p.d.shares.receive(allowance.Amount{Organisation: g.Organisation, Units: g.Amount})
+	}
+	p.answer(n.Wants, from)
+}
+
+// answer gives what can be spared.
+func (p *peers) answer(wants []*schema.AllowanceGrant, to *net.UDPAddr) {
+	var grants []*schema.AllowanceGrant
+	for _, w := range wants {
+		if units := p.d.shares.give(allowance.Amount{Organisation: w.Organisation, Units: w.Amount}); units > 0 {
+			grants = append(grants, &schema.AllowanceGrant{Organisation: w.Organisation, Amount: units})
+		}
+	}
+	if len(grants) > 0 {
+		n := p.note()
+		n.Grants = grants
+		p.send(n, to)
+	}
+}
+
+// uses returns this VM's load as others need it.
+func (s *scheduling) uses() []*schema.EndpointUse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*schema.EndpointUse
+	for id, u := range s.sched.Uses() {
+		list = append(list, &schema.EndpointUse{
+			Endpoint: xxhash.Sum64String(id), Running: uint32(u.Running), Waiting: uint32(u.Waiting),
+			PromptTokens: uint32(u.PromptTokens), Slowness: uint32(u.Slowness * percent),
+		})
+	}
+	return list
+}
+
+const percent = 100
+
+func (s *scheduling) peerUses(vm string, list []*schema.EndpointUse) {
+	uses := make(map[uint64]dispatch.Use, len(list))
+	for _, u := range list {
+		uses[u.Endpoint] = dispatch.Use{
+			Running: int(u.Running), Waiting: int(u.Waiting), PromptTokens: int(u.PromptTokens), Slowness: float64(u.Slowness) / percent,
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sched.PeerUses(s.now(), vm, func(endpoint string) (dispatch.Use, bool) {
+		u, ok := uses[xxhash.Sum64String(endpoint)]
+		return u, ok
+	})
+}
--- /dev/null
+++ b/entry/scheduling.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/chivefield/chivefield/core/dispatch"
+	"github.com/chivefield/chivefield/core/members"
+	"github.com/chivefield/chivefield/core/routing"
+)
+
+// scheduling lets the goroutines of requests use the scheduler, and brings each
+// its decision.
+type scheduling struct {
+	now func() time.Duration
+
+	mu      sync.Mutex
+	sched   *dispatch.Scheduler
+	members *members.Set
+	version uint64
+	table   *routing.Table
+	waiters map[uint64]chan dispatch.Decision
+}
+
+func newScheduling(now func() time.Duration) *scheduling {
+	return &scheduling{now: now, sched: dispatch.New(), members: members.New(), waiters: make(map[uint64]chan dispatch.Decision)}
+}
+
+// tickEvery is how often waiting requests are looked at. Most are placed when a
+// run ends; ticks only find those whose time ran out.
+const tickEvery = 20 * time.Millisecond
+
+func (s *scheduling) tick(ctx context.Context) error {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			s.mu.Lock()
+			s.members.Expire(s.now())
+			s.syncEndpoints()
+			if s.sched.Waiting() > 0 {
+				s.deliver(s.sched.Tick(s.now()))
+			}
+			s.mu.Unlock()
+		}
+	}
+}
+
+func (s *scheduling) deliver(decisions []dispatch.Decision) {
+	for _, d := range decisions {
+		if c := s.waiters[d.Handle]; c != nil {
+			delete(s.waiters, d.Handle)
+			c <- d
+		}
+	}
+}
+
+// place asks for an endpoint and waits for the decision; ok is false if ctx
+// ended first.
+func (s *scheduling) place(ctx context.Context, j dispatch.Job) (dispatch.Decision, bool) {
+	c := make(chan dispatch.Decision, 1)
+	s.mu.Lock()
+	s.waiters[j.Handle] = c
+	s.deliver(s.sched.Submit(s.now(), j))
+	s.mu.Unlock()
+	select {
+	case d := <-c:
+		return d, true
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiters[j.Handle] != nil {
+		delete(s.waiters, j.Handle)
+		s.sched.Withdraw(s.now(), j.Service, j.Handle)
+		return dispatch.Decision{}, false
+	}
+	// It was placed meanwhile; the room is given back.
+	s.deliver(s.sched.End(s.now(), j.Handle, dispatch.Left))
+	return dispatch.Decision{}, false
+}
+
+func (s *scheduling) event(handle uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sched.Event(s.now(), handle)
+}
+
+func (s *scheduling) end(handle uint64, o dispatch.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deliver(s.sched.End(s.now(), handle, o))
+}
+
+// setTable tells which services are model engines.
+func (s *scheduling) setTable(t *routing.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table = t
+	s.version = 0
+	s.syncEndpoints()
+}
+
+// update changes the known endpoints.
+func (s *scheduling) update(change func(now time.Duration, m *members.Set)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s.now(), s.members)
+	s.syncEndpoints()
+}
+
+// syncEndpoints gives the scheduler the usable endpoints if they changed.
+func (s *scheduling) syncEndpoints() {
+	if s.table == nil || s.version == s.members.Version() && s.version != 0 {
+		return
+	}
+	s.version = s.members.Version()
+	for _, sv := range s.table.Document.Services {
+		s.deliver(s.sched.SetEndpoints(s.now(), sv.Name, s.members.Usable(sv.Name), sv.Engine != nil))
+	}
+}
--- /dev/null
+++ b/entry/wire.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/chivefield/chivefield/core/members"
+	"github.com/chivefield/chivefield/core/routing"
+)
+
+// Call is what a caller says of its request.
+type Call struct {
+	// ID is unique to this sending of the request.
+	ID string
+	// Key is the API key; empty if there is none.
+	Key string
+	// TimeLeft is how long the caller waits, if HasTimeLeft.
+	TimeLeft    time.Duration
+	HasTimeLeft bool
+	// Prompt and MaxOutput are tokens, if HasTokens.
+	Prompt, MaxOutput int
+	HasTokens         bool
+	// GuessedOutput is the caller's estimate of the output in tokens; 0 for none.
+	GuessedOutput int
+	// Parts are the parts of the prompt in order.
+	Parts []PromptPart
+	// LastEventID is the last event that the caller has of a resumed stream.
+	LastEventID string
+}
+
+// PromptPart is a part of a prompt that other requests may share.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// Outgoing is what the system tells an endpoint of a request.
+type Outgoing struct {
+	// Endpoint is the incarnation that is meant.
+	Endpoint     string
+	Organisation string
+	TimeLeft     time.Duration
+	// LastEventID is set where a stream goes on after an event.
+	LastEventID string
+}
+
+// Reply is what an endpoint says of its answer.
+type Reply struct {
+	// ID is the request that the answer belongs to.
+	ID string
+	// Sealed answers bear the endpoint's mark of authenticity.
+	Sealed bool
+	// NotRun says that the request was not run and never will be.
+	NotRun bool
+	// Encoded bodies are not the endpoint's own.
+	Encoded bool
+}
+
+// Codec translates between the wire and the product's types.
+type Codec interface {
+	Call(h http.Header) Call
+	Outgoing(h http.Header, o Outgoing)
+	Reply(resp *http.Response) Reply
+	// Refusal marks an answer of the system's own to the request.
+	Refusal(h http.Header, id string)
+	ReadyPath() string
+	// Config returns nil without an error for a record that holds none.
+	Config(r Record) (*routing.Document, error)
+	Endpoint(r Record) (members.Change, error)
+}
+
+// Feed is one of the platform's sources of records.
+type Feed int
+
+// Feeds.
+const (
+	// FeedConfig holds the operator's configuration.
+	FeedConfig Feed = iota
+	// FeedEndpoints is the registry of endpoints.
+	FeedEndpoints
+	// FeedVMs holds the addresses of the system's own VMs.
+	FeedVMs
+)
+
+// Record is a keyed record; without a value, the key was removed.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// Store is the platform's store.
+type Store interface {
+	// Newest reads the newest record of each key, and the offset to read on from.
+	Newest(ctx context.Context, f Feed) (records []Record, next uint64, err error)
+	// Read reads records from an offset on, waiting up to wait for the first. It
+	// returns the offset to read on from, or a TrimmedError.
+	Read(ctx context.Context, f Feed, from uint64, wait time.Duration) ([]Record, uint64, error)
+	// Announce writes this VM's record of FeedVMs.
+	Announce(ctx context.Context, name string, value []byte) error
+}
+
+// TrimmedError reports records that the store no longer keeps.
+type TrimmedError struct{ From uint64 }
+
+// Error describes the failure.
+func (e *TrimmedError) Error() string { return fmt.Sprintf("records from %d on were trimmed", e.From) }
+
+// DecodeError reports a record that cannot be understood.
+type DecodeError struct {
+	Key string
+	Err error
+}
+
+// Error describes the failure.
+func (e *DecodeError) Error() string { return "record " + e.Key + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error { return e.Err }
