Idle connections close once the balancer has seen the refusal

Cause: after SIGTERM idle connections stayed open until nothing ran, so requests came in over them for 7 s and were cut at the end of the grace time. Ruled out: answers without Connection: close (every answer carries it).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,7 +13,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -205,15 +204,15 @@
 	// refusalSeen is how long after SIGTERM new connections may still come: the
 	// balancer asks once a second and acts on the second refusal.
 	refusalSeen = 2600 * time.Millisecond
-	// quietBefore is how long nothing must have run before the process ends.
-	quietBefore = 300 * time.Millisecond
 	// graceMargin is left of the time until SIGKILL.
-	graceMargin = 700 * time.Millisecond
-	drainPoll   = 50 * time.Millisecond
+	graceMargin = 500 * time.Millisecond
 )
 
-// shutdown waits for the signal, refuses readiness, lets the balancer see that
-// while it goes on serving, and ends the process when nothing runs any more.
+// shutdown waits for the signal and refuses readiness. Until the balancer has
+// seen that, callers still come and are served; every answer closes its
+// connection. Then idle connections are closed too: a caller that keeps one open
+// could send a request so late that it would be cut at the end of the grace time.
+// What runs goes on to its end.
 func (d *Daemon) shutdown(signal, work context.Context, front *http.Server, stop context.CancelFunc) error {
 	select {
 	case <-work.Done():
@@ -223,18 +222,14 @@
 	since := time.Now()
 	d.draining.Store(true)
 	d.log.Info().Int64("active", d.active.Load()).Msg("draining")
-	bound := d.set.Grace - graceMargin
-	quiet := since
-	for time.Since(since) < bound {
-		time.Sleep(drainPoll)
-		if d.active.Load() > 0 {
-			quiet = time.Now()
-		}
-		if time.Since(since) > refusalSeen && time.Since(quiet) > quietBefore {
-			break
-		}
+	seen := time.NewTimer(refusalSeen)
+	defer seen.Stop()
+	select {
+	case <-work.Done():
+		return nil
+	case <-seen.C:
 	}
-	end, cancel := context.WithTimeout(work, max(0, bound-time.Since(since))+drainPoll)
+	end, cancel := context.WithTimeout(work, d.set.Grace-graceMargin-time.Since(since))
 	defer cancel()
 	if err := front.Shutdown(end); err != nil {
 		d.log.Warn().Err(err).Int64("active", d.active.Load()).Msg("drain_bound_reached")
@@ -310,6 +305,3 @@
 	}
 	l.timers[c] = time.AfterFunc(limit, func() { _ = c.Close() })
 }
-
-// numGoroutine is a gauge of the process's load.
-func numGoroutine() int { return runtime.NumGoroutine() }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -33,7 +33,7 @@
 	// delivered says that the caller has its final answer, whole or broken.
 	delivered bool
 	// again says that the repeat was already taken off the budget.
-	again bool
+	again  bool
 	status int
 	err    error
 }
--- /dev/null
+++ b/entry/harness_test.go
@@ -0,0 +1,233 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chivefield/chivefield/entry"
+	"github.com/chivefield/chivefield/logging"
+	"github.com/chivefield/chivefield/platform"
+	"github.com/chivefield/chivefield/platform/fake"
+	"github.com/chivefield/chivefield/settings"
+)
+
+// deployment is a store, endpoints and entry VMs in one process.
+type deployment struct {
+	t     *testing.T
+	is    *is.I
+	store *fake.Store
+	vms   []*vm
+}
+
+type vm struct {
+	callers, ready, peers string
+	logs                  *syncBuffer
+	stop                  context.CancelFunc
+	done                  chan error
+}
+
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// Names of the test configuration.
+const (
+	host     = "app.example"
+	apiKey   = "key-of-org"
+	idemPath = "/read/"
+	onePath  = "/post/"
+	sse1     = "/stream/"
+	sse2     = "/resume/"
+	plain    = "plain"
+	engine   = "engine"
+	waitMost = 10 * time.Second
+)
+
+// route is a route of the operator's document.
+func route(name, path, kind, service string, attempts int, resumable bool) map[string]any {
+	return map[string]any{
+		"name": name, "host": host, "path-prefix": path, "kind": kind, "timeout-ms": 5000, "target-latency-ms": 300,
+		"priority": 1, "service": service, "max-attempts": attempts, "public": false, "resumable": resumable, "gap-aim-ms": 250,
+	}
+}
+
+// document is the operator's configuration for tests.
+func document(version int) map[string]any {
+	return map[string]any{
+		"version": version,
+		"routes": []any{
+			route("read", idemPath, "idempotent", plain, 2, false),
+			route("post", onePath, "non_idempotent", plain, 2, false),
+			route("stream", sse1, "streaming", engine, 2, false),
+			route("resume", sse2, "streaming", engine, 2, true),
+		},
+		"services": []any{
+			map[string]any{"name": plain, "health-path": "/healthz", "max-conns": 100},
+			map[string]any{"name": engine, "health-path": "/healthz", "max-conns": 100, "engine": map[string]any{"slots": 4, "kv-capacity-tokens": 100000, "stride": 6}},
+		},
+		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 65536, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"tenants": []any{map[string]any{"name": "org", "api-keys": []string{apiKey}, "priority": 1, "unit": "token_count", "plain-tokens": 200, "rate-per-s": 0, "burst": 0}},
+	}
+}
+
+func newDeployment(t *testing.T) *deployment {
+	d := &deployment{t: t, is: is.New(t), store: fake.NewStore()}
+	t.Cleanup(d.store.Close)
+	return d
+}
+
+func (d *deployment) endpoint(id, service string, s fake.Script) *fake.Endpoint {
+	d.t.Helper()
+	e, err := fake.NewEndpoint(id, s)
+	d.is.NoErr(err)
+	d.t.Cleanup(e.Close)
+	d.store.Put("keyed.servers", id, e.Entry(service, "ready", 4))
+	return e
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// vm starts an entry VM and waits until it is ready.
+func (d *deployment) vm(name string) *vm {
+	d.t.Helper()
+	v := &vm{callers: freeAddress(d.t), ready: freeAddress(d.t), peers: freeAddress(d.t), logs: &syncBuffer{}, done: make(chan error, 1)}
+	set, err := settings.ParseEntry(fmt.Appendf(nil, `
+[vm]
+name = %q
+failure_domain = "a"
+first_start = true
+[listen]
+callers = %q
+ready = %q
+peers = %q
+[platform]
+address = %q
+[bounds]
+grace = "6s"
+retry_ratio = 0.2
+retry_slack = 50
+allowance_window = "8s"
+allowance_over = 0.1
+allowance_slack = 1000
+`, name, v.callers, v.ready, v.peers, d.store.Address()))
+	d.is.NoErr(err)
+	ctx, stop := context.WithCancel(context.Background())
+	v.stop = stop
+	daemon := entry.New(entry.Options{
+		Settings: set, Log: logging.New(v.logs), Codec: platform.Codec{},
+		Store: &platform.Store{Base: "http://" + d.store.Address(), HTTP: &http.Client{Transport: &http.Transport{}}},
+	})
+	go func() { v.done <- daemon.Run(ctx) }()
+	d.t.Cleanup(func() {
+		stop()
+		select {
+		case <-v.done:
+		case <-time.After(waitMost):
+			d.t.Error("the VM did not stop")
+		}
+		if d.t.Failed() && os.Getenv("LOGS") != "" {
+			d.t.Log(v.logs.String())
+		}
+	})
+	d.eventually("ready", func() bool { return v.isReady() })
+	d.vms = append(d.vms, v)
+	return v
+}
+
+func (v *vm) isReady() bool {
+	resp, err := http.Get("http://" + v.ready + "/api/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (d *deployment) eventually(what string, ok func() bool) {
+	d.t.Helper()
+	for end := time.Now().Add(waitMost); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	d.t.Fatalf("not in time: %s", what)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	body   string
+	header http.Header
+	// broken says that the answer ended without its end.
+	broken error
+}
+
+var lastID struct {
+	sync.Mutex
+	n int
+}
+
+func newID() string {
+	lastID.Lock()
+	defer lastID.Unlock()
+	lastID.n++
+	return "r" + strconv.Itoa(lastID.n)
+}
+
+// request makes a caller's request with everything it needs.
+func (v *vm) request(method, path, body string) *http.Request {
+	r, err := http.NewRequest(method, "http://"+v.callers+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		panic(err)
+	}
+	r.Host = host
+	r.Header.Set("Attempt-Id", newID())
+	r.Header.Set("Deadline-Ms", "4000")
+	r.Header.Set("Authorization", "Bearer "+apiKey)
+	return r
+}
+
+// send sends a request on a connection of its own.
+func send(r *http.Request) reply {
+	tr := &http.Transport{DisableKeepAlives: true}
+	defer tr.CloseIdleConnections()
+	resp, err := tr.RoundTrip(r)
+	if err != nil {
+		return reply{broken: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, body: string(body), header: resp.Header, broken: err}
+}
