Engine pace from the undisturbed time between events

Now the low end of the times between events is the engine's pace, reading time is learned by prompt size, and a prompt counts with what is left of it.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -19,6 +19,8 @@
 	// Objective is the time by which the first event should be there, Abandon the
 	// time after which nobody waits for it.
 	Objective, Abandon time.Duration
+	// MaxPause is the longest pause between events that is on time; 0 for any.
+	MaxPause time.Duration
 	// Domain is the failure domain of this VM.
 	Domain string
 	// Tried endpoints are not picked again.
@@ -40,6 +42,9 @@
 	Predicted time.Duration
 	// Candidates is how many endpoints were usable, Waiting how many jobs wait.
 	Candidates, Waiting int
+	// Load is what all VMs together had at the endpoint, as far as known, and its
+	// slowness as assumed.
+	Load Use
 }
 
 // Reasons of refusals.
@@ -53,8 +58,9 @@
 type Use struct {
 	Running, Waiting int
 	PromptTokens     int
-	// Slowness is against the nominal speed; 0 if not known.
-	Slowness float64
+	// Gap is the time between two events of a stream when nothing disturbs; 0 if
+	// not known.
+	Gap time.Duration
 }
 
 // Scheduler is one VM's queues and its view of the endpoints. It is not safe
@@ -79,8 +85,12 @@
 	engine bool
 	own    map[uint64]*run
 	others map[string]peerUse
-	// slow is the learned slowness against the service's usual pace; 1 is usual.
-	slow estimate
+	// gap is the time between two events when nothing disturbs, plain the usual
+	// time of an answer without a prompt, in seconds.
+	gap   floor
+	plain float64
+	// lastFirst is when a run of this VM here last got its first event.
+	lastFirst time.Duration
 	// restUntil is when an endpoint that failed may get requests again.
 	restUntil time.Duration
 	failures  int
@@ -98,8 +108,12 @@
 	sent    time.Duration
 	started bool
 	last    time.Duration
-	events  int
-	ahead   int
+	// several says that more than one event came last, or the first, so that the
+	// time to the next one tells nothing of the pace.
+	several bool
+	// gap is the time between the last two events, if it tells.
+	gap   time.Duration
+	ahead int
 }
 
 // New returns a scheduler without endpoints.
@@ -151,21 +165,31 @@
 	sv.queue = slices.DeleteFunc(sv.queue, func(j *Job) bool { return j.Handle == handle })
 }
 
-// Event says that an event of a stream came, or the answer of a plain service.
+// Events says that n events of a stream came, or the answer of a plain service.
 // The first one of a run says that its prompt was read.
-func (s *Scheduler) Event(now time.Duration, handle uint64) {
+func (s *Scheduler) Events(now time.Duration, handle uint64, n int) {
 	r := s.running[handle]
 	if r == nil {
 		return
 	}
 	sv := s.service(r.job.Service)
-	if r.started {
-		sv.pace.observeEvent(r.ep, now-r.last)
-	} else {
+	switch {
+	case !r.started:
 		sv.pace.observeFirst(r, now-r.sent)
+		r.ep.lastFirst = now
+	default:
+		// The last event of a stream may hold fewer tokens and come sooner, so a
+		// time between events counts only once another event has followed.
+		if r.gap > 0 {
+			sv.pace.observeEvents(r.ep, r.gap)
+		}
+		r.gap = 0
+		if n == 1 && !r.several {
+			r.gap = now - r.last
+		}
 	}
+	r.several = n > 1 || !r.started
 	r.started, r.last = true, now
-	r.events++
 }
 
 // Outcome is how a run at an endpoint ended.
@@ -219,12 +243,12 @@
 }
 
 // Uses returns this VM's load at the endpoints it uses or knows the pace of.
-func (s *Scheduler) Uses() map[string]Use {
+func (s *Scheduler) Uses(now time.Duration) map[string]Use {
 	uses := make(map[string]Use)
 	for _, sv := range s.services {
 		for _, ep := range sv.list {
-			u := ep.ownUse()
-			if u.Running+u.Waiting > 0 || u.Slowness > 0 {
+			u := ep.ownUse(now, sv.pace.readOf(ep, 0))
+			if u.Running+u.Waiting > 0 || u.Gap > 0 {
 				uses[ep.ID] = u
 			}
 		}
@@ -242,8 +266,8 @@
 				continue
 			}
 			ep.others[vm] = peerUse{u, now}
-			if u.Slowness > 0 {
-				ep.slow.hear(u.Slowness)
+			if u.Gap > 0 {
+				ep.gap.hear(u.Gap.Seconds())
 			}
 		}
 	}
@@ -261,7 +285,7 @@
 	s.running[j.Handle] = r
 	ep := c.ep.Endpoint
 	s.out = append(s.out, Decision{
-		Handle: j.Handle, Endpoint: &ep, Predicted: c.first, Candidates: len(sv.list), Waiting: len(sv.queue), Reason: c.why,
+		Handle: j.Handle, Endpoint: &ep, Predicted: c.first, Candidates: len(sv.list), Waiting: len(sv.queue), Reason: c.why, Load: c.load,
 	})
 }
 
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -14,8 +14,12 @@
 	restMost  = 2 * time.Second
 )
 
-func (e *endpoint) ownUse() Use {
-	u := Use{Slowness: e.slow.own()}
+// ownUse is this VM's load. read is the time to read a token, in seconds: the
+// prompt that is being read counts only with what is left of it.
+func (e *endpoint) ownUse(now time.Duration, read float64) Use {
+	u := Use{}
+	oldest := -1 * time.Second
+	var first int
 	for _, r := range e.own {
 		if r.started {
 			u.Running++
@@ -23,21 +27,32 @@
 		}
 		u.Waiting++
 		u.PromptTokens += r.job.Prompt
+		if oldest < 0 || r.sent < oldest {
+			oldest, first = r.sent, r.job.Prompt
+		}
+	}
+	if oldest >= 0 && read > 0 {
+		since := max(oldest, e.lastFirst)
+		u.PromptTokens -= min(first, int((now-since).Seconds()/read))
+	}
+	if e.gap.seen >= tellAfter {
+		u.Gap = time.Duration(e.gap.value * float64(time.Second))
 	}
 	return u
 }
 
 // load is what all VMs together have at the endpoint, as far as known.
-func (e *endpoint) load(now time.Duration) Use {
-	u := e.ownUse()
+func (e *endpoint) load(now time.Duration, read float64) Use {
+	u := e.ownUse(now, read)
 	for vm, o := range e.others {
-		if now-o.at > peerFresh {
+		age := now - o.at
+		if age > peerFresh {
 			delete(e.others, vm)
 			continue
 		}
 		u.Running += o.Running
 		u.Waiting += o.Waiting
-		u.PromptTokens += o.PromptTokens
+		u.PromptTokens += max(0, o.PromptTokens-int(age.Seconds()/read))
 	}
 	return u
 }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		any = true
-		u := e.load(now)
+		u := e.load(now, sv.pace.readOf(e, 0))
 		if !e.hasRoom(u) {
 			continue
 		}
--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -7,37 +7,70 @@
 	ep *endpoint
 	// first is the expected time to the first event.
 	first time.Duration
+	// onTime says that the job's objective is expected to be met, and that no
+	// stream pauses for too long.
+	onTime bool
 	// score orders candidates: the least is picked.
 	score float64
 	// ahead are the prompt tokens that wait there.
 	ahead int
 	why   string
+	load  Use
 }
 
-// farCost is what another failure domain counts for, in seconds: little more
-// than its round trip, so that it only breaks ties.
-const farCost = 0.004
+const (
+	// farCost is what another failure domain counts for, in seconds: little more
+	// than its round trip, so that it only breaks ties.
+	farCost = 0.004
+	// onTimeShare is the part of the time left that a prediction may take, since
+	// peers' loads are older than a round trip.
+	onTimeShare = 0.8
+	// slotEvents is after how many events a slot of a full endpoint is expected to
+	// become free.
+	slotEvents = 5
+	// lateCost is added where the objective is expected to be missed, in seconds.
+	lateCost = 10
+)
 
 // rate predicts what a job meets at an endpoint.
 func (sv *service) rate(now time.Duration, j *Job, e *endpoint, u Use) candidate {
-	slow := e.slow.get()
-	c := candidate{ep: e, ahead: u.PromptTokens}
-	var first, whole float64
+	c := candidate{ep: e, ahead: u.PromptTokens, load: u}
 	if e.engine {
-		read := orStart(sv.pace.read, startRead)
-		first = slow * read * float64(u.PromptTokens+j.Prompt)
-		// Every other request shares the steps in which this one's tokens come.
-		whole = slow * orStart(sv.pace.gap, startGap)
-		first += whole
+		sv.rateEngine(now, j, &c)
 	} else {
-		plain := orStart(sv.pace.plain, startPlain)
-		first = slow * plain * (1 + float64(u.Running+u.Waiting)/float64(max(1, e.Slots)))
+		plain := orStart(e.plain, orStart(sv.pace.plain, startPlain))
+		first := plain * (1 + float64(u.Running+u.Waiting)/float64(max(1, e.Slots)))
+		c.first = seconds(first)
+		c.onTime = true
+		c.score = first
 	}
-	c.first = time.Duration(first * float64(time.Second))
-	busy := float64(u.Running+u.Waiting) / float64(max(1, e.Slots))
-	c.score = first + busy*slow*orStart(sv.pace.gap, startGap)
 	if e.FailureDomain != j.Domain {
 		c.score += farCost
 	}
 	return c
 }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func (sv *service) rateEngine(now time.Duration, j *Job, c *candidate) {
+	gap, read := sv.pace.gapOf(c.ep), sv.pace.readOf(c.ep, j.Prompt)
+	c.load.Gap = seconds(gap)
+	first := sv.pace.readOf(c.ep, 0)*float64(c.load.PromptTokens) + read*float64(j.Prompt) + gap
+	if c.load.Running+c.load.Waiting >= c.ep.Slots {
+		first += slotEvents * gap
+	}
+	c.first = seconds(first)
+	// While a prompt is read, each step of the running streams takes as long as a
+	// chunk of it.
+	chunk := min(c.load.PromptTokens+j.Prompt, assumedChunk*eventSteps)
+	pause := gap + read*float64(chunk)
+	c.onTime = first <= onTimeShare*(j.Objective-now).Seconds() && (j.MaxPause == 0 || pause <= j.MaxPause.Seconds())
+	busy := float64(c.load.Running+c.load.Waiting) / float64(max(1, c.ep.Slots))
+	c.score = first + busy*gap
+	if !c.onTime {
+		c.score += lateCost
+	}
+}
+
+// eventSteps is how many steps of an engine make an event, as a usual number.
+const eventSteps = 6
--- a/core/sse/sse.go
+++ b/core/sse/sse.go
@@ -13,6 +13,8 @@
 	pending []byte
 	// LastID is the id of the last whole event that had one.
 	LastID string
+	// Count is the number of events with an id that the last Write returned.
+	Count int
 }
 
 // maxEvent bounds what is kept of an event that does not end, in bytes.
@@ -37,6 +39,7 @@
 	}
 	whole := bytes.Clone(s.pending[:end])
 	s.pending = append(s.pending[:0], s.pending[end:]...)
+	s.Count = 0
 	s.noteIDs(whole)
 	return whole, nil
 }
@@ -71,6 +74,7 @@
 			events = nil
 		}
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			s.Count++
 			s.LastID = strings.TrimSpace(string(v))
 		}
 	}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -223,6 +223,7 @@
 	}
 	if c.route.Repeat == routing.Stream {
 		j.Abandon = min(limit, arrived+c.patience())
+		j.MaxPause = c.route.MaxPause
 	}
 	return j
 }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -135,7 +135,7 @@
 func (c *caller) logPlaced(dec dispatch.Decision) {
 	c.d.log.Info().Str("request", c.call.ID).Str("route", c.route.Name).Str("endpoint", dec.Endpoint.ID).
 		Str("address", dec.Endpoint.Address).Dur("predicted", dec.Predicted).Int("candidates", dec.Candidates).
-		Int("waiting", dec.Waiting).Dur("waited", time.Since(c.arrived)).Int("try", len(c.tried)).Msg("placed")
+		Int("waiting", dec.Waiting).Int("running", dec.Load.Running).Int("unread", dec.Load.PromptTokens).Int("prompt", c.call.Prompt).Int("output", c.call.MaxOutput).Dur("gap", dec.Load.Gap).Dur("waited", time.Since(c.arrived)).Int("try", len(c.tried)).Msg("placed")
 }
 
 // headers are those for the endpoint.
@@ -241,7 +241,7 @@
 		time.Until(c.limit) > shortWait && c.d.shares.mayRepeat(c.service) {
 		return attempt{outcome: dispatch.Broken, status: ans.StatusCode, again: true, err: &FailedAnswerError{Status: ans.StatusCode}}
 	}
-	c.d.sched.event(handle)
+	c.d.sched.events(handle, 1)
 	c.write(ans.Response, body)
 	return attempt{outcome: dispatch.Answered, delivered: true}
 }
@@ -252,15 +252,21 @@
 	c.w.Header().Set("Content-Length", itoa(len(body)))
 	c.w.WriteHeader(resp.StatusCode)
 	_, err := c.w.Write(body)
-	c.logAnswered(resp.StatusCode, 0, err)
-}
-
-func (c *caller) logAnswered(status, events int, err error) {
 	took := time.Since(c.arrived)
 	c.d.count("answers")
 	c.d.observe("answer", took)
-	c.d.log.Info().Str("request", c.call.ID).Int("status", status).Int("events", events).Dur("took", took).
-		Int("sent", c.sent).Err(err).Msg("answered")
+	c.d.log.Info().Str("request", c.call.ID).Int("status", resp.StatusCode).Dur("took", took).
+		Bool("late", took > c.route.Objective).Int("sent", c.sent).Err(err).Msg("answered")
+}
+
+// logStream says how a whole stream went, and whether it kept its objective.
+func (c *caller) logStream(status int, s *stream) {
+	first := s.first.Sub(c.arrived)
+	c.d.count("streams")
+	c.d.observe("stream", time.Since(c.arrived))
+	c.d.log.Info().Str("request", c.call.ID).Int("status", status).Int("events", s.events).Dur("took", time.Since(c.arrived)).
+		Dur("first_event", first).Dur("longest_pause", s.pause).Bool("late", first > c.route.Objective || s.pause > c.route.MaxPause).
+		Int("sent", c.sent).Msg("streamed")
 }
 
 func copyHeaders(to, from http.Header) {
@@ -286,6 +292,22 @@
 	lastID string
 	events int
 	split  sse.Splitter
+	// first and last are when the first and the last events came, pause is the
+	// longest time between two.
+	first, last time.Time
+	pause       time.Duration
+}
+
+// note takes down when events came.
+func (s *stream) note() {
+	now := time.Now()
+	if s.events == 0 {
+		s.first = now
+	} else {
+		s.pause = max(s.pause, now.Sub(s.last))
+	}
+	s.last = now
+	s.events++
 }
 
 // readSize is the buffer for events, in bytes.
@@ -303,7 +325,7 @@
 				return attempt{outcome: dispatch.Broken, err: werr}
 			}
 			if len(whole) > 0 {
-				s.c.d.sched.event(handle)
+				s.c.d.sched.events(handle, s.split.Count)
 				if werr := s.send(ans.Response, whole); werr != nil {
 					return attempt{outcome: dispatch.Left, err: werr, delivered: true}
 				}
@@ -331,7 +353,7 @@
 	if !s.begun {
 		s.begin(resp)
 	}
-	s.c.logAnswered(resp.StatusCode, s.events, nil)
+	s.c.logStream(resp.StatusCode, s)
 	return attempt{outcome: dispatch.Answered, delivered: true}
 }
 
@@ -347,10 +369,10 @@
 	if !s.begun {
 		s.begin(resp)
 	}
+	s.note()
 	if _, err := s.c.w.Write(events); err != nil {
 		return err
 	}
-	s.events++
 	if s.split.LastID != "" {
 		s.lastID = s.split.LastID
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -228,22 +228,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []*schema.EndpointUse
-	for id, u := range s.sched.Uses() {
+	for id, u := range s.sched.Uses(s.now()) {
 		list = append(list, &schema.EndpointUse{
 			Endpoint: xxhash.Sum64String(id), Running: uint32(u.Running), Waiting: uint32(u.Waiting),
-			PromptTokens: uint32(u.PromptTokens), Slowness: uint32(u.Slowness * percent),
+			PromptTokens: uint32(u.PromptTokens), EventGapUs: uint32(u.Gap.Microseconds()),
 		})
 	}
 	return list
 }
 
-const percent = 100
-
 func (s *scheduling) peerUses(vm string, list []*schema.EndpointUse) {
 	uses := make(map[uint64]dispatch.Use, len(list))
 	for _, u := range list {
 		uses[u.Endpoint] = dispatch.Use{
-			Running: int(u.Running), Waiting: int(u.Waiting), PromptTokens: int(u.PromptTokens), Slowness: float64(u.Slowness) / percent,
+			Running: int(u.Running), Waiting: int(u.Waiting), PromptTokens: int(u.PromptTokens), Gap: time.Duration(u.EventGapUs) * time.Microsecond,
 		}
 	}
 	s.mu.Lock()
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -84,10 +84,10 @@
 	return dispatch.Decision{}, false
 }
 
-func (s *scheduling) event(handle uint64) {
+func (s *scheduling) events(handle uint64, n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sched.Event(s.now(), handle)
+	s.sched.Events(s.now(), handle, n)
 }
 
 func (s *scheduling) end(handle uint64, o dispatch.Outcome) {
