Tests of the pure packages; amounts of other VMs reach large requests

Cause: earning cut the balance back to the VM's own bound before the request could spend it. A balance may now pass the bound for 100 ms while a request waits.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -33,6 +33,10 @@
 // which a VM that was just added is not known to all others.
 const reserve = 0.15
 
+// holdOver is how long a balance may pass the bound: the time in which a waiting
+// request spends it or gives up.
+const holdOver = 100 * time.Millisecond
+
 // giveShare is the part of its balance that a VM gives to one that lacks.
 const giveShare = 0.4
 
@@ -52,6 +56,9 @@
 	lacked float64
 	// fresh accounts have not had a balance yet.
 	fresh bool
+	// overUntil is until when the balance may pass the bound, for a request that
+	// waits for what others gave.
+	overUntil time.Duration
 }
 
 // New returns a ledger. full says that no earlier process of the deployment
@@ -112,8 +119,11 @@
 		}
 	}
 	earned := a.terms.Rate / float64(l.vms) * max(0, (now-a.at).Seconds())
-	a.balance = min(bound, a.balance+earned)
 	a.at = now
+	if a.balance > bound && now <= a.overUntil {
+		return
+	}
+	a.balance = min(bound, a.balance+earned)
 }
 
 // Verdict is the outcome of Spend.
@@ -196,6 +206,9 @@
 		return
 	}
 	l.accrue(now, a)
+	if waiting > l.bound(a.terms) {
+		a.overUntil = now + holdOver
+	}
 	a.balance = min(max(l.bound(a.terms), a.balance, waiting), a.balance+got.Units)
 }
 
--- /dev/null
+++ b/core/sse/sse_test.go
@@ -0,0 +1,51 @@
+package sse
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// However the bytes are cut, only whole events come out, and all of them.
+func TestWholeEventsOnly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: no id\n\nid: 3\ndata: torn"
+		var s Splitter
+		var out string
+		for rest := stream; len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "n")
+			whole, err := s.Write([]byte(rest[:n]))
+			if err != nil {
+				t.Fatal(err)
+			}
+			out += string(whole)
+			rest = rest[n:]
+		}
+		if want := stream[:len(stream)-len("id: 3\ndata: torn")]; out != want {
+			t.Fatalf("got %q", out)
+		}
+		if s.LastID != "2" {
+			t.Fatalf("last id %q", s.LastID)
+		}
+	})
+}
+
+func TestTornEventIsForgotten(t *testing.T) {
+	is := is.New(t)
+	var s Splitter
+	_, err := s.Write([]byte("id: 1\ndata: a\n\nid: 2\nda"))
+	is.NoErr(err)
+	s.Reset()
+	whole, err := s.Write([]byte("id: 2\ndata: b\n\n"))
+	is.NoErr(err)
+	is.Equal(string(whole), "id: 2\ndata: b\n\n")
+	is.Equal(s.LastID, "2")
+}
+
+func TestEndlessEventIsRefused(t *testing.T) {
+	is := is.New(t)
+	var s Splitter
+	_, err := s.Write(make([]byte, maxEvent+1))
+	is.True(err != nil)
+}
