--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/chivefield/chivefield/core/members"
 )
 
@@ -69,6 +71,11 @@
 	services map[string]*service
 	running  map[uint64]*run
 	out      []Decision
+	// byName finds endpoints by the hash of their ids, as peers name them.
+	byName map[uint64]*endpoint
+	// vms numbers the VMs that were heard, lastNote is when each spoke last.
+	vms      map[string]int
+	lastNote []time.Duration
 }
 
 type service struct {
@@ -83,8 +90,11 @@
 type endpoint struct {
 	members.Endpoint
 	engine bool
-	own    map[uint64]*run
-	others map[string]peerUse
+	// name is what VMs call it among themselves.
+	name uint64
+	own  map[uint64]*run
+	// others are the loads of other VMs, by their index.
+	others []peerUse
 	// gap is the time between two events when nothing disturbs, plain the usual
 	// time of an answer without a prompt, in seconds.
 	gap   floor
@@ -98,6 +108,7 @@
 
 type peerUse struct {
 	Use
+	vm int
 	at time.Duration
 }
 
@@ -118,7 +129,10 @@
 
 // New returns a scheduler without endpoints.
 func New() *Scheduler {
-	return &Scheduler{services: make(map[string]*service), running: make(map[uint64]*run)}
+	return &Scheduler{
+		services: make(map[string]*service), running: make(map[uint64]*run),
+		byName: make(map[uint64]*endpoint), vms: make(map[string]int),
+	}
 }
 
 func (s *Scheduler) service(name string) *service {
@@ -135,14 +149,18 @@
 func (s *Scheduler) SetEndpoints(now time.Duration, name string, list []*members.Endpoint, engine bool) []Decision {
 	sv := s.service(name)
 	old := sv.endpoints
+	for _, ep := range old {
+		delete(s.byName, ep.name)
+	}
 	sv.endpoints = make(map[string]*endpoint, len(list))
 	sv.list = sv.list[:0]
 	for _, m := range list {
 		ep := old[m.ID]
 		if ep == nil {
-			ep = &endpoint{own: make(map[uint64]*run), others: make(map[string]peerUse)}
+			ep = &endpoint{own: make(map[uint64]*run), name: NameOf(m.ID)}
 		}
 		ep.Endpoint, ep.engine = *m, engine
+		s.byName[ep.name] = ep
 		sv.endpoints[m.ID] = ep
 		sv.list = append(sv.list, ep)
 	}
@@ -243,32 +261,46 @@
 }
 
 // Uses returns this VM's load at the endpoints it uses or knows the pace of.
-func (s *Scheduler) Uses(now time.Duration) map[string]Use {
-	uses := make(map[string]Use)
+func (s *Scheduler) Uses(now time.Duration) []NamedUse {
+	var uses []NamedUse
 	for _, sv := range s.services {
 		for _, ep := range sv.list {
 			u := ep.ownUse(now, sv.pace.readOf(ep, 0))
 			if u.Running+u.Waiting > 0 || u.Gap > 0 {
-				uses[ep.ID] = u
+				uses = append(uses, NamedUse{ep.name, u})
 			}
 		}
 	}
 	return uses
 }
 
-// PeerUses takes in another VM's whole load, by endpoint.
-func (s *Scheduler) PeerUses(now time.Duration, vm string, uses func(endpoint string) (Use, bool)) {
-	for _, sv := range s.services {
-		for _, ep := range sv.list {
-			u, ok := uses(ep.ID)
-			if !ok {
-				delete(ep.others, vm)
-				continue
-			}
-			ep.others[vm] = peerUse{u, now}
-			if u.Gap > 0 {
-				ep.gap.hear(u.Gap.Seconds())
-			}
+// NameOf is the short name by which VMs tell each other of an endpoint.
+func NameOf(id string) uint64 { return xxhash.Sum64String(id) }
+
+// NamedUse is a load with the short name of its endpoint.
+type NamedUse struct {
+	Name uint64
+	Use
+}
+
+// PeerUses takes in another VM's whole load. Endpoints that it does not name, it
+// does not use.
+func (s *Scheduler) PeerUses(now time.Duration, vm string, uses []NamedUse) {
+	i, ok := s.vms[vm]
+	if !ok {
+		i = len(s.lastNote)
+		s.vms[vm] = i
+		s.lastNote = append(s.lastNote, 0)
+	}
+	s.lastNote[i] = now
+	for _, u := range uses {
+		ep := s.byName[u.Name]
+		if ep == nil {
+			continue
+		}
+		ep.setOther(peerUse{u.Use, i, now})
+		if u.Gap > 0 {
+			ep.gap.hear(u.Gap.Seconds())
 		}
 	}
 }
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -41,19 +41,33 @@
 	return u
 }
 
-// load is what all VMs together have at the endpoint, as far as known.
-func (e *endpoint) load(now time.Duration, read float64) Use {
+// setOther replaces one VM's load.
+func (e *endpoint) setOther(u peerUse) {
+	for i := range e.others {
+		if e.others[i].vm == u.vm {
+			e.others[i] = u
+			return
+		}
+	}
+	e.others = append(e.others, u)
+}
+
+// load is what all VMs together have at the endpoint, as far as known. lastNote
+// is when each VM spoke last: what it said before is over.
+func (e *endpoint) load(now time.Duration, read float64, lastNote []time.Duration) Use {
 	u := e.ownUse(now, read)
-	for vm, o := range e.others {
+	kept := e.others[:0]
+	for _, o := range e.others {
 		age := now - o.at
-		if age > peerFresh {
-			delete(e.others, vm)
+		if age > peerFresh || o.at < lastNote[o.vm] {
 			continue
 		}
+		kept = append(kept, o)
 		u.Running += o.Running
 		u.Waiting += o.Waiting
 		u.PromptTokens += max(0, o.PromptTokens-int(age.Seconds()/read))
 	}
+	e.others = kept
 	return u
 }
 
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		if !full || len(j.Tried) > 0 {
-			c, any := sv.best(now, j)
+			c, any := s.best(now, sv, j)
 			if c.ep != nil {
 				s.assign(now, sv, j, c)
 				continue
@@ -63,13 +63,13 @@
 
 // best picks the endpoint with the least score; any says whether one could be
 // used if it had room.
-func (sv *service) best(now time.Duration, j *Job) (best candidate, any bool) {
+func (s *Scheduler) best(now time.Duration, sv *service, j *Job) (best candidate, any bool) {
 	for _, e := range sv.list {
 		if !e.usable(now, j) {
 			continue
 		}
 		any = true
-		u := e.load(now, sv.pace.readOf(e, 0))
+		u := e.load(now, sv.pace.readOf(e, 0), s.lastNote)
 		if !e.hasRoom(u) {
 			continue
 		}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/chivefield/chivefield/core/allowance"
@@ -23,6 +22,11 @@
 	noteEvery = 100 * time.Millisecond
 	// vmsEvery is how many notes pass between two that list the known VMs.
 	vmsEvery = 10
+	// nearNotes and farNotes bound the notes sent at once to VMs of the own failure
+	// domain and of others, so that their number does not grow with the deployment:
+	// 140 a second of a few hundred bytes.
+	nearNotes = 8
+	farNotes  = 6
 	// maxDatagram is the largest note; a larger one is sent without loads.
 	maxDatagram = 8 << 10
 	// maxAsked bounds the VMs that are asked for an allowance at once.
@@ -143,7 +147,8 @@
 	return n
 }
 
-// tell sends this VM's load to the others.
+// tell sends this VM's load to the others: to those of its own failure domain,
+// whose endpoints it shares most, each time, to the rest in turns.
 func (p *peers) tell(ctx context.Context) error {
 	t := time.NewTicker(noteEvery)
 	defer t.Stop()
@@ -159,20 +164,63 @@
 		if i%vmsEvery == 0 {
 			n.Vms = p.names()
 		}
-		for _, a := range p.list() {
-			p.send(n, a)
+		b := p.encode(n)
+		for _, a := range p.turn(i) {
+			p.write(b, a)
 		}
 	}
 }
 
-func (p *peers) send(n *schema.PeerNote, to *net.UDPAddr) {
+// turn returns the VMs that get the i-th note.
+func (p *peers) turn(i uint64) []*net.UDPAddr {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var near, far []string
+	for a, pe := range p.addrs {
+		if pe.domain == p.d.set.Vm.FailureDomain {
+			near = append(near, a)
+		} else {
+			far = append(far, a)
+		}
+	}
+	chosen := append(inTurn(near, nearNotes, i), inTurn(far, farNotes, i)...)
+	addrs := make([]*net.UDPAddr, 0, len(chosen))
+	for _, a := range chosen {
+		addrs = append(addrs, p.addrs[a].addr)
+	}
+	return addrs
+}
+
+// inTurn picks n of a list so that all come up equally often.
+func inTurn(list []string, n int, i uint64) []string {
+	if len(list) <= n {
+		return list
+	}
+	slices.Sort(list)
+	picked := make([]string, 0, n)
+	for k := range n {
+		picked = append(picked, list[(int(i)*n+k)%len(list)])
+	}
+	return picked
+}
+
+func (p *peers) encode(n *schema.PeerNote) []byte {
 	b, err := proto.Marshal(n)
 	if err != nil {
 		p.d.log.Error().Err(err).Msg("note_unsendable")
-		return
+		return nil
 	}
 	if len(b) > maxDatagram {
 		p.d.count("notes_too_long")
+		return nil
+	}
+	return b
+}
+
+func (p *peers) send(n *schema.PeerNote, to *net.UDPAddr) { p.write(p.encode(n), to) }
+
+func (p *peers) write(b []byte, to *net.UDPAddr) {
+	if len(b) == 0 {
 		return
 	}
 	if _, err := p.conn.WriteToUDP(b, to); err != nil {
@@ -184,11 +232,13 @@
 func (p *peers) ask(want allowance.Amount) {
 	n := p.note()
 	n.Wants = []*schema.AllowanceGrant{{Organisation: want.Organisation, Amount: want.Units}}
+	b := p.encode(n)
+	// The order of a map is random, so the VMs asked are too.
 	for i, a := range p.list() {
 		if i >= maxAsked {
 			return
 		}
-		p.send(n, a)
+		p.write(b, a)
 	}
 }
 
@@ -257,9 +307,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []*schema.EndpointUse
-	for id, u := range s.sched.Uses(s.now()) {
+	for _, u := range s.sched.Uses(s.now()) {
 		list = append(list, &schema.EndpointUse{
-			Endpoint: xxhash.Sum64String(id), Running: uint32(u.Running), Waiting: uint32(u.Waiting),
+			Endpoint: u.Name, Running: uint32(u.Running), Waiting: uint32(u.Waiting),
 			PromptTokens: uint32(u.PromptTokens), EventGapUs: uint32(u.Gap.Microseconds()),
 		})
 	}
@@ -267,16 +317,14 @@
 }
 
 func (s *scheduling) peerUses(vm string, list []*schema.EndpointUse) {
-	uses := make(map[uint64]dispatch.Use, len(list))
+	uses := make([]dispatch.NamedUse, 0, len(list))
 	for _, u := range list {
-		uses[u.Endpoint] = dispatch.Use{
-			Running: int(u.Running), Waiting: int(u.Waiting), PromptTokens: int(u.PromptTokens), Gap: time.Duration(u.EventGapUs) * time.Microsecond,
-		}
+		uses = append(uses, dispatch.NamedUse{Name: u.Endpoint, Use: dispatch.Use{
+			Running: int(u.Running), Waiting: int(u.Waiting), PromptTokens: int(u.PromptTokens),
+			Gap: time.Duration(u.EventGapUs) * time.Microsecond,
+		}})
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sched.PeerUses(s.now(), vm, func(endpoint string) (dispatch.Use, bool) {
-		u, ok := uses[xxhash.Sum64String(endpoint)]
-		return u, ok
-	})
+	s.sched.PeerUses(s.now(), vm, uses)
 }
