Requests that can be on time before those that are late anyway

Cause: the queue was ordered by tier and objective, so under overload it served the oldest, which were late already, and made the next late too.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -29,6 +29,8 @@
 	Tried []string
 
 	arrived time.Duration
+	// late says that the objective cannot be met any more.
+	late bool
 }
 
 // Decision is what to do with a waiting job.
@@ -172,7 +174,7 @@
 func (s *Scheduler) Submit(now time.Duration, j Job) []Decision {
 	sv := s.service(j.Service)
 	j.arrived = now
-	sv.enqueue(&j)
+	sv.queue = append(sv.queue, &j)
 	s.place(now, sv)
 	return s.take()
 }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -8,77 +8,145 @@
 // maxQueued bounds the jobs of one service that wait at a VM.
 const maxQueued = 400
 
-// enqueue keeps the queue in order of tier, then of the objective.
-func (sv *service) enqueue(j *Job) {
-	at, _ := slices.BinarySearchFunc(sv.queue, j, func(a, b *Job) int {
-		if a.Tier != b.Tier {
-			return a.Tier - b.Tier
-		}
-		if a.Objective <= b.Objective {
-			return -1
-		}
-		return 1
-	})
-	sv.queue = slices.Insert(sv.queue, at, j)
+// seat is an endpoint with room, and its load.
+type seat struct {
+	ep   *endpoint
+	load Use
 }
 
-// place gives waiting jobs to endpoints, the most urgent first, and refuses
-// those that cannot be served while their caller waits.
+// place gives waiting jobs to endpoints and refuses those that cannot be served
+// while their caller waits. Order: by tier; within a tier first those that can
+// still be on time, by their objective; then those that are late anyway, in order
+// of arrival. Under overload the earliest objective first would serve only requests
+// that are late already.
 func (s *Scheduler) place(now time.Duration, sv *service) {
 	if len(sv.queue) == 0 {
 		return
 	}
+	s.refuseHopeless(now, sv)
+	seats := s.seats(now, sv)
+	if len(seats) == 0 {
+		return
+	}
+	sv.sortQueue(now)
 	kept := sv.queue[:0]
-	full := false
 	for _, j := range sv.queue {
-		if now >= j.Abandon {
-			s.refuse(sv, j, ReasonTooLate, comeBack(j))
-			continue
-		}
-		if len(sv.list) == 0 {
-			s.refuse(sv, j, ReasonNoEndpoint, comeBack(j))
+		c := sv.best(now, j, seats)
+		if c.ep == nil {
+			kept = append(kept, j)
 			continue
 		}
-		if !full || len(j.Tried) > 0 {
-			c, any := s.best(now, sv, j)
-			if c.ep != nil {
-				s.assign(now, sv, j, c)
-				continue
-			}
-			if !any && len(j.Tried) >= len(sv.list) {
-				s.refuse(sv, j, ReasonNoEndpoint, comeBack(j))
-				continue
-			}
-			full = true
-		}
-		if len(kept) >= maxQueued {
-			s.refuse(sv, j, ReasonFull, comeBack(j))
-			continue
-		}
-		kept = append(kept, j)
+		s.assign(now, sv, j, c)
+		seats = s.reseat(now, sv, seats, c.ep)
 	}
 	clear(sv.queue[len(kept):])
 	sv.queue = kept
 }
 
-// best picks the endpoint with the least score; any says whether one could be
-// used if it had room.
-func (s *Scheduler) best(now time.Duration, sv *service, j *Job) (best candidate, any bool) {
+// seats returns the endpoints that have room for a job.
+func (s *Scheduler) seats(now time.Duration, sv *service) []seat {
+	var seats []seat
 	for _, e := range sv.list {
-		if !e.usable(now, j) {
+		if now < e.restUntil {
 			continue
 		}
-		any = true
-		u := e.load(now, sv.pace.readOf(e, 0), s.lastNote)
-		if !e.hasRoom(u) {
+		if u := e.load(now, sv.pace.readOf(e, 0), s.lastNote); e.hasRoom(u) {
+			seats = append(seats, seat{e, u})
+		}
+	}
+	return seats
+}
+
+// reseat brings the load of one endpoint up to date after a job went there.
+func (s *Scheduler) reseat(now time.Duration, sv *service, seats []seat, e *endpoint) []seat {
+	i := slices.IndexFunc(seats, func(t seat) bool { return t.ep == e })
+	seats[i].load = e.load(now, sv.pace.readOf(e, 0), s.lastNote)
+	if e.hasRoom(seats[i].load) {
+		return seats
+	}
+	return slices.Delete(seats, i, i+1)
+}
+
+// best picks the seat with the least score that the job has not tried yet.
+func (sv *service) best(now time.Duration, j *Job, seats []seat) (best candidate) {
+	for _, t := range seats {
+		if slices.Contains(j.Tried, t.ep.ID) {
 			continue
 		}
-		c := sv.rate(now, j, e, u)
+		c := sv.rate(now, j, t.ep, t.load)
 		if best.ep == nil || c.score < best.score {
 			best = c
 		}
 	}
-	return best, any
+	return best
+}
+
+// sortQueue orders the jobs as place says.
+func (sv *service) sortQueue(now time.Duration) {
+	fastest := sv.fastest()
+	for _, j := range sv.queue {
+		j.late = now+sv.atBest(j, fastest) > j.Objective
+	}
+	slices.SortStableFunc(sv.queue, func(a, b *Job) int {
+		switch {
+		case a.Tier != b.Tier:
+			return a.Tier - b.Tier
+		case a.late != b.late:
+			if a.late {
+				return 1
+			}
+			return -1
+		case a.late:
+			return int(a.arrived - b.arrived)
+		default:
+			return int(a.Objective - b.Objective)
+		}
+	})
+}
+
+// fastest is the endpoint with the best pace, nil if there is none.
+func (sv *service) fastest() *endpoint {
+	var best *endpoint
+	for _, e := range sv.list {
+		if best == nil || sv.pace.gapOf(e) < sv.pace.gapOf(best) {
+			best = e
+		}
+	}
+	return best
+}
+
+// atBest is the time to a job's first event on the fastest endpoint, if idle.
+func (sv *service) atBest(j *Job, fastest *endpoint) time.Duration {
+	if fastest == nil || !fastest.engine {
+		return 0
+	}
+	return seconds(sv.pace.readOf(fastest, j.Prompt)*float64(j.Prompt) + sv.pace.gapOf(fastest))
+}
+
+// refuseHopeless refuses jobs whose caller is about to leave, those beyond the
+// queue's bound, and those for which no endpoint is left.
+func (s *Scheduler) refuseHopeless(now time.Duration, sv *service) {
+	fastest := sv.fastest()
+	kept := sv.queue[:0]
+	for _, j := range sv.queue {
+		switch {
+		case len(sv.list) == 0 || len(j.Tried) > 0 && !sv.untried(j):
+			s.refuse(sv, j, ReasonNoEndpoint, comeBack(j))
+		case now+sv.atBest(j, fastest) >= j.Abandon:
+			s.refuse(sv, j, ReasonTooLate, comeBack(j))
+		case len(kept) >= maxQueued:
+			s.refuse(sv, j, ReasonFull, comeBack(j))
+		default:
+			kept = append(kept, j)
+		}
+	}
+	clear(sv.queue[len(kept):])
+	sv.queue = kept
+}
+
+// untried says whether an endpoint is left that the job has not tried.
+func (sv *service) untried(j *Job) bool {
+	return slices.ContainsFunc(sv.list, func(e *endpoint) bool { return !slices.Contains(j.Tried, e.ID) })
 }
 
 // Bounds of Retry-After.
