Endpoints that are dark, silent or failing are left, and probed by connections

Now an endpoint that cannot be connected to or is silent is probed by connections, VMs tell each other, and a request that may be repeated goes on after a stated silence if another endpoint is fit.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -65,6 +65,8 @@
 	// Gap is the time between two events of a stream when nothing disturbs; 0 if
 	// not known.
 	Gap time.Duration
+	// Doubted says that the endpoint could not be reached.
+	Doubted bool
 }
 
 // Scheduler is one VM's queues and its view of the endpoints. It is not safe
@@ -91,6 +93,8 @@
 	pace      pace
 	// scarce says that few endpoints have room.
 	scarce bool
+	// failing is the share of requests that failed.
+	failing float64
 }
 
 // endpoint is the view of one endpoint.
@@ -109,9 +113,7 @@
 	turn  turn
 	// lastFirst is when a run of this VM here last got its first event.
 	lastFirst time.Duration
-	// restUntil is when an endpoint that failed may get requests again.
-	restUntil time.Duration
-	failures  int
+	health    health
 }
 
 type peerUse struct {
@@ -133,6 +135,8 @@
 	// gap is the time between the last two events, if it tells.
 	gap   time.Duration
 	ahead int
+	// expected is the time to the first event that was expected.
+	expected time.Duration
 }
 
 // New returns a scheduler without endpoints, for the VM of that name.
@@ -200,6 +204,7 @@
 		return
 	}
 	sv := s.service(r.job.Service)
+	r.ep.health.heard(now)
 	switch {
 	case !r.started:
 		sv.pace.observeFirst(r, now-r.sent)
@@ -224,14 +229,18 @@
 
 // Outcomes of runs.
 const (
-	// Answered: the endpoint answered, whatever its answer was.
+	// Answered: the endpoint answered.
 	Answered Outcome = iota
+	// Failed: it answered that it had failed.
+	Failed
 	// Unreachable: nothing could be sent to it.
 	Unreachable
 	// Rejected: it said that it did not run the request.
 	Rejected
-	// Broken: it broke off, sent garbage or failed.
+	// Broken: it broke off or sent garbage.
 	Broken
+	// Silent: nothing came from it for too long.
+	Silent
 	// Left: the caller left, or its time ran out.
 	Left
 )
@@ -245,8 +254,8 @@
 	delete(s.running, handle)
 	delete(r.ep.own, handle)
 	r.ep.turn.ended(now)
-	r.ep.note(now, o)
 	sv := s.service(r.job.Service)
+	r.ep.note(now, o, sv)
 	s.place(now, sv)
 	return s.take()
 }
@@ -276,7 +285,8 @@
 	for _, sv := range s.services {
 		for _, ep := range sv.list {
 			u := ep.ownUse(now, sv.pace.readOf(ep, 0))
-			if u.Running+u.Waiting > 0 || u.Gap > 0 {
+			u.Doubted = ep.health.doubted && ep.health.probes > 0
+			if u.Running+u.Waiting > 0 || u.Gap > 0 || u.Doubted {
 				uses = append(uses, NamedUse{ep.name, u})
 			}
 		}
@@ -313,6 +323,9 @@
 		if u.Gap > 0 {
 			ep.gap.hear(u.Gap.Seconds())
 		}
+		if u.Doubted {
+			ep.peerDoubts(now)
+		}
 	}
 }
 
@@ -323,7 +336,7 @@
 }
 
 func (s *Scheduler) assign(now time.Duration, sv *service, j *Job, c candidate) {
-	r := &run{job: j, ep: c.ep, sent: now, last: now, ahead: c.ahead}
+	r := &run{job: j, ep: c.ep, sent: now, last: now, ahead: c.ahead, expected: c.first}
 	c.ep.own[j.Handle] = r
 	c.ep.turn.take()
 	s.running[j.Handle] = r
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -6,14 +6,6 @@
 // VM that died or was cut off and whose last word would keep endpoints full.
 const peerFresh = 1500 * time.Millisecond
 
-// Rest of an endpoint that failed: it doubles with each failure in a row, so
-// that a straggler or a dead endpoint costs few requests and one that recovers
-// is found again within a second or two.
-const (
-	restFirst = 250 * time.Millisecond
-	restMost  = 2 * time.Second
-)
-
 // ownUse is this VM's load. read is the time to read a token, in seconds: the
 // prompt that is being read counts only with what is left of it.
 func (e *endpoint) ownUse(now time.Duration, read float64) Use {
@@ -70,17 +62,3 @@
 	e.others = kept
 	return u
 }
-
-// note learns from the end of a run whether the endpoint can be used.
-func (e *endpoint) note(now time.Duration, o Outcome) {
-	switch o {
-	case Answered:
-		e.failures = 0
-		e.restUntil = 0
-	case Unreachable, Broken, Rejected:
-		rest := restFirst << min(e.failures, 3)
-		e.failures++
-		e.restUntil = now + min(rest, restMost)
-	case Left:
-	}
-}
--- /dev/null
+++ b/core/dispatch/health.go
@@ -0,0 +1,190 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// An endpoint can be unfit in three ways, and each shows differently.
+//
+//   - It cannot be reached, or is silent: connections are not opened in time, or
+//     requests that should have begun have not, and nothing else comes from it. It
+//     gets no requests until something does come, or a connection opens: probes are
+//     connections, so that no request is spent on finding out. VMs tell each other,
+//     and each checks for itself, since an endpoint may be cut off from some alone.
+//   - It rejects requests as full: it rests a moment.
+//   - It fails more requests than its service usually does, though it is healthy by
+//     its own word: it gets a single request now and then until one succeeds.
+
+const (
+	// rejectedRest is how long an endpoint that said it is full rests: about the
+	// time in which a slot becomes free.
+	rejectedRest = 100 * time.Millisecond
+	// silentAfter is how long nothing may come from an endpoint beyond three times
+	// what was expected. Running streams send several events in that time.
+	silentAfter = 400 * time.Millisecond
+	// silentFactor is how many times the expected time to a first event counts.
+	silentFactor = 3
+	// probeFirst and probeMost bound the pause between two probes.
+	probeFirst = 150 * time.Millisecond
+	probeMost  = time.Second
+	// failWeight is the weight of one outcome in an endpoint's share of failures.
+	failWeight = 0.15
+	// serviceFailWeight is that in the service's share.
+	serviceFailWeight = 0.02
+	// failMargin and failTimes are by how much an endpoint's share of failures must
+	// pass the service's: a service whose requests fail by themselves has no unfit
+	// endpoint for that.
+	failMargin = 0.2
+	failTimes  = 2
+	// failingRest is the pause between two requests to a failing endpoint.
+	failingRest = time.Second
+)
+
+// health is what is known of one endpoint's fitness.
+type health struct {
+	// restUntil is when an endpoint that was full may get requests again.
+	restUntil time.Duration
+	// lastHeard is when anything came from it.
+	lastHeard time.Duration
+	// doubted endpoints are probed; they get no requests.
+	doubted   bool
+	probes    int
+	nextProbe time.Duration
+	// probing is set while a probe is under way.
+	probing bool
+	// failing is the share of requests that failed; failingUntil is when an endpoint
+	// with a high one may get the next.
+	failing      float64
+	failingUntil time.Duration
+}
+
+// heard notes a sign of life.
+func (h *health) heard(now time.Duration) {
+	h.lastHeard = now
+	h.doubted = false
+	h.probes = 0
+}
+
+// doubt stops requests until the endpoint shows that it can be reached.
+func (h *health) doubt(now time.Duration) {
+	if !h.doubted {
+		h.doubted, h.probes, h.nextProbe = true, 0, now
+	}
+}
+
+// probeDue says whether to probe now, and notes that it is done.
+func (h *health) probeDue(now time.Duration) bool {
+	if !h.doubted || h.probing || now < h.nextProbe {
+		return false
+	}
+	h.probing = true
+	h.nextProbe = now + min(probeFirst<<min(h.probes, maxDoublings), probeMost)
+	h.probes++
+	return true
+}
+
+// note learns from the end of a run.
+func (e *endpoint) note(now time.Duration, o Outcome, sv *service) {
+	failed := 0.0
+	switch o {
+	case Answered:
+		e.health.heard(now)
+	case Failed:
+		e.health.heard(now)
+		failed = 1
+	case Rejected:
+		e.health.heard(now)
+		e.health.restUntil = now + rejectedRest
+		return
+	case Unreachable, Silent:
+		e.health.doubt(now)
+		return
+	case Broken:
+		failed = 1
+	case Left:
+		return
+	}
+	e.health.failing += (failed - e.health.failing) * failWeight
+	sv.failing += (failed - sv.failing) * serviceFailWeight
+	if failed > 0 && e.health.failing > failTimes*sv.failing+failMargin {
+		e.health.failingUntil = now + failingRest
+	}
+}
+
+// silent says whether runs of this VM wait at the endpoint for longer than can be
+// explained while nothing comes from it.
+func (e *endpoint) silent(now time.Duration) bool {
+	for _, r := range e.own {
+		since := max(r.last, e.health.lastHeard)
+		limit := silentAfter
+		if !r.started {
+			limit += silentFactor * r.expected
+		}
+		if now-since > limit {
+			return true
+		}
+	}
+	return false
+}
+
+// fit says whether the endpoint may get requests.
+func (e *endpoint) fit(now time.Duration) bool {
+	return e.reachable(now) && now >= e.health.failingUntil
+}
+
+// reachable says whether the endpoint may get requests at least where no other is
+// better: one that fails some is better than none.
+func (e *endpoint) reachable(now time.Duration) bool {
+	if e.silent(now) {
+		e.health.doubt(now)
+	}
+	return !e.health.doubted && now >= e.health.restUntil
+}
+
+// OtherFit says whether a service has a fit endpoint that was not tried.
+func (s *Scheduler) OtherFit(now time.Duration, service string, tried []string) bool {
+	for _, e := range s.service(service).list {
+		if e.fit(now) && !slices.Contains(tried, e.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// Probe asks for a connection to be opened to an endpoint, to see whether it can
+// be reached. ProbeEnded must follow.
+type Probe struct{ ID, Address string }
+
+// Probes returns the endpoints to probe now.
+func (s *Scheduler) Probes(now time.Duration) []Probe {
+	var probes []Probe
+	for _, sv := range s.services {
+		for _, e := range sv.list {
+			if e.fit(now); e.health.probeDue(now) {
+				probes = append(probes, Probe{e.ID, e.Address})
+			}
+		}
+	}
+	return probes
+}
+
+// ProbeEnded says how a probe ended.
+func (s *Scheduler) ProbeEnded(now time.Duration, id string, ok bool) {
+	e := s.byName[NameOf(id)]
+	if e == nil {
+		return
+	}
+	e.health.probing = false
+	if ok {
+		e.health.heard(now)
+	}
+}
+
+// peerDoubts takes in another VM's doubt. What this VM heard itself since about
+// then counts more.
+func (e *endpoint) peerDoubts(now time.Duration) {
+	if now-e.health.lastHeard > silentAfter {
+		e.health.doubt(now)
+	}
+}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -48,8 +48,12 @@
 // seats returns the endpoints that have room for a job.
 func (s *Scheduler) seats(now time.Duration, sv *service) []seat {
 	var seats []seat
+	may := (*endpoint).fit
+	if !slices.ContainsFunc(sv.list, func(e *endpoint) bool { return e.fit(now) }) {
+		may = (*endpoint).reachable
+	}
 	for _, e := range sv.list {
-		if now < e.restUntil {
+		if !may(e, now) {
 			continue
 		}
 		if u := e.load(now, sv.pace.readOf(e, 0), s.lastNote); s.hasRoom(now, e, u) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chivefield/chivefield/core/dispatch"
 	"github.com/chivefield/chivefield/core/routing"
 	"github.com/chivefield/chivefield/settings"
 	"github.com/chivefield/chivefield/upstream"
@@ -98,6 +99,7 @@
 	d.pool = upstream.NewPool(opts.Dial, maxIdlePerEndpoint)
 	d.bodies = newMemoryBudget(int64(float64(d.set.Limits.MemoryMb) * bodyShare * (1 << 20)))
 	d.sched = newScheduling(d.set.Vm.Name, d.now)
+	d.sched.probe = d.probe
 	d.shares = newSharing(d.set, d.now)
 	d.peers = newPeers(d)
 	return d
@@ -197,6 +199,15 @@
 	writeMetrics(w, d.metrics)
 }
 
+// probe sees whether an endpoint can be reached. The connection is kept for the
+// next request.
+func (d *Daemon) probe(p dispatch.Probe) {
+	err := d.pool.Open(p.ID, p.Address)
+	d.count("probes")
+	d.log.Info().Str("endpoint", p.ID).Str("address", p.Address).Err(err).Msg("endpoint_probed")
+	d.sched.probeEnded(p.ID, err == nil)
+}
+
 func (d *Daemon) sweep(ctx context.Context) error {
 	t := time.NewTicker(sweepEvery)
 	defer t.Stop()
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -135,7 +135,7 @@
 func (c *caller) logPlaced(dec dispatch.Decision) {
 	c.d.log.Info().Str("request", c.call.ID).Str("route", c.route.Name).Str("endpoint", dec.Endpoint.ID).
 		Str("address", dec.Endpoint.Address).Dur("predicted", dec.Predicted).Int("candidates", dec.Candidates).
-		Int("waiting", dec.Waiting).Int("running", dec.Load.Running).Int("unread", dec.Load.PromptTokens).Int("prompt", c.call.Prompt).Int("output", c.call.MaxOutput).Dur("gap", dec.Load.Gap).Dur("waited", time.Since(c.arrived)).Int("try", len(c.tried)).Msg("placed")
+		Int("waiting", dec.Waiting).Int("running", dec.Load.Running).Int("unread", dec.Load.PromptTokens).Int("prompt", c.call.Prompt).Int("output", c.call.GuessedOutput).Dur("gap", dec.Load.Gap).Dur("waited", time.Since(c.arrived)).Int("try", len(c.tried)).Msg("placed")
 }
 
 // headers are those for the endpoint.
@@ -175,10 +175,22 @@
 	}
 	tctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ans, err := c.d.pool.Do(tctx, ep.ID, ep.Address, req, false)
+	watch := c.watch(dec, cancel)
+	a := c.exchange(tctx, ctx, dec, req, s, watch)
+	if watch.over() && !a.delivered {
+		a.outcome, a.again = dispatch.Silent, true
+	}
+	return a
+}
+
+// exchange sends the request and passes the answer on. ctx ends with the attempt,
+// whole with the request.
+func (c *caller) exchange(ctx, whole context.Context, dec dispatch.Decision, req *upstream.Request, s *stream, watch *stall) attempt {
+	ep := dec.Endpoint
+	ans, err := c.d.pool.Do(ctx, ep.ID, ep.Address, req, false)
 	var ex *upstream.ExchangeError
 	if errors.As(err, &ex) && ex.Stage == upstream.NotSent {
-		if ctx.Err() != nil {
+		if whole.Err() != nil {
 			return attempt{outcome: dispatch.Left, err: err}
 		}
 		return attempt{outcome: dispatch.Unreachable, err: err}
@@ -186,13 +198,13 @@
 	c.sent++
 	if err != nil {
 		c.ran = true
-		if ctx.Err() != nil {
+		if whole.Err() != nil {
 			return attempt{outcome: dispatch.Left, err: err}
 		}
 		return attempt{outcome: dispatch.Broken, err: err}
 	}
 	defer ans.Finish()
-	return c.pass(ctx, dec.Handle, ans, s)
+	return c.pass(whole, dec.Handle, ans, s, watch)
 }
 
 // mine says whether an answer belongs to this request. Answers without an id are
@@ -213,7 +225,7 @@
 }
 
 // pass judges an answer and passes it on if it is one.
-func (c *caller) pass(ctx context.Context, handle uint64, ans *upstream.Answer, s *stream) attempt {
+func (c *caller) pass(ctx context.Context, handle uint64, ans *upstream.Answer, s *stream, watch *stall) attempt {
 	reply := c.d.codec.Reply(ans.Response)
 	if reply.NotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(ans, maxAnswer))
@@ -225,7 +237,7 @@
 		return attempt{outcome: dispatch.Broken, status: ans.StatusCode, err: &UntrustedAnswerError{Status: ans.StatusCode}}
 	}
 	if ok && s != nil {
-		return s.pass(ctx, handle, ans)
+		return s.pass(ctx, handle, ans, watch)
 	}
 	if s != nil && s.begun {
 		return attempt{outcome: dispatch.Broken, status: ans.StatusCode, err: &UntrustedAnswerError{Status: ans.StatusCode}}
@@ -239,10 +251,13 @@
 	}
 	if ans.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() && c.sent < c.route.MaxEndpoints &&
 		time.Until(c.limit) > shortWait && c.d.shares.mayRepeat(c.service) {
-		return attempt{outcome: dispatch.Broken, status: ans.StatusCode, again: true, err: &FailedAnswerError{Status: ans.StatusCode}}
+		return attempt{outcome: dispatch.Failed, status: ans.StatusCode, again: true, err: &FailedAnswerError{Status: ans.StatusCode}}
 	}
 	c.d.sched.events(handle, 1)
 	c.write(ans.Response, body)
+	if ans.StatusCode >= http.StatusInternalServerError {
+		return attempt{outcome: dispatch.Failed, delivered: true}
+	}
 	return attempt{outcome: dispatch.Answered, delivered: true}
 }
 
@@ -314,7 +329,7 @@
 const readSize = 4 << 10
 
 // pass passes the events of one endpoint's answer on.
-func (s *stream) pass(ctx context.Context, handle uint64, ans *upstream.Answer) attempt {
+func (s *stream) pass(ctx context.Context, handle uint64, ans *upstream.Answer, watch *stall) attempt {
 	s.split.Reset()
 	buf := make([]byte, readSize)
 	for {
@@ -325,6 +340,7 @@
 				return attempt{outcome: dispatch.Broken, err: werr}
 			}
 			if len(whole) > 0 {
+				watch.sign()
 				s.c.d.sched.events(handle, s.split.Count)
 				if werr := s.send(ans.Response, whole); werr != nil {
 					return attempt{outcome: dispatch.Left, err: werr, delivered: true}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -314,7 +314,7 @@
 	for _, u := range s.sched.Uses(s.now()) {
 		list = append(list, &schema.EndpointUse{
 			Endpoint: u.Name, Running: uint32(u.Running), Waiting: uint32(u.Waiting),
-			PromptTokens: uint32(u.PromptTokens), EventGapUs: uint32(u.Gap.Microseconds()),
+			PromptTokens: uint32(u.PromptTokens), EventGapUs: uint32(u.Gap.Microseconds()), Doubted: u.Doubted,
 		})
 	}
 	return list
@@ -325,7 +325,7 @@
 	for _, u := range list {
 		uses = append(uses, dispatch.NamedUse{Name: u.Endpoint, Use: dispatch.Use{
 			Running: int(u.Running), Waiting: int(u.Waiting), PromptTokens: int(u.PromptTokens),
-			Gap: time.Duration(u.EventGapUs) * time.Microsecond,
+			Gap: time.Duration(u.EventGapUs) * time.Microsecond, Doubted: u.Doubted,
 		}})
 	}
 	s.mu.Lock()
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -19,6 +19,8 @@
 	sched   *dispatch.Scheduler
 	members *members.Set
 	version uint64
+	// probe opens a connection to an endpoint and reports with probeEnded.
+	probe   func(dispatch.Probe)
 	table   *routing.Table
 	waiters map[uint64]chan dispatch.Decision
 }
@@ -45,11 +47,21 @@
 			if s.sched.Waiting() > 0 {
 				s.deliver(s.sched.Tick(s.now()))
 			}
+			probes := s.sched.Probes(s.now())
 			s.mu.Unlock()
+			for _, p := range probes {
+				go s.probe(p)
+			}
 		}
 	}
 }
 
+func (s *scheduling) probeEnded(id string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sched.ProbeEnded(s.now(), id, ok)
+}
+
 func (s *scheduling) deliver(decisions []dispatch.Decision) {
 	for _, d := range decisions {
 		if c := s.waiters[d.Handle]; c != nil {
@@ -90,6 +102,13 @@
 	s.sched.Events(s.now(), handle, n)
 }
 
+// otherFit says whether another endpoint could serve a request.
+func (s *scheduling) otherFit(service string, tried []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sched.OtherFit(s.now(), service, tried)
+}
+
 func (s *scheduling) end(handle uint64, o dispatch.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/entry/stall.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/chivefield/chivefield/core/dispatch"
+)
+
+const (
+	// stallFirst is how long a request that may be repeated waits at least for a
+	// first sign of an endpoint before it goes on to another, and stallFactor how
+	// many times the expected time. An endpoint that went dark behind an open
+	// connection never answers; its callers leave after two seconds.
+	stallFirst  = 600 * time.Millisecond
+	stallFactor = 4
+	// stallNext is the same between two events of a stream.
+	stallNext = time.Second
+)
+
+// stall ends an attempt at an endpoint that has gone silent, if the request may
+// go on elsewhere.
+type stall struct {
+	mu     sync.Mutex
+	timer  *time.Timer
+	silent bool
+}
+
+// watch starts to watch an attempt.
+func (c *caller) watch(dec dispatch.Decision, cancel context.CancelFunc) *stall {
+	s := &stall{}
+	// This attempt counts too.
+	if !c.route.Repeatable() || c.sent+1 >= c.route.MaxEndpoints {
+		return s
+	}
+	tried := append(slices.Clone(c.tried), dec.Endpoint.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timer = time.AfterFunc(max(stallFirst, stallFactor*dec.Predicted), func() {
+		if time.Until(c.limit) < shortWait || !c.d.sched.otherFit(c.service, tried) || !c.d.shares.mayRepeat(c.service) {
+			return
+		}
+		s.mu.Lock()
+		s.silent = true
+		s.mu.Unlock()
+		cancel()
+	})
+	return s
+}
+
+// sign notes a sign of life.
+func (s *stall) sign() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer != nil && !s.silent {
+		s.timer.Reset(stallNext)
+	}
+}
+
+// over ends the watch, and says whether the attempt was ended for silence.
+func (s *stall) over() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	return s.silent
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -19,10 +19,10 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a connection. Round trips are a few ms; an
-	// opening packet that is dropped at a full queue is repeated after a second,
-	// by when another endpoint has answered.
-	dialTimeout = 400 * time.Millisecond
+	// dialTimeout bounds the opening of a connection. Round trips are a few ms within
+	// a region and up to 100 between those that are far apart; an opening packet that
+	// is dropped is repeated after a second, by when another endpoint has answered.
+	dialTimeout = 200 * time.Millisecond
 	// defaultKeep is how long a connection stays idle where the endpoint says
 	// nothing.
 	defaultKeep = 4 * time.Second
@@ -150,6 +150,16 @@
 	return a, nil
 }
 
+// Open opens a connection to an endpoint and keeps it as an idle one.
+func (p *Pool) Open(key, address string) error {
+	c, err := p.get(context.Background(), key, address, true)
+	if err != nil {
+		return err
+	}
+	p.put(c)
+	return nil
+}
+
 func (p *Pool) get(ctx context.Context, key, address string, fresh bool) (*conn, error) {
 	if !fresh {
 		if c := p.takeIdle(key); c != nil {
