Requests are refused before their callers leave

Now a request is refused 150 ms before its caller would leave, and a late one as soon as the jobs ahead, at the pace of the last second, would take longer than that.

Tests: two failures in parallel runs, seen once each and traced. Addresses that were chosen and released were taken by other tests (VMs did not start; torn head: 3 arrivals in place of 1); the harness keeps them now, and the stand-in of an endpoint refuses requests meant for another incarnation, as the protocol says.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -95,6 +95,8 @@
 	scarce bool
 	// failing is the share of requests that failed.
 	failing float64
+	// placed is how fast jobs were placed lately.
+	placed rate
 }
 
 // endpoint is the view of one endpoint.
@@ -339,6 +341,7 @@
 	r := &run{job: j, ep: c.ep, sent: now, last: now, ahead: c.ahead, expected: c.first}
 	c.ep.own[j.Handle] = r
 	c.ep.turn.take()
+	sv.placed.count(now)
 	s.running[j.Handle] = r
 	ep := c.ep.Endpoint
 	s.out = append(s.out, Decision{
--- a/core/dispatch/play_test.go
+++ b/core/dispatch/play_test.go
@@ -56,23 +56,26 @@
 	paused int
 	// surprised counts late answers that were expected on time when they were placed.
 	surprised int
+	// held is how long refused requests had waited in all.
+	held time.Duration
 }
 
 type played struct {
-	kind     int
-	vm       int
-	job      Job
-	engine   string
-	started  bool
-	first    time.Duration
-	last     time.Duration
-	pause    time.Duration
-	told     int
-	credit   float64
-	largest  bool
-	finished bool
-	placed   time.Duration
-	expected time.Duration
+	kind      int
+	vm        int
+	job       Job
+	engine    string
+	started   bool
+	first     time.Duration
+	last      time.Duration
+	pause     time.Duration
+	told      int
+	credit    float64
+	largest   bool
+	finished  bool
+	submitted time.Duration
+	placed    time.Duration
+	expected  time.Duration
 }
 
 const (
@@ -174,7 +177,7 @@
 	vm := p.rand.IntN(len(p.vms))
 	prompt, output := min(p.size(k.prompt, k.spread), 8*int(k.prompt)), min(p.size(k.output, k.spread), 10*int(k.output))
 	relative := (float64(prompt) + 10*float64(output)) / (k.prompt + 10*k.output)
-	pl := &played{kind: i, vm: vm, credit: min(4, 0.3+0.7*relative), largest: float64(prompt) > 2.2*k.prompt}
+	pl := &played{kind: i, vm: vm, credit: min(4, 0.3+0.7*relative), largest: float64(prompt) > 2.2*k.prompt, submitted: p.now}
 	pl.job = Job{
 		Handle: p.next, Service: playService, Tier: k.tier, Prompt: prompt, Output: output, MaxPause: playPause,
 		Objective: p.now + k.objective, Abandon: p.now + max(playPatient, 4*k.objective), Domain: "a",
@@ -194,6 +197,7 @@
 		pl := p.jobs[d.Handle]
 		if d.Endpoint == nil {
 			p.results[pl.kind].refused++
+			p.results[pl.kind].held += p.now - pl.submitted
 			delete(p.jobs, d.Handle)
 			continue
 		}
@@ -286,8 +290,8 @@
 func (p *play) String() string {
 	s := fmt.Sprintf("earned %.3f:", p.share())
 	for i, r := range p.results {
-		s += fmt.Sprintf(" %s asked %d on time %.2f late %.2f (paused %.2f surprised %.2f) refused %.2f left %.2f large %.2f;", p.kinds[i].name, r.asked,
-			part(r.onTime, r.asked), part(r.late, r.asked), part(r.paused, r.asked), part(r.surprised, r.asked), part(r.refused, r.asked), part(r.left, r.asked), part(r.largeServed, r.largeAsked))
+		s += fmt.Sprintf(" %s asked %d on time %.2f late %.2f (paused %.2f surprised %.2f) refused %.2f held %.2fs left %.2f large %.2f;", p.kinds[i].name, r.asked,
+			part(r.onTime, r.asked), part(r.late, r.asked), part(r.paused, r.asked), part(r.surprised, r.asked), part(r.refused, r.asked), r.held.Seconds()/float64(max(1, r.refused)), part(r.left, r.asked), part(r.largeServed, r.largeAsked))
 	}
 	return s
 }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -23,13 +23,13 @@
 	if len(sv.queue) == 0 {
 		return
 	}
+	sv.sortQueue(now)
 	s.refuseHopeless(now, sv)
 	seats := s.seats(now, sv)
 	if len(seats) == 0 {
 		return
 	}
 	sv.scarce = float64(len(seats)) < 0.25*float64(len(sv.list))
-	sv.sortQueue(now)
 	kept := sv.queue[:0]
 	for _, j := range sv.queue {
 		c := sv.best(now, j, seats)
@@ -129,8 +129,10 @@
 	return seconds(sv.pace.readOf(fastest, j.Prompt)*float64(j.Prompt) + sv.pace.gapOf(fastest))
 }
 
-// refuseHopeless refuses jobs whose caller is about to leave, those beyond the
-// queue's bound, and those for which no endpoint is left.
+// refuseHopeless refuses jobs whose caller is about to leave or would have left by
+// the time they are placed, those beyond the queue's bound, and those for which no
+// endpoint is left. A caller that is refused soon has time to return; one that is
+// held to the end has not.
 func (s *Scheduler) refuseHopeless(now time.Duration, sv *service) {
 	fastest := sv.fastest()
 	kept := sv.queue[:0]
@@ -138,7 +140,7 @@
 		switch {
 		case len(sv.list) == 0 || len(j.Tried) > 0 && !sv.untried(j):
 			s.refuse(sv, j, ReasonNoEndpoint, comeBack(j))
-		case now+sv.atBest(j, fastest) >= j.Abandon:
+		case now+sv.atBest(j, fastest) >= j.Abandon || j.late && sv.wait(now, len(kept)) > j.Abandon-now:
 			s.refuse(sv, j, ReasonTooLate, comeBack(j))
 		case len(kept) >= maxQueued:
 			s.refuse(sv, j, ReasonFull, comeBack(j))
@@ -150,6 +152,16 @@
 	sv.queue = kept
 }
 
+// wait is how long a job waits behind others, as fast as jobs were placed lately.
+// While none were there is nothing to go by.
+func (sv *service) wait(now time.Duration, ahead int) time.Duration {
+	rate := sv.placed.perSecond(now)
+	if rate == 0 {
+		return 0
+	}
+	return seconds(float64(ahead) / rate)
+}
+
 // untried says whether an endpoint is left that the job has not tried.
 func (sv *service) untried(j *Job) bool {
 	return slices.ContainsFunc(sv.list, func(e *endpoint) bool { return !slices.Contains(j.Tried, e.ID) })
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -26,6 +26,9 @@
 	startingUp = 300 * time.Millisecond
 	// routeTiers bounds the tiers of routes; an organisation's tier goes before.
 	routeTiers = 1000
+	// leaveMargin is how long before a caller would leave its request is refused, so
+	// that it hears of it: its clock started a round trip earlier than this VM's.
+	leaveMargin = 150 * time.Millisecond
 	// leastPatience is the shortest time that a caller waits for a first event.
 	leastPatience = 2 * time.Second
 	// objectivePatience and pausePatience are how many objectives and pauses a
@@ -224,7 +227,7 @@
 		j.Tier += c.org.Tier * routeTiers
 	}
 	if c.route.Repeat == routing.Stream {
-		j.Abandon = min(limit, arrived+c.patience())
+		j.Abandon = min(limit, arrived+c.patience()) - leaveMargin
 		j.MaxPause = c.route.MaxPause
 	}
 	return j
--- a/entry/endpoint_test.go
+++ b/entry/endpoint_test.go
@@ -237,3 +237,21 @@
 	<-e1.Arrivals()[0].Left
 	d.is.True(time.Since(left) < 300*time.Millisecond)
 }
+
+// Symptom: a request reached a server of another service. Sequence: an endpoint
+// ends; its address goes to another one; the registry has not said so yet. The
+// endpoint at that address must refuse, and the request goes on elsewhere.
+func TestReusedAddressRefuses(t *testing.T) {
+	d := newDeployment(t)
+	other := d.endpoint("other", engine, fake.Answer("wrong"))
+	entry := other.Entry(plain, "ready", 4)
+	d.store.Put("keyed.servers", "old", entry)
+	good := d.endpoint("good", plain, fake.Answer("hello"))
+	d.store.Put("keyed.op", "config", document(1))
+	v := d.vm("vm1")
+	for range 6 {
+		d.is.Equal(send(v.request("POST", onePath, "x")).body, "hello")
+	}
+	d.is.Equal(len(other.Arrivals()), 0)
+	d.is.Equal(len(good.Arrivals()), 6)
+}
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -131,20 +131,27 @@
 	return e
 }
 
-func freeAddress(t *testing.T) string {
+// listeners holds the addresses of one VM from the time they were chosen, so that
+// no other test takes them.
+type listeners map[string]net.Listener
+
+func (l listeners) choose(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	l[n.Addr().String()] = n
+	return n.Addr().String()
 }
 
+func (l listeners) listen(address string) (net.Listener, error) { return l[address], nil }
+
 // vm starts an entry VM and waits until it is ready.
 func (d *deployment) vm(name string) *vm {
 	d.t.Helper()
-	v := &vm{callers: freeAddress(d.t), ready: freeAddress(d.t), peers: freeAddress(d.t), logs: &syncBuffer{}, done: make(chan error, 1)}
+	held := make(listeners)
+	v := &vm{callers: held.choose(d.t), ready: held.choose(d.t), peers: held.choose(d.t), logs: &syncBuffer{}, done: make(chan error, 1)}
 	set, err := settings.ParseEntry(fmt.Appendf(nil, `
 [vm]
 name = %q
@@ -169,7 +176,7 @@
 	v.stop = stop
 	v.gate = &gate{next: &http.Transport{}}
 	daemon := entry.New(entry.Options{
-		Settings: set, Log: logging.New(v.logs), Codec: platform.Codec{},
+		Settings: set, Log: logging.New(v.logs), Codec: platform.Codec{}, Listen: held.listen,
 		Store: &platform.Store{Base: "http://" + d.store.Address(), HTTP: &http.Client{Transport: v.gate}},
 	})
 	go func() { v.done <- daemon.Run(ctx) }()
