Reserves follow what a process has earned; shared amounts wait for the whole list of VMs

Ruled out: organisations over their allowance. The reserve is now a share of what the process has earned. Found on the way: a process that had heard one VM divided shared amounts by two; they are now spent only once the list of all VMs was read, from the store or a VM that had it.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -54,6 +54,8 @@
 	at      time.Duration
 	// fresh accounts have not had a balance yet.
 	fresh bool
+	// earned is what was earned since the account began here, up to the bound.
+	earned float64
 	// overUntil is until when the balance may pass the bound, for a request that
 	// waits for what others gave.
 	overUntil time.Duration
@@ -113,11 +115,12 @@
 	if a.fresh {
 		a.fresh = false
 		if l.full {
-			a.balance = bound
+			a.balance, a.earned = bound, bound
 		}
 	}
 	earned := a.terms.Rate / float64(l.vms) * max(0, (now-a.at).Seconds())
 	a.at = now
+	a.earned = min(bound, a.earned+earned)
 	if a.balance > bound && now <= a.overUntil {
 		return
 	}
@@ -141,7 +144,9 @@
 // Request is what a request takes of an allowance.
 type Request struct {
 	Amount
-	// Reserve is the share of the VM's bound that must be left over after it. An
+	// Reserve is the share that must be left over after it, of the VM's bound or of
+	// what it has earned so far, if that is less: a process that has just started
+	// would otherwise refuse all but the most urgent for seconds. An
 	// organisation that asks for more than its allowance would otherwise spend it on
 	// whatever comes first and is small; with a reserve that grows by tier, its most
 	// urgent requests find something left. Within the allowance balances are near
@@ -157,7 +162,7 @@
 		return Verdict{OK: true}
 	}
 	l.accrue(now, a)
-	need := r.Units + r.Reserve*min(l.bound(a.terms), reserveSize*r.Units)
+	need := r.Units + r.Reserve*min(a.earned, reserveSize*r.Units)
 	v := Verdict{OK: a.balance >= need, Balance: a.balance}
 	if v.OK {
 		a.balance -= r.Units
@@ -186,7 +191,7 @@
 		return 0
 	}
 	l.accrue(now, a)
-	give := min(want.Units, a.balance*giveShare, a.balance-want.Reserve*l.bound(a.terms))
+	give := min(want.Units, a.balance*giveShare, a.balance-want.Reserve*a.earned)
 	if give <= 0 {
 		return 0
 	}
--- a/core/allowance/allowance_test.go
+++ b/core/allowance/allowance_test.go
@@ -137,3 +137,23 @@
 	is.True(served["middle"] >= 90) // of 100
 	is.True(served["least"] < 30)   // of 50
 }
+
+// Symptom: after all processes had been killed, requests of lower tiers were
+// refused for seconds, though their organisations were far within their allowance.
+// Sequence: a process starts with nothing; lower tiers must leave half of its bound;
+// it earns that only in seconds. Cause: the reserve did not look at what a process
+// can have earned.
+func TestReserveAfterARestart(t *testing.T) {
+	is := is.New(t)
+	l := New(Tolerance{Window: 8 * time.Second, Over: 0.1, Slack: 140000}, false)
+	l.SetVMs(0, 8)
+	l.SetTerms(0, []Terms{{Organisation: "o", Rate: 40000, Burst: 40000}})
+	served := 0
+	for i := 1; i <= 20; i++ {
+		// Half of what is earned here is asked for.
+		if l.Spend(time.Duration(i)*100*time.Millisecond, Request{Amount{"o", 250}, 0.5}).OK {
+			served++
+		}
+	}
+	is.True(served >= 18)
+}
--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -22,6 +22,12 @@
 	return b
 }
 
+// SetCap changes how much the budget holds at most.
+func (b *Budget) SetCap(cap float64) {
+	b.cap = cap
+	b.tokens = min(b.tokens, cap)
+}
+
 // Request earns for one request of a caller.
 func (b *Budget) Request() { b.tokens = min(b.cap, b.tokens+b.ratio) }
 
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -52,6 +52,9 @@
 	mu sync.Mutex
 	// addrs are all VMs ever heard of, by address, without this one.
 	addrs map[string]*peer
+	// complete says that the whole list of VMs was read, from the store or from a VM
+	// that had read it. Before that, shared amounts would be divided by too few.
+	complete bool
 }
 
 type peer struct {
@@ -91,11 +94,14 @@
 	return err
 }
 
-// learn takes in the address of a VM.
-func (p *peers) learn(address string) {
+// learnAll takes in the whole list of VMs.
+func (p *peers) learnAll(addresses []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.learnLocked(address)
+	for _, a := range addresses {
+		p.learnLocked(a)
+	}
+	p.complete = true
 	p.d.shares.setVMs(len(p.addrs) + 1)
 }
 
@@ -127,9 +133,13 @@
 	return addrs
 }
 
+// names lists the VMs known, or none if the list is not whole.
 func (p *peers) names() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.complete {
+		return nil
+	}
 	names := make([]string, 0, len(p.addrs))
 	for a := range p.addrs {
 		names = append(names, a)
@@ -271,7 +281,11 @@
 	for _, a := range n.Vms {
 		p.learnLocked(a)
 	}
-	vms := len(p.addrs) + 1
+	p.complete = p.complete || len(n.Vms) > 0
+	vms := 0
+	if p.complete {
+		vms = len(p.addrs) + 1
+	}
 	if pe != nil {
 		pe.heard, pe.domain, pe.followsConfig = p.d.now(), n.FailureDomain, n.FollowsConfig
 	}
--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -51,8 +51,14 @@
 func (s *sharing) setVMs(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if n == s.vms {
+		return
+	}
 	s.vms = n
 	s.ledger.SetVMs(s.now(), n)
+	for _, b := range s.budgets {
+		b.SetCap(s.retryPart())
+	}
 }
 
 // grantWait is how long a request waits for amounts of other VMs. They answer
@@ -153,11 +159,19 @@
 // retryReserve is the part of the retry budget that is left unused.
 const retryReserve = 0.1
 
+// retryPart is this VM's part of the fixed number of repeats; nothing while the
+// number of VMs is not known.
+func (s *sharing) retryPart() float64 {
+	if s.vms == 0 {
+		return 0
+	}
+	return s.set.Bounds.RetrySlack * (1 - retryReserve) / float64(s.vms)
+}
+
 func (s *sharing) budget(service string) *budget.Budget {
 	b := s.budgets[service]
 	if b == nil {
-		part := s.set.Bounds.RetrySlack / float64(max(1, s.vms))
-		b = budget.New(s.set.Bounds.RetryRatio*(1-retryReserve), part*(1-retryReserve), s.set.Vm.FirstStart)
+		b = budget.New(s.set.Bounds.RetryRatio*(1-retryReserve), s.retryPart(), s.set.Vm.FirstStart)
 		s.budgets[service] = b
 	}
 	return b
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -299,11 +299,13 @@
 			pause(ctx, retryEvery)
 			continue
 		}
+		var addresses []string
 		for _, r := range records {
 			if len(r.Value) > 0 {
-				d.peers.learn(string(r.Value))
+				addresses = append(addresses, string(r.Value))
 			}
 		}
+		d.peers.learnAll(addresses)
 		pause(ctx, announceEvery)
 	}
 	return nil
