--- a/cmd/chivefield-entry/main.go
+++ b/cmd/chivefield-entry/main.go
@@ -68,7 +68,9 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
-	log := logging.New(os.Stdout)
+	sink := logging.NewSink(os.Stdout, logging.DefaultBudget)
+	defer sink.Close()
+	log := logging.New(sink).With().Str("vm", set.Vm.Name).Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	hangup := hangups()
--- /dev/null
+++ b/cmd/chivefield/explain.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/chivefield/chivefield/explain"
+)
+
+type explainCommand struct {
+	Args struct {
+		Request string   `positional-arg-name:"REQUEST" description:"the request's id" required:"yes"`
+		Logs    []string `positional-arg-name:"LOG" description:"log files of any number of VMs; standard input without any"`
+	} `positional-args:"yes"`
+}
+
+// noStoryError reports a request that no log speaks of.
+type noStoryError struct{ id string }
+
+func (e *noStoryError) Error() string {
+	return fmt.Sprintf("no line about request %s; look for event=log_lines_dropped at its time, and at the other VMs", e.id)
+}
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute([]string) error {
+	in := io.Reader(os.Stdin)
+	var files []io.Reader
+	for _, path := range c.Args.Logs {
+		f, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = f.Close() }()
+		files = append(files, f)
+	}
+	if len(files) > 0 {
+		in = io.MultiReader(files...)
+	}
+	lines, err := explain.Request(in, c.Args.Request)
+	if err != nil {
+		return err
+	}
+	if len(lines) == 0 {
+		return &noStoryError{c.Args.Request}
+	}
+	return explain.Write(os.Stdout, lines)
+}
--- a/cmd/chivefield/main.go
+++ b/cmd/chivefield/main.go
@@ -18,6 +18,7 @@
 	Drain   drainCommand   `command:"drain" description:"Start the graceful shutdown of a daemon's work"`
 	Config  configCommand  `command:"config" description:"Submit or show the configuration in force"`
 	Audit   auditCommand   `command:"audit" description:"List every change of configuration on the log, with its verdict"`
+	Explain explainCommand `command:"explain" description:"Tell the story of one request from the logs of all VMs"`
 	Load    loadCommand    `command:"load" description:"Measure policies on the users' workloads in virtual time"`
 	Demo    demoCommand    `command:"demo" description:"Run the whole path on built-in stand-ins and tell what happens"`
 	Slopes  slopesCommand  `command:"slopes" description:"Measure the slopes from which docs/CAPACITY.md is worked out"`
--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -34,7 +34,7 @@
 func BenchmarkDecision(b *testing.B) {
 	for _, n := range []int{40, 12000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			s := New("self")
+			s := New("self", "a")
 			var list []*members.Endpoint
 			for i := range n {
 				list = append(list, &members.Endpoint{ID: fmt.Sprintf("e%05d", i), Service: playService, Slots: 10, FailureDomain: "a"})
--- /dev/null
+++ b/core/dispatch/choice.go
@@ -0,0 +1,62 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/chivefield/chivefield/core/members"
+)
+
+// A VM of a large deployment does not use every endpoint: the cost of a decision
+// and the number of connections would grow with the deployment, and what it hears
+// of most endpoints would be too old. It uses a fixed number, chosen by hash, so
+// that every endpoint is known to as many VMs as any other.
+
+const (
+	// maxChoices is the number of endpoints of a service that a VM uses: a decision
+	// among them takes about 20 us (BenchmarkDecision).
+	maxChoices = 128
+	// farChoices of them are in other failure domains, for when the own one fails.
+	farChoices = maxChoices / 4
+)
+
+// choose picks the endpoints that this VM uses.
+func (s *Scheduler) choose(list []*members.Endpoint) []*members.Endpoint {
+	if len(list) <= maxChoices {
+		return list
+	}
+	var near, far []*members.Endpoint
+	for _, m := range list {
+		if m.FailureDomain == s.domain {
+			near = append(near, m)
+		} else {
+			far = append(far, m)
+		}
+	}
+	near = s.first(near, max(maxChoices-farChoices, maxChoices-len(far)))
+	far = s.first(far, maxChoices-len(near))
+	chosen := append(near, far...)
+	slices.SortFunc(chosen, func(a, b *members.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return chosen
+}
+
+// first picks the n endpoints with the highest weight for this VM.
+func (s *Scheduler) first(list []*members.Endpoint, n int) []*members.Endpoint {
+	if len(list) <= n {
+		return list
+	}
+	type weighed struct {
+		m *members.Endpoint
+		w uint64
+	}
+	ranked := make([]weighed, 0, len(list))
+	for _, m := range list {
+		ranked = append(ranked, weighed{m, weight(NameOf(m.ID), s.self)})
+	}
+	slices.SortFunc(ranked, func(a, b weighed) int { return cmp.Compare(b.w, a.w) })
+	picked := make([]*members.Endpoint, 0, n)
+	for _, r := range ranked[:n] {
+		picked = append(picked, r.m)
+	}
+	return picked
+}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -16,15 +16,16 @@
 	Organisation string
 	// Tier orders jobs: 0 first.
 	Tier int
-	// Prompt and Output are tokens; both 0 for plain services.
-	Prompt, Output int
+	// Prompt is in tokens, Events is how many events the answer is expected to have;
+	// both 0 for plain services.
+	Prompt, Events int
 	// Objective is the time by which the first event should be there, Abandon the
 	// time after which nobody waits for it.
 	Objective, Abandon time.Duration
+	// Limit is when the whole answer must be there; 0 for any time.
+	Limit time.Duration
 	// MaxPause is the longest pause between events that is on time; 0 for any.
 	MaxPause time.Duration
-	// Domain is the failure domain of this VM.
-	Domain string
 	// Tried endpoints are not picked again.
 	Tried []string
 
@@ -79,6 +80,7 @@
 	byName map[uint64]*endpoint
 	// self is this VM's own short name, others are those heard.
 	self   uint64
+	domain string
 	others []uint64
 	// vms numbers the VMs that were heard, lastNote is when each spoke last.
 	vms      map[string]int
@@ -141,10 +143,11 @@
 	expected time.Duration
 }
 
-// New returns a scheduler without endpoints, for the VM of that name.
-func New(vm string) *Scheduler {
+// New returns a scheduler without endpoints, for the VM of that name in that
+// failure domain.
+func New(vm, domain string) *Scheduler {
 	return &Scheduler{
-		self:     xxhash.Sum64String(vm),
+		self: xxhash.Sum64String(vm), domain: domain,
 		services: make(map[string]*service), running: make(map[uint64]*run),
 		byName: make(map[uint64]*endpoint), vms: make(map[string]int),
 	}
@@ -169,7 +172,7 @@
 	}
 	sv.endpoints = make(map[string]*endpoint, len(list))
 	sv.list = sv.list[:0]
-	for _, m := range list {
+	for _, m := range s.choose(list) {
 		ep := old[m.ID]
 		if ep == nil {
 			ep = &endpoint{own: make(map[uint64]*run), name: NameOf(m.ID)}
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/chivefield/chivefield/core/members"
 )
 
 // unlike are engines of three generations, as slownesses.
@@ -14,9 +17,9 @@
 // of their worth.
 func mixOf(load, late float64) []kind {
 	return []kind{
-		{name: "long", tier: 0, perSecond: 14 * load, prompt: 6600, output: 380, spread: 1.2, objective: 800 * time.Millisecond, worth: 10, late: 10 * late},
-		{name: "middle", tier: 1, perSecond: 38 * load, prompt: 630, output: 290, spread: 1.2, objective: 300 * time.Millisecond, worth: 1.7, late: 1.7 * late},
-		{name: "short", tier: 2, perSecond: 21 * load, prompt: 1800, output: 22, spread: 1.2, objective: 400 * time.Millisecond, worth: 0.5, late: 0.5 * late},
+		{name: "long", tier: 0, perSecond: 14 * load, prompt: 6600, output: 380, spread: 1.2, objective: 800 * time.Millisecond, limit: 15 * time.Second, worth: 10, late: 10 * late},
+		{name: "middle", tier: 1, perSecond: 38 * load, prompt: 630, output: 290, spread: 1.2, objective: 300 * time.Millisecond, limit: 12 * time.Second, worth: 1.7, late: 1.7 * late},
+		{name: "short", tier: 2, perSecond: 21 * load, prompt: 1800, output: 22, spread: 1.2, objective: 400 * time.Millisecond, limit: 3 * time.Second, worth: 0.5, late: 0.5 * late},
 	}
 }
 
@@ -58,3 +61,32 @@
 		is.True(part(r.onTime, r.asked) > 0.9)
 	}
 }
+
+// Every endpoint of a large deployment is used by about as many VMs as any other,
+// and mostly by VMs of its own failure domain.
+func TestChoiceIsEven(t *testing.T) {
+	is := is.New(t)
+	const vms, endpoints, domains = 200, 1300, 4
+	var list []*members.Endpoint
+	for i := range endpoints {
+		list = append(list, &members.Endpoint{ID: fmt.Sprintf("e%04d", i), FailureDomain: fmt.Sprint(i % domains)})
+	}
+	users, near := map[string]int{}, 0
+	for i := range vms {
+		s := New(fmt.Sprint(i), fmt.Sprint(i%domains))
+		chosen := s.choose(list)
+		is.Equal(len(chosen), maxChoices)
+		for _, m := range chosen {
+			users[m.ID]++
+			if m.FailureDomain == s.domain {
+				near++
+			}
+		}
+	}
+	mean := float64(vms*maxChoices) / endpoints
+	for _, m := range list {
+		is.True(users[m.ID] > 0)
+		is.True(float64(users[m.ID]) < 2.5*mean)
+	}
+	is.Equal(near, vms*(maxChoices-farChoices))
+}
--- a/core/dispatch/play_test.go
+++ b/core/dispatch/play_test.go
@@ -42,6 +42,8 @@
 	prompt, output float64
 	spread         float64
 	objective      time.Duration
+	// limit is how long callers wait for the whole answer.
+	limit time.Duration
 	// worth on time and late.
 	worth, late float64
 }
@@ -74,6 +76,7 @@
 	largest   bool
 	finished  bool
 	submitted time.Duration
+	output    int
 	placed    time.Duration
 	expected  time.Duration
 }
@@ -103,7 +106,7 @@
 		list = append(list, &members.Endpoint{ID: id, Service: playService, Slots: slots, FailureDomain: "a"})
 	}
 	for i := range vms {
-		s := New(strconv.Itoa(i))
+		s := New(strconv.Itoa(i), "a")
 		s.SetEndpoints(0, playService, list, true)
 		p.vms = append(p.vms, s)
 	}
@@ -177,10 +180,10 @@
 	vm := p.rand.IntN(len(p.vms))
 	prompt, output := min(p.size(k.prompt, k.spread), 8*int(k.prompt)), min(p.size(k.output, k.spread), 10*int(k.output))
 	relative := (float64(prompt) + 10*float64(output)) / (k.prompt + 10*k.output)
-	pl := &played{kind: i, vm: vm, credit: min(4, 0.3+0.7*relative), largest: float64(prompt) > 2.2*k.prompt, submitted: p.now}
+	pl := &played{kind: i, vm: vm, credit: min(4, 0.3+0.7*relative), largest: float64(prompt) > 2.2*k.prompt, submitted: p.now, output: output}
 	pl.job = Job{
-		Handle: p.next, Service: playService, Tier: k.tier, Prompt: prompt, Output: output, MaxPause: playPause,
-		Objective: p.now + k.objective, Abandon: p.now + max(playPatient, 4*k.objective), Domain: "a",
+		Handle: p.next, Service: playService, Tier: k.tier, Prompt: prompt, Events: p.size(float64(output)/playTokens, 0.7), MaxPause: playPause, Limit: p.now + k.limit,
+		Objective: p.now + k.objective, Abandon: p.now + max(playPatient, 4*k.objective),
 	}
 	p.jobs[p.next] = pl
 	r := &p.results[i]
@@ -203,7 +206,7 @@
 		}
 		pl.engine = d.Endpoint.ID
 		pl.placed, pl.expected = p.now, d.Predicted
-		p.engines[pl.engine].Submit(p.now, strconv.FormatUint(d.Handle, 10), nil, pl.job.Prompt, pl.job.Output)
+		p.engines[pl.engine].Submit(p.now, strconv.FormatUint(d.Handle, 10), nil, pl.job.Prompt, pl.output)
 	}
 }
 
@@ -264,7 +267,7 @@
 func (p *play) leave() {
 	for _, h := range p.handles() {
 		pl := p.jobs[h]
-		if pl == nil || pl.started || p.now < pl.job.Abandon {
+		if pl == nil || p.now < pl.job.Limit && (pl.started || p.now < pl.job.Abandon) {
 			continue
 		}
 		p.results[pl.kind].left++
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -32,7 +32,7 @@
 	sv.scarce = float64(len(seats)) < 0.25*float64(len(sv.list))
 	kept := sv.queue[:0]
 	for _, j := range sv.queue {
-		c := sv.best(now, j, seats)
+		c := s.best(now, sv, j, seats)
 		// A request that can still be on time elsewhere waits for room there.
 		if c.ep == nil || !c.onTime && !j.late {
 			kept = append(kept, j)
@@ -74,12 +74,12 @@
 }
 
 // best picks the seat with the least score that the job has not tried yet.
-func (sv *service) best(now time.Duration, j *Job, seats []seat) (best candidate) {
+func (s *Scheduler) best(now time.Duration, sv *service, j *Job, seats []seat) (best candidate) {
 	for _, t := range seats {
 		if slices.Contains(j.Tried, t.ep.ID) {
 			continue
 		}
-		c := sv.rate(now, j, t.ep, t.load)
+		c := s.rate(now, sv, j, t.ep, t.load)
 		if best.ep == nil || c.score < best.score {
 			best = c
 		}
--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -30,10 +30,17 @@
 	slotEvents = 5
 	// lateCost is added where the objective is expected to be missed, in seconds.
 	lateCost = 10
+	// lostCost is added where the answer is not expected to end in time at all, in
+	// seconds: such work is lost whole, with all that it took from others.
+	lostCost = 100
+	// wholeMargin is by how much an answer may take longer than expected. Guesses of
+	// its length are right at the median and off by a factor of two either way one
+	// time in ten, and steps slow down while prompts are read.
+	wholeMargin = 1.5
 )
 
 // rate predicts what a job meets at an endpoint.
-func (sv *service) rate(now time.Duration, j *Job, e *endpoint, u Use) candidate {
+func (s *Scheduler) rate(now time.Duration, sv *service, j *Job, e *endpoint, u Use) candidate {
 	c := candidate{ep: e, ahead: u.PromptTokens, load: u}
 	if e.engine {
 		sv.rateEngine(now, j, &c)
@@ -44,7 +51,7 @@
 		c.onTime = true
 		c.score = first
 	}
-	if e.FailureDomain != j.Domain {
+	if e.FailureDomain != s.domain {
 		c.score += farCost
 	}
 	return c
@@ -64,7 +71,9 @@
 	// chunk of it.
 	chunk := min(c.load.PromptTokens+j.Prompt, assumedChunk*eventSteps)
 	pause := gap + read*float64(chunk)
-	c.onTime = first <= onTimeShare*(j.Objective-now).Seconds() && (j.MaxPause == 0 || pause <= j.MaxPause.Seconds())
+	whole := first + gap*float64(j.Events)
+	ends := j.Limit == 0 || wholeMargin*whole <= (j.Limit-now).Seconds()
+	c.onTime = ends && first <= onTimeShare*(j.Objective-now).Seconds() && (j.MaxPause == 0 || pause <= j.MaxPause.Seconds())
 	busy := float64(c.load.Running+c.load.Waiting) / float64(max(1, c.ep.Slots))
 	c.score = first + busy*gap
 	if c.onTime && sv.scarce {
@@ -73,6 +82,9 @@
 	if !c.onTime {
 		c.score += lateCost
 	}
+	if !ends {
+		c.score += lostCost
+	}
 }
 
 // eventSteps is how many steps of an engine make an event, as a usual number.
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -215,24 +215,31 @@
 	arrived := now - time.Since(c.arrived)
 	limit := now + time.Until(c.limit)
 	j := dispatch.Job{
-		Handle: c.d.lastHandle.Add(1), Service: c.service, Tier: c.route.Tier, Domain: c.d.set.Vm.FailureDomain,
-		Prompt: c.call.Prompt, Output: c.call.MaxOutput, Tried: c.tried,
+		Handle: c.d.lastHandle.Add(1), Service: c.service, Tier: c.route.Tier,
+		Prompt: c.call.Prompt, Events: c.events(), Tried: c.tried,
 		Objective: arrived + c.route.Objective, Abandon: limit,
 	}
-	if c.call.GuessedOutput > 0 {
-		j.Output = c.call.GuessedOutput
-	}
 	if c.org != nil {
 		j.Organisation = c.org.Name
 		j.Tier += c.org.Tier * routeTiers
 	}
 	if c.route.Repeat == routing.Stream {
 		j.Abandon = min(limit, arrived+c.patience()) - leaveMargin
-		j.MaxPause = c.route.MaxPause
+		j.MaxPause, j.Limit = c.route.MaxPause, limit
 	}
 	return j
 }
 
+// events is how many events the answer is expected to have, by the caller's guess;
+// 0 if it gave none.
+func (c *caller) events() int {
+	sv := c.d.table.Load().Service(c.service)
+	if sv == nil || sv.Engine == nil {
+		return 0
+	}
+	return c.call.GuessedOutput / sv.Engine.TokensPerEvent
+}
+
 // patience is how long a caller of a stream waits for an event.
 func (c *caller) patience() time.Duration {
 	return max(leastPatience, objectivePatience*c.route.Objective, pausePatience*c.route.MaxPause)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -98,7 +98,7 @@
 	}
 	d.pool = upstream.NewPool(opts.Dial, maxIdlePerEndpoint)
 	d.bodies = newMemoryBudget(int64(float64(d.set.Limits.MemoryMb) * bodyShare * (1 << 20)))
-	d.sched = newScheduling(d.set.Vm.Name, d.now)
+	d.sched = newScheduling(d.set.Vm.Name, d.set.Vm.FailureDomain, d.now)
 	d.sched.probe = d.probe
 	d.shares = newSharing(d.set, d.now)
 	d.peers = newPeers(d)
@@ -154,10 +154,10 @@
 	group.Go(func() error { return d.sweep(work) })
 	group.Go(func() error { return d.reload(work) })
 	group.Go(func() error { return d.shutdown(ctx, work, front, stop) })
-	d.log.Info().Str("vm", d.set.Vm.Name).Str("failure_domain", d.set.Vm.FailureDomain).
+	d.log.Info().Str("failure_domain", d.set.Vm.FailureDomain).
 		Bool("first_start", d.set.Vm.FirstStart).Msg("started")
 	err = group.Wait()
-	d.log.Info().Str("vm", d.set.Vm.Name).Err(err).Msg("stopped")
+	d.log.Info().Err(err).Msg("stopped")
 	return err
 }
 
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -25,8 +25,8 @@
 	waiters map[uint64]chan dispatch.Decision
 }
 
-func newScheduling(vm string, now func() time.Duration) *scheduling {
-	return &scheduling{now: now, sched: dispatch.New(vm), members: members.New(), waiters: make(map[uint64]chan dispatch.Decision)}
+func newScheduling(vm, domain string, now func() time.Duration) *scheduling {
+	return &scheduling{now: now, sched: dispatch.New(vm, domain), members: members.New(), waiters: make(map[uint64]chan dispatch.Decision)}
 }
 
 // tickEvery is how often waiting requests are looked at. Most are placed when a
