--- a/cmd/chivefield/operate.go
+++ b/cmd/chivefield/operate.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/chivefield/chivefield/config"
-	"github.com/chivefield/chivefield/platform"
+	"github.com/chivefield/chivefield/logservice"
 	"github.com/chivefield/chivefield/schema"
 	"github.com/chivefield/chivefield/settings"
 	"github.com/chivefield/chivefield/tomlproto"
@@ -169,7 +169,7 @@
 
 // Execute implements flags.Commander. It judges the log as every VM does.
 func (c *auditCommand) Execute([]string) error {
-	client := &platform.Client{Base: "http://" + c.Platform, HTTP: http.DefaultClient}
+	client := &logservice.Client{Base: "http://" + c.Platform, HTTP: http.DefaultClient}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	trail := config.NewTrail()
--- a/core/dispatch/play_test.go
+++ b/core/dispatch/play_test.go
@@ -79,7 +79,6 @@
 	told      int
 	credit    float64
 	largest   bool
-	finished  bool
 	submitted time.Duration
 	output    int
 	placed    time.Duration
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,7 +18,7 @@
 	"github.com/chivefield/chivefield/config"
 	"github.com/chivefield/chivefield/core"
 	"github.com/chivefield/chivefield/endpoint"
-	"github.com/chivefield/chivefield/platform"
+	"github.com/chivefield/chivefield/logservice"
 	"github.com/chivefield/chivefield/sched"
 	"github.com/chivefield/chivefield/settings"
 )
@@ -72,7 +72,7 @@
 	judged     *verdicts
 
 	endpoints *endpoint.Client
-	platform  *platform.Client
+	platform  *logservice.Client
 	// peerHTTP holds the watches, each on a connection of its own; exchangeHTTP
 	// carries the calls over HTTP/2, whose headers cost little when repeated.
 	peerHTTP     *http.Client
@@ -104,7 +104,7 @@
 		calls: make(map[uint64]*callerCall), judged: newVerdicts(), drained: make(chan struct{}), expelled: make(chan struct{}),
 	}
 	d.endpoints = &endpoint.Client{HTTP: d.client(maxIdlePerEndpoint), ResumeEvery: resumeEvery, ResumeTries: resumeTries}
-	d.platform = &platform.Client{Base: "http://" + d.set.Platform.Address, HTTP: d.client(maxIdlePerPeer)}
+	d.platform = &logservice.Client{Base: "http://" + d.set.Platform.Address, HTTP: d.client(maxIdlePerPeer)}
 	d.peerHTTP = d.countedClient()
 	d.exchangeHTTP = d.countedClient()
 	var h2 http.Protocols
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -11,7 +11,7 @@
 
 	"github.com/chivefield/chivefield/config"
 	"github.com/chivefield/chivefield/core"
-	"github.com/chivefield/chivefield/platform"
+	"github.com/chivefield/chivefield/logservice"
 	"github.com/chivefield/chivefield/schema"
 )
 
@@ -50,13 +50,13 @@
 	}
 }
 
-func (d *Daemon) readOnce(ctx context.Context, from uint64) (platform.Batch, error) {
+func (d *Daemon) readOnce(ctx context.Context, from uint64) (logservice.Batch, error) {
 	bound, cancel := context.WithTimeout(ctx, d.set.PlatformTimeout)
 	defer cancel()
 	return d.platform.Read(bound, from, readLimit)
 }
 
-func (d *Daemon) passOn(ctx context.Context, b platform.Batch, next uint64) uint64 {
+func (d *Daemon) passOn(ctx context.Context, b logservice.Batch, next uint64) uint64 {
 	ev := core.LogRead{First: b.First, Next: b.Next}
 	next = max(next, b.First)
 	for _, r := range b.Records {
@@ -80,10 +80,10 @@
 		cancel()
 		if err == nil {
 			for _, vm := range list {
-				if vm.State == platform.Gone && !gone[vm.ID] {
+				if vm.State == logservice.Gone && !gone[vm.ID] {
 					d.push(ctx, core.PeerGone{VM: vm.ID})
 				}
-				gone[vm.ID] = vm.State == platform.Gone
+				gone[vm.ID] = vm.State == logservice.Gone
 			}
 		}
 		select {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -27,8 +27,10 @@
 	endpointsEvery = 700 * time.Millisecond
 	// retryEvery is the pause after a failed call to the store, with spread.
 	retryEvery = 300 * time.Millisecond
-	// announceEvery is how often the list of VMs is read.
+	// announceEvery is how often the VM that reads for its failure domain reads the
+	// list of VMs, listEvery how often the others do, who hear of new VMs by notes.
 	announceEvery = 5 * time.Second
+	listEvery     = time.Minute
 )
 
 // spread is d, more or less by up to a quarter.
@@ -307,7 +309,11 @@
 			}
 		}
 		d.peers.learnAll(entries)
-		pause(ctx, announceEvery)
+		if d.peers.reads() {
+			pause(ctx, announceEvery)
+		} else {
+			pause(ctx, listEvery)
+		}
 	}
 	return nil
 }
--- a/logging/sink_test.go
+++ b/logging/sink_test.go
@@ -47,7 +47,9 @@
 		is.NoErr(err)
 	}
 	is.True(time.Since(start) < time.Second)
-	is.True(s.Dropped() > 8*sinkBuffer)
+	// The writer holds up to a line and a buffer of others, and the buffer may have
+	// filled again behind it.
+	is.True(s.Dropped() >= (10-2)*sinkBuffer-1)
 	close(out.release)
 	s.Close()
 }
--- a/platform/platform.go
+++ b/logservice/logservice.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's services: the append-only
-// log and the list of VMs. The interfaces are the product's; Client speaks HTTP.
-package platform
+// Package logservice is the client of the log service that the product's own
+// interface runs on: an append-only log and the list of VMs. Client speaks HTTP.
+package logservice
 
 import (
 	"bytes"
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/chivefield/chivefield/platform"
+	"github.com/chivefield/chivefield/logservice"
 )
 
 // PlatformFaults can be changed while the stand-in runs.
@@ -32,8 +32,8 @@
 	mu      sync.Mutex
 	faults  PlatformFaults
 	first   uint64
-	records []platform.Record
-	vms     []platform.VMStatus
+	records []logservice.Record
+	vms     []logservice.VMStatus
 	window  time.Time
 	used    int
 	appends int
@@ -48,17 +48,17 @@
 }
 
 // SetVMs changes the list of VMs.
-func (p *Platform) SetVMs(list []platform.VMStatus) {
+func (p *Platform) SetVMs(list []logservice.VMStatus) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.vms = list
 }
 
 // Records returns what the log keeps.
-func (p *Platform) Records() []platform.Record {
+func (p *Platform) Records() []logservice.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append([]platform.Record(nil), p.records...)
+	return append([]logservice.Record(nil), p.records...)
 }
 
 // Appends counts the appends that took effect.
@@ -81,7 +81,7 @@
 		}
 	})
 	mux.HandleFunc("POST /control/vms", func(w http.ResponseWriter, r *http.Request) {
-		var list []platform.VMStatus
+		var list []logservice.VMStatus
 		if decode(w, r, &list) {
 			p.SetVMs(list)
 		}
@@ -121,7 +121,7 @@
 		return
 	}
 	offset := p.first + uint64(len(p.records))
-	p.records = append(p.records, platform.Record{Offset: offset, Data: data})
+	p.records = append(p.records, logservice.Record{Offset: offset, Data: data})
 	p.appends++
 	p.trim()
 	if p.faults.LoseAnswers {
@@ -146,7 +146,7 @@
 	if keep := p.faults.KeepLast; keep > 0 && len(p.records) > keep {
 		drop := len(p.records) - keep
 		p.first += uint64(drop)
-		p.records = append([]platform.Record(nil), p.records[drop:]...)
+		p.records = append([]logservice.Record(nil), p.records[drop:]...)
 	}
 }
 
@@ -159,7 +159,7 @@
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
-	b := platform.Batch{First: p.first, Next: p.first + uint64(len(p.records))}
+	b := logservice.Batch{First: p.first, Next: p.first + uint64(len(p.records))}
 	start := min(max(from, p.first)-p.first, uint64(len(p.records)))
 	end := min(start+uint64(max(limit, 1)), uint64(len(p.records)))
 	b.Records = p.records[start:end]
