--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -258,6 +258,12 @@
 	Left
 )
 
+// outcomeNames are the outcomes as logs name them, in order.
+var outcomeNames = [...]string{"answered", "failed", "unreachable", "rejected", "replaced", "broken", "silent", "left"}
+
+// String names the outcome.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // End says that a run is over, and places what fits into its room.
 func (s *Scheduler) End(now time.Duration, handle uint64, o Outcome) []Decision {
 	r := s.running[handle]
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -62,7 +62,7 @@
 			return
 		}
 		c.tried = append(c.tried, dec.Endpoint.ID)
-		c.d.log.Info().Str("request", c.call.ID).Str("endpoint", dec.Endpoint.ID).Int("outcome", int(last.outcome)).
+		c.d.log.Info().Str("request", c.call.ID).Str("endpoint", dec.Endpoint.ID).Stringer("outcome", last.outcome).
 			Int("sent", c.sent).Bool("ran", c.ran).Err(last.err).Msg("attempt_failed")
 		if ctx.Err() != nil {
 			c.giveUp(s, last)
