--- /dev/null
+++ b/entry/note_test.go
@@ -0,0 +1,38 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chivefield/chivefield/core/allowance"
+	"github.com/chivefield/chivefield/schema"
+)
+
+// BenchmarkNote measures what one note costs: its size, and encoding and decoding.
+func BenchmarkNote(b *testing.B) {
+	for _, c := range []struct{ uses, vms int }{{12, 0}, {60, 66}, {128, 1800}} {
+		b.Run(fmt.Sprintf("uses=%d/vms=%d", c.uses, c.vms), func(b *testing.B) {
+			n := &schema.PeerNote{Vm: "edge-kewdale-a-12", Incarnation: 1 << 60, Address: "10.1.0.25:7600", FailureDomain: "kewdale-a", ConfigVersion: 1000, Number: 10000, FollowsConfig: true}
+			for i := range c.uses {
+				n.Uses = append(n.Uses, &schema.EndpointUse{Endpoint: uint64(i) << 40, Running: 2, Waiting: 1, PromptTokens: 5000, EventGapUs: 20000})
+			}
+			for i := range c.vms {
+				n.Vms = append(n.Vms, entryOf(allowance.VM{Address: fmt.Sprintf("10.%d.%d.25:7600", i/250, i%250), Domain: "kewdale-a"}))
+			}
+			size := 0
+			for b.Loop() {
+				m, err := proto.Marshal(n)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if err := proto.Unmarshal(m, &schema.PeerNote{}); err != nil {
+					b.Fatal(err)
+				}
+				size = len(m)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
