Retry-After grows with the excess of refusals

Now a second more for each request refused for one placed, spread, four at most; and a VM that keeps no part of an allowance tells the time in which a keeper earns what is lacking, before a minute.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -138,8 +138,7 @@
 	OK bool
 	// Lacking is what the balance is short of, in units.
 	Lacking float64
-	// Wait is the time in which this VM alone earns what is lacking, if it keeps a
-	// part.
+	// Wait is the time in which one keeper earns what is lacking.
 	Wait time.Duration
 	// Balance is what was there before.
 	Balance float64
@@ -176,11 +175,12 @@
 		return v
 	}
 	v.Lacking = need - a.balance
-	v.Wait = maxWait
-	if a.part > 0 {
-		seconds := v.Lacking / a.part / a.terms.Rate
-		v.Wait = min(maxWait, time.Duration(seconds*float64(time.Second)))
+	part := a.part
+	if part == 0 {
+		part = 1.0 / keeperCount
 	}
+	seconds := v.Lacking / part / a.terms.Rate
+	v.Wait = min(maxWait, time.Duration(seconds*float64(time.Second)))
 	return v
 }
 
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -102,8 +102,8 @@
 	scarce bool
 	// failing is the share of requests that failed.
 	failing float64
-	// placed is how fast jobs were placed lately.
-	placed rate
+	// placed and refused are how fast jobs were placed and refused lately.
+	placed, refused rate
 }
 
 // endpoint is the view of one endpoint.
@@ -369,7 +369,9 @@
 	})
 }
 
-func (s *Scheduler) refuse(sv *service, j *Job, reason string, after time.Duration) {
+func (s *Scheduler) refuse(now time.Duration, sv *service, j *Job, reason string) {
+	sv.refused.count(now)
+	after := sv.comeBack(now, j)
 	s.out = append(s.out, Decision{
 		Handle: j.Handle, Reason: reason, RetryAfter: after, Candidates: len(sv.list), Waiting: len(sv.queue),
 	})
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -147,3 +147,28 @@
 		is.True(got[0].Endpoint != nil)
 	}
 }
+
+// Symptom: under overload callers returned within a second and were refused again.
+// Cause: the time told did not depend on how many were refused. It grows with the
+// refusals for one placement, and is spread.
+func TestRetryAfterGrowsWithTheExcess(t *testing.T) {
+	is := is.New(t)
+	mean := func(load float64) time.Duration {
+		p := newPlay(1, 8, 11, unlike, mixOf(load, 0.1))
+		p.run(8 * time.Second)
+		var sum time.Duration
+		n := 0
+		for h := range uint64(200) {
+			for _, s := range p.vms {
+				sv := s.service(playService)
+				sum += sv.comeBack(p.now, &Job{Handle: h})
+				n++
+			}
+		}
+		return sum / time.Duration(n)
+	}
+	calm, heavy := mean(0.5), mean(3)
+	is.True(calm < 600*time.Millisecond)
+	is.True(heavy > 1500*time.Millisecond)
+	is.True(heavy < mostBack+mostBack/2)
+}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -140,11 +140,11 @@
 	for _, j := range sv.queue {
 		switch {
 		case len(sv.list) == 0 || len(j.Tried) > 0 && !sv.untried(j):
-			s.refuse(sv, j, ReasonNoEndpoint, comeBack(j))
+			s.refuse(now, sv, j, ReasonNoEndpoint)
 		case now+sv.atBest(j, fastest) >= j.Abandon || j.late && sv.wait(now, len(kept)) > j.Abandon-now:
-			s.refuse(sv, j, ReasonTooLate, comeBack(j))
+			s.refuse(now, sv, j, ReasonTooLate)
 		case len(kept) >= maxQueued:
-			s.refuse(sv, j, ReasonFull, comeBack(j))
+			s.refuse(now, sv, j, ReasonFull)
 		default:
 			kept = append(kept, j)
 		}
@@ -168,16 +168,21 @@
 	return slices.ContainsFunc(sv.list, func(e *endpoint) bool { return !slices.Contains(j.Tried, e.ID) })
 }
 
-// Bounds of Retry-After.
 const (
-	leastBack = 200 * time.Millisecond
-	mostBack  = 2 * time.Second
+	// leastBack is the shortest time after which a refused caller should return.
+	leastBack = 300 * time.Millisecond
+	// perExcess is added for each job that is refused for one that is placed: where
+	// three are refused for one, those that return at once are refused again.
+	perExcess = time.Second
+	// mostBack bounds it; callers seldom have more than this to wait.
+	mostBack = 4 * time.Second
 )
 
-// comeBack is when a refused caller should return: after about as long as it
-// waited, spread by its handle so that callers do not return together.
-func comeBack(j *Job) time.Duration {
-	base := min(max(j.Abandon-j.arrived, leastBack), mostBack) / 2
+// comeBack is when a refused caller should return: later the more are refused, and
+// spread by its handle so that callers do not return together.
+func (sv *service) comeBack(now time.Duration, j *Job) time.Duration {
+	excess := sv.refused.perSecond(now) / max(1, sv.placed.perSecond(now))
+	base := min(leastBack+time.Duration(excess*float64(perExcess)), mostBack)
 	spread := time.Duration(j.Handle*2654435761%1000) * base / 1000
 	return base/2 + spread
 }
