--- a/entry/forward.go
+++ b/entry/forward.go
@@ -214,8 +214,8 @@
 	return id == c.call.ID || id == "" && resp.StatusCode >= http.StatusBadRequest
 }
 
-// notRunStatuses promise that a request was not run; from an endpoint that does
-// not say so itself they must not be passed on.
+// promisesNotRun says whether a status promises that a request was not run; from an
+// endpoint that does not say so itself it must not be passed on.
 func promisesNotRun(status int) bool {
 	switch status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
