--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -222,13 +222,3 @@
 	a.balance = min(max(l.bound(a), a.balance, waiting), a.balance+got.Units)
 	return got.Units - (a.balance - before)
 }
-
-// Balance is what the organisation may spend here now, in units.
-func (l *Ledger) Balance(now time.Duration, organisation string) float64 {
-	a := l.accounts[organisation]
-	if a == nil {
-		return 0
-	}
-	l.accrue(now, a)
-	return a.balance
-}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -11,9 +11,8 @@
 
 // Job is one request that needs an endpoint.
 type Job struct {
-	Handle       uint64
-	Service      string
-	Organisation string
+	Handle  uint64
+	Service string
 	// Tier orders jobs: 0 first.
 	Tier int
 	// Prompt is in tokens, Events is how many events the answer is expected to have;
@@ -41,7 +40,7 @@
 	Endpoint *members.Endpoint
 	// RetryAfter says when room is expected, for refused jobs.
 	RetryAfter time.Duration
-	// Reason says why it was refused, or why this endpoint was picked.
+	// Reason says why it was refused; empty if it was placed.
 	Reason string
 	// Predicted is the time to the first event that was expected.
 	Predicted time.Duration
@@ -365,7 +364,7 @@
 	s.running[j.Handle] = r
 	ep := c.ep.Endpoint
 	s.out = append(s.out, Decision{
-		Handle: j.Handle, Endpoint: &ep, Predicted: c.first, Candidates: len(sv.list), Waiting: len(sv.queue), Reason: c.why, Load: c.load,
+		Handle: j.Handle, Endpoint: &ep, Predicted: c.first, Candidates: len(sv.list), Waiting: len(sv.queue), Load: c.load,
 	})
 }
 
--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -14,7 +14,6 @@
 	score float64
 	// ahead are the prompt tokens that wait there.
 	ahead int
-	why   string
 	load  Use
 }
 
--- a/core/members/members.go
+++ b/core/members/members.go
@@ -35,8 +35,8 @@
 // Set is the endpoints known to one VM.
 type Set struct {
 	known map[string]*entry
-	// awayUntil is when the registry last came back; lapsed entries are kept
-	// until returnGrace after it.
+	// away says that the registry cannot be read, returned is when it last came back;
+	// lapsed entries are kept until returnGrace after it.
 	away      bool
 	returned  time.Duration
 	everAway  bool
@@ -149,19 +149,6 @@
 	return s.byService[service]
 }
 
-// Services returns the names of services with usable endpoints.
-func (s *Set) Services() []string {
-	if s.byService == nil {
-		s.index()
-	}
-	names := make([]string, 0, len(s.byService))
-	for n := range s.byService {
-		names = append(names, n)
-	}
-	slices.Sort(names)
-	return names
-}
-
 func (s *Set) index() {
 	s.byService = make(map[string][]*Endpoint)
 	for _, e := range s.known {
@@ -175,6 +162,3 @@
 		slices.SortFunc(list, func(a, b *Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	}
 }
-
-// Len is the number of entries known, usable or not.
-func (s *Set) Len() int { return len(s.known) }
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -220,7 +220,6 @@
 		Objective: arrived + c.route.Objective, Abandon: limit,
 	}
 	if c.org != nil {
-		j.Organisation = c.org.Name
 		j.Tier += c.org.Tier * routeTiers
 	}
 	if c.route.Repeat == routing.Stream {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -33,9 +33,8 @@
 	// delivered says that the caller has its final answer, whole or broken.
 	delivered bool
 	// again says that the repeat was already taken off the budget.
-	again  bool
-	status int
-	err    error
+	again bool
+	err   error
 }
 
 // run tries endpoints until the caller has an answer.
@@ -45,11 +44,11 @@
 	for try := 0; ; try++ {
 		dec, ok := c.d.sched.place(ctx, c.jobFor(s))
 		if !ok {
-			c.giveUp(s, last)
+			c.giveUp(s)
 			return
 		}
 		if dec.Endpoint == nil {
-			c.end(s, last, dec.Reason, dec.RetryAfter)
+			c.end(s, dec.Reason, dec.RetryAfter)
 			return
 		}
 		c.logPlaced(dec)
@@ -65,11 +64,11 @@
 		c.d.log.Info().Str("request", c.call.ID).Str("endpoint", dec.Endpoint.ID).Stringer("outcome", last.outcome).
 			Int("sent", c.sent).Bool("ran", c.ran).Err(last.err).Msg("attempt_failed")
 		if ctx.Err() != nil {
-			c.giveUp(s, last)
+			c.giveUp(s)
 			return
 		}
 		if !c.mayRetry(last, try) {
-			c.end(s, last, "attempts_spent", shortWait)
+			c.end(s, "attempts_spent", shortWait)
 			return
 		}
 	}
@@ -105,18 +104,18 @@
 }
 
 // giveUp ends a request whose caller left or whose time is over.
-func (c *caller) giveUp(s *stream, last attempt) {
+func (c *caller) giveUp(s *stream) {
 	if c.r.Context().Err() != nil {
 		c.d.count("callers_left")
 		c.d.log.Info().Str("request", c.call.ID).Dur("held", time.Since(c.arrived)).Msg("caller_left")
 		panic(http.ErrAbortHandler)
 	}
-	c.end(s, last, "time_over", shortWait)
+	c.end(s, "time_over", shortWait)
 }
 
 // end gives the caller the truth: a failed answer of an endpoint if that is all
 // there is, "not run" only if that is so, else a failure that promises nothing.
-func (c *caller) end(s *stream, last attempt, reason string, after time.Duration) {
+func (c *caller) end(s *stream, reason string, after time.Duration) {
 	if s != nil && s.begun {
 		c.d.count("streams_broken")
 		c.d.log.Warn().Str("request", c.call.ID).Str("reason", reason).Int("events", s.events).Msg("stream_broken")
@@ -230,20 +229,20 @@
 	if reply.NotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(ans, maxAnswer))
 		if reply.Replaced {
-			return attempt{outcome: dispatch.Replaced, status: ans.StatusCode, err: &RejectedError{Status: ans.StatusCode}}
+			return attempt{outcome: dispatch.Replaced, err: &RejectedError{Status: ans.StatusCode}}
 		}
-		return attempt{outcome: dispatch.Rejected, status: ans.StatusCode, err: &RejectedError{Status: ans.StatusCode}}
+		return attempt{outcome: dispatch.Rejected, err: &RejectedError{Status: ans.StatusCode}}
 	}
 	c.ran = true
 	ok := ans.StatusCode < http.StatusMultipleChoices
 	if reply.Encoded || ok && !reply.Sealed || promisesNotRun(ans.StatusCode) {
-		return attempt{outcome: dispatch.Broken, status: ans.StatusCode, err: &UntrustedAnswerError{Status: ans.StatusCode}}
+		return attempt{outcome: dispatch.Broken, err: &UntrustedAnswerError{Status: ans.StatusCode}}
 	}
 	if ok && s != nil {
 		return s.pass(ctx, handle, ans, watch)
 	}
 	if s != nil && s.begun {
-		return attempt{outcome: dispatch.Broken, status: ans.StatusCode, err: &UntrustedAnswerError{Status: ans.StatusCode}}
+		return attempt{outcome: dispatch.Broken, err: &UntrustedAnswerError{Status: ans.StatusCode}}
 	}
 	body, err := io.ReadAll(io.LimitReader(ans, maxAnswer))
 	if err != nil {
@@ -254,7 +253,7 @@
 	}
 	if ans.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() && c.sent < c.route.MaxEndpoints &&
 		time.Until(c.limit) > shortWait && c.d.shares.mayRepeat(c.service) {
-		return attempt{outcome: dispatch.Failed, status: ans.StatusCode, again: true, err: &FailedAnswerError{Status: ans.StatusCode}}
+		return attempt{outcome: dispatch.Failed, again: true, err: &FailedAnswerError{Status: ans.StatusCode}}
 	}
 	c.d.sched.events(handle, 1)
 	c.write(ans.Response, body)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -28,10 +28,10 @@
 	vmsEvery = 10
 	// nearNotes and farNotes bound the notes sent at once to VMs of the own failure
 	// domain and of others, so that their number does not grow with the deployment:
-	// 220 a second of about 200 bytes.
+	// 220 a second of about 300 bytes (BenchmarkNote).
 	nearNotes = 16
 	farNotes  = 6
-	// maxDatagram is the largest note; a larger one is sent without loads.
+	// maxDatagram is the largest note; a larger one is not sent, and counted.
 	maxDatagram = 8 << 10
 )
 
@@ -59,6 +59,8 @@
 	// complete says that the whole list of VMs was read, from the store or from a VM
 	// that had read it. Before that, shared amounts would be divided by too few.
 	complete bool
+	// shared is the number of VMs that share was last told of.
+	shared int
 }
 
 type peer struct {
@@ -121,11 +123,13 @@
 	p.share()
 }
 
-// share tells the parts that divide amounts among all VMs who they are.
+// share tells the parts that divide amounts among all VMs who they are, if one came.
+// Notes come hundreds of times a second, new VMs seldom.
 func (p *peers) share() {
-	if !p.complete {
+	if !p.complete || p.shared == len(p.addrs)+1 {
 		return
 	}
+	p.shared = len(p.addrs) + 1
 	vms := []allowance.VM{{Address: p.d.set.Listen.Peers, Domain: p.d.set.Vm.FailureDomain}}
 	for a, pe := range p.addrs {
 		vms = append(vms, allowance.VM{Address: a, Domain: pe.domain})
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -251,6 +251,7 @@
 		kept = append(kept, r)
 	}
 	var changed []Record
+	var told []members.Change
 	d.sched.update(func(now time.Duration, m *members.Set) {
 		m.Back(now)
 		if whole {
@@ -261,22 +262,18 @@
 			before := m.Version()
 			m.Apply(now, c)
 			if m.Version() != before || c.Endpoint == nil {
-				changed = append(changed, kept[i])
+				changed, told = append(changed, kept[i]), append(told, c)
 			}
 		}
 		m.Expire(now)
 	})
-	d.logEndpoints(changed)
+	d.logEndpoints(told)
 	d.endpointsKnown.Store(true)
 	return changed
 }
 
-func (d *Daemon) logEndpoints(changed []Record) {
-	for _, r := range changed {
-		c, err := d.codec.Endpoint(r)
-		if err != nil {
-			continue
-		}
+func (d *Daemon) logEndpoints(changes []members.Change) {
+	for _, c := range changes {
 		ev := d.log.Info().Str("endpoint", c.ID).Bool("removed", c.Endpoint == nil)
 		if c.Endpoint != nil {
 			ev = ev.Str("address", c.Endpoint.Address).Bool("leaving", c.Endpoint.Leaving)
