A retry budget is made only once the VMs are known

Traced by reading: a request before the list of VMs was read made a budget with a cap of 0, which stayed empty when the cap rose, so no repeat was allowed for 24 s.

--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -210,6 +210,10 @@
 }
 
 func (s *sharing) budget(service string) *budget.Budget {
+	if len(s.vms) == 0 {
+		// A budget made now would start empty and stay so: its part is not known yet.
+		return budget.New(0, 0, false)
+	}
 	b := s.budgets[service]
 	if b == nil {
 		b = budget.New(s.set.Bounds.RetryRatio*(1-retryReserve), s.retryPart(), s.set.Vm.FirstStart)
