Loads are told to those who place; near is near the sender

Now a VM that asks tells its placer, placers tell each other and their cell, all others hear signs of life in turns (TestTrafficDoesNotGrowWithTheDeployment). Placing: a placer in another failure domain preferred engines near itself; when the sender's domain was cut off its streams broke. TestNearIsNearTheSender, red before.

--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -70,3 +70,42 @@
 	}
 	is.Equal(Placer(vms[0], nil), "")
 }
+
+// Symptom: what a VM sent grew with the deployment: at 300 VMs 386 KB a second, and
+// nine tenths of that crossed failure domains. Sequence: every VM told its loads to 22
+// others ten times a second, whoever placed requests. Cause: loads were told to all,
+// though few place requests. The load: 1,800 VMs in 13 failure domains.
+func TestTrafficDoesNotGrowWithTheDeployment(t *testing.T) {
+	is := is.New(t)
+	vms := deployment(1800, 13)
+	self := vms[0]
+	placerOf := make(map[string]string)
+	placers := make(map[string]bool)
+	for _, v := range vms {
+		placerOf[v.Address] = Placer(v, vms)
+		placers[placerOf[v.Address]] = true
+	}
+	mine := placerOf[self.Address]
+	is.True(mine != self.Address)
+	var peers []Peer
+	for _, v := range vms[1:] {
+		peers = append(peers, Peer{Address: v.Address, Near: v.Domain == self.Domain, Places: placers[v.Address], Cell: v.Address == mine})
+	}
+	heard := make(map[string]int)
+	for i := range uint64(100) {
+		r := RecipientsOf(peers, i, false)
+		is.True(len(r.Signs) <= nearSigns+farSigns)
+		is.Equal(r.Loads, []string{mine})
+		for _, a := range r.Signs {
+			heard[a]++
+		}
+	}
+	near := 0
+	for _, v := range vms {
+		if v.Domain == self.Domain && v != self && v.Address != mine {
+			is.True(heard[v.Address] > 0)
+			near++
+		}
+	}
+	is.True(near > 100)
+}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -29,8 +29,10 @@
 	Tried []uint64
 	// Avoided endpoints cannot be reached from where the request is.
 	Avoided []uint64
-	// Remote says that another VM sends the request and asks where to.
+	// Remote says that another VM sends the request and asks where to, Domain is that
+	// VM's failure domain.
 	Remote bool
+	Domain string
 
 	arrived time.Duration
 	// late says that the objective cannot be met any more.
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -215,3 +215,21 @@
 	}
 	is.True(p.share() > 0.83)
 }
+
+// Symptom: a failure domain that was cut off lost more requests than before. Sequence:
+// a VM of another domain places for it; engines of that domain are preferred; the cut
+// comes. Cause: near was what is near to the placer, not to the sender.
+func TestNearIsNearTheSender(t *testing.T) {
+	is := is.New(t)
+	s := New("self", "a")
+	list := []*members.Endpoint{
+		{ID: "ea", Service: playService, Slots: 4, FailureDomain: "a"},
+		{ID: "eb", Service: playService, Slots: 4, FailureDomain: "b"},
+	}
+	s.SetEndpoints(0, playService, list, true)
+	for h, domain := range map[uint64]string{1: "a", 2: "b"} {
+		out := s.Submit(0, Job{Handle: h, Service: playService, Objective: time.Second, Abandon: time.Second, Remote: true, Domain: domain})
+		is.Equal(out[0].Endpoint.FailureDomain, domain)
+		s.End(0, h, Left)
+	}
+}
--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -55,8 +55,15 @@
 		c.onTime = true
 		c.score = first
 	}
+	from := s.domain
+	if j.Remote {
+		from = j.Domain
+	}
+	if e.FailureDomain != from {
+		c.score += farCost
+	}
 	if e.FailureDomain != s.domain {
-		c.score += farCost + staleCost*s.company[1].age.Seconds()
+		c.score += staleCost * s.company[1].age.Seconds()
 	}
 	return c
 }
--- a/entry/guests.go
+++ b/entry/guests.go
@@ -153,7 +153,8 @@
 	now := g.d.now()
 	var again, over []uint64
 	g.mu.Lock()
-	if _, asks := g.heard[from.String()]; !asks {
+	// Loads of a VM that asks go to its placer alone.
+	if _, asks := g.heard[from.String()]; !asks && !(n.Asks && n.Loads) {
 		g.mu.Unlock()
 		return
 	}
@@ -217,7 +218,7 @@
 	j := dispatch.Job{
 		Handle: m.Handle, Service: m.Service, Tier: int(m.Tier), Prompt: int(m.Prompt), Events: int(m.Events),
 		Objective: now + time.Duration(m.ObjectiveUs)*time.Microsecond, Abandon: now + time.Duration(m.AbandonUs)*time.Microsecond,
-		MaxPause: micros(m.MaxPauseUs), Tried: m.Tried, Avoided: m.Avoided, Remote: true,
+		MaxPause: micros(m.MaxPauseUs), Tried: m.Tried, Avoided: m.Avoided, Remote: true, Domain: m.FailureDomain,
 	}
 	if m.LimitUs != 0 {
 		j.Limit = now + time.Duration(m.LimitUs)*time.Microsecond
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/chivefield/chivefield/core/allowance"
+	"github.com/chivefield/chivefield/core/cell"
 	"github.com/chivefield/chivefield/core/dispatch"
 	"github.com/chivefield/chivefield/schema"
 )
@@ -26,11 +27,9 @@
 	// vmsEvery is how many notes pass between two that list the known VMs and all
 	// paces.
 	vmsEvery = 10
-	// nearNotes and farNotes bound the notes sent at once to VMs of the own failure
-	// domain and of others, so that their number does not grow with the deployment:
-	// 220 a second of about 300 bytes (BenchmarkNote).
-	nearNotes = 16
-	farNotes  = 6
+	// maxListed bounds the VMs that notes list, 3 KB of them (BenchmarkNote). Larger
+	// deployments know each other from the store and by signs of life.
+	maxListed = 64
 	// maxDatagram is the largest note; a larger one is not sent, and counted.
 	maxDatagram = 8 << 10
 )
@@ -68,11 +67,15 @@
 	domain string
 	// heard is when a note came last, 0 for never.
 	heard time.Duration
-	// followsConfig, places and share are what it said of itself.
-	followsConfig, places bool
-	share                 float64
+	// every is the usual time between two of its notes.
+	every time.Duration
+	// followsConfig, places, asks and share are what it said of itself.
+	followsConfig, places, asks bool
+	share                       float64
 	// shunUntil is until when it is not asked for places.
 	shunUntil time.Duration
+	// silent says that it was this VM's placer and fell silent.
+	silent bool
 }
 
 // configHint says which VM serves by a newer configuration.
@@ -163,7 +166,7 @@
 func (p *peers) names() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.complete {
+	if !p.complete || len(p.addrs) >= maxListed {
 		return nil
 	}
 	names := make([]string, 0, len(p.addrs))
@@ -183,8 +186,7 @@
 	return n
 }
 
-// tell sends this VM's load to the others: to those of its own failure domain,
-// whose endpoints it shares most, each time, to the rest in turns.
+// tell sends notes until ctx ends.
 func (p *peers) tell(ctx context.Context) error {
 	t := time.NewTicker(noteEvery)
 	defer t.Stop()
@@ -194,53 +196,66 @@
 			return nil
 		case <-t.C:
 		}
-		n := p.note()
-		n.Number = i + 1
-		n.Uses = p.d.sched.uses(i%vmsEvery == 0)
-		n.Places, n.CpuShare = p.d.guests.willing(), p.d.set.Limits.CpuShare
 		p.d.guests.sweep()
 		p.d.placing.choose()
-		p.d.placing.describe(n)
-		if i%vmsEvery == 0 {
-			n.Vms = p.names()
-		}
-		b := p.encode(n)
-		for _, a := range p.turn(i) {
-			p.write(b, a)
-		}
+		p.tellOnce(i)
 	}
 }
 
-// turn returns the VMs that get the i-th note.
-func (p *peers) turn(i uint64) []*net.UDPAddr {
-	// A placer and those who ask it hear each other each time.
-	always := p.d.guests.members()
-	if to := p.d.placing.followed(); to != nil {
-		always = append(always, to.addr.String())
+// tellOnce sends the i-th note: with loads to those who place requests, with what a
+// cell needs to the rest of it, and a sign of life to some others.
+func (p *peers) tellOnce(i uint64) {
+	to := p.recipients(i)
+	sign := p.note()
+	sign.Number = i + 1
+	sign.Places, sign.CpuShare = p.d.guests.willing(), p.d.set.Limits.CpuShare
+	sign.Asks = p.d.placing.followed() != nil
+	p.writeAll(p.encode(sign), to.Signs)
+	state := proto.Clone(sign).(*schema.PeerNote)
+	p.d.placing.describe(state)
+	whole := i%vmsEvery == 0
+	if whole {
+		state.Vms = p.names()
+		// Those who ask need the paces for when they place for themselves.
+		state.Loads, state.Uses = true, p.d.sched.uses(true)
+	}
+	p.writeAll(p.encode(state), to.State)
+	if !whole {
+		state.Loads, state.Uses = true, p.d.sched.uses(false)
+	}
+	p.writeAll(p.encode(state), to.Loads)
+}
+
+func (p *peers) writeAll(b []byte, to []string) {
+	p.mu.Lock()
+	addrs := make([]*net.UDPAddr, 0, len(to))
+	for _, a := range to {
+		if pe := p.addrs[a]; pe != nil {
+			addrs = append(addrs, pe.addr)
+		}
 	}
+	p.mu.Unlock()
+	for _, a := range addrs {
+		p.write(b, a)
+	}
+}
+
+// recipients chooses who gets the i-th note.
+func (p *peers) recipients(i uint64) cell.Recipients {
+	members := p.d.guests.members()
+	placer := p.d.placing.followed()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var near, far []string
+	peers := make([]cell.Peer, 0, len(p.addrs))
 	for a, pe := range p.addrs {
-		if pe.domain == p.d.set.Vm.FailureDomain {
-			near = append(near, a)
-		} else {
-			far = append(far, a)
-		}
+		peers = append(peers, cell.Peer{
+			Address: a, Near: pe.domain == p.d.set.Vm.FailureDomain, Places: !pe.asks,
+			Cell: pe == placer || slices.Contains(members, a),
+		})
 	}
 	// Each VM begins elsewhere in the list, or one VM would hear all others at once
 	// and then none for a while.
-	i += p.offset
-	chosen := append(inTurn(near, nearNotes, i), inTurn(far, farNotes, i)...)
-	chosen = append(chosen, always...)
-	slices.Sort(chosen)
-	addrs := make([]*net.UDPAddr, 0, len(chosen))
-	for _, a := range slices.Compact(chosen) {
-		if pe := p.addrs[a]; pe != nil {
-			addrs = append(addrs, pe.addr)
-		}
-	}
-	return addrs
+	return cell.RecipientsOf(peers, i+p.offset, placer == nil)
 }
 
 // turnRange bounds offsets; more than the turns of a list of any length in use.
@@ -248,19 +263,6 @@
 
 func turnOffset(address string) uint64 { return xxhash.Sum64String(address) % turnRange }
 
-// inTurn picks n of a list so that all come up equally often.
-func inTurn(list []string, n int, i uint64) []string {
-	if len(list) <= n {
-		return list
-	}
-	slices.Sort(list)
-	picked := make([]string, 0, n)
-	for k := range n {
-		picked = append(picked, list[(i*uint64(n)+uint64(k))%uint64(len(list))])
-	}
-	return picked
-}
-
 func (p *peers) encode(n *schema.PeerNote) []byte {
 	b, err := proto.Marshal(n)
 	if err != nil {
@@ -388,14 +390,15 @@
 	}
 	p.share()
 	if pe != nil {
-		pe.heard, pe.followsConfig = p.d.now(), n.FollowsConfig
+		pe.hear(p.d.now())
+		pe.followsConfig = n.FollowsConfig
 		if n.Number > 0 {
-			pe.places, pe.share = n.Places, n.CpuShare
+			pe.places, pe.share, pe.asks = n.Places, n.CpuShare, n.Asks
 		}
 	}
 	p.mu.Unlock()
 	p.takeRelayed(n)
-	if n.Number > 0 {
+	if n.Loads {
 		p.d.sched.peerUses(n)
 	}
 	for _, g := range n.Grants {
--- a/entry/placing.go
+++ b/entry/placing.go
@@ -34,8 +34,10 @@
 	d *Daemon
 
 	mu sync.Mutex
-	// placer is the VM that is asked, nil if this VM places for itself.
+	// placer is the VM that is asked, nil if this VM places for itself; since is when
+	// it was chosen.
 	placer *peer
+	since  time.Duration
 	asks   map[uint64]*ask
 	// runs are this VM's requests that others placed.
 	runs map[uint64]*remoteRun
@@ -219,10 +221,18 @@
 // fallen silent become this VM's own: nobody else tells of their load.
 func (p *placing) choose() {
 	now := p.d.now()
+	p.mu.Lock()
+	old, since := p.placer, p.since
+	p.mu.Unlock()
+	if old != nil && now-since > placerSilence && !p.d.peers.heardWithin(old, placerSilence) {
+		p.d.peers.shunSilent(old)
+	}
 	address, to := p.d.peers.placer()
 	p.mu.Lock()
-	old := p.placer
 	p.placer = to
+	if old != to {
+		p.since = now
+	}
 	var owned []uint64
 	for h, r := range p.runs {
 		if !p.d.peers.heardWithin(r.placer, placerSilence) {
@@ -244,7 +254,6 @@
 func (p *placing) describe(n *schema.PeerNote) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n.Asks = p.placer != nil
 	for h := range p.runs {
 		n.Placed = append(n.Placed, h)
 	}
@@ -284,6 +293,7 @@
 		Handle: j.Handle, Service: j.Service, Tier: int32(j.Tier), Prompt: uint32(j.Prompt), Events: uint32(j.Events),
 		ObjectiveUs: (j.Objective - now).Microseconds(), AbandonUs: (j.Abandon - now).Microseconds(),
 		MaxPauseUs: uint64(j.MaxPause.Microseconds()), Tried: j.Tried, Avoided: j.Avoided,
+		FailureDomain: p.d.set.Vm.FailureDomain,
 	}
 	if j.Limit > 0 {
 		m.LimitUs = (j.Limit - now).Microseconds()
@@ -304,7 +314,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for a, pe := range p.addrs {
-		if pe.places && pe.heardLately(now) && now >= pe.shunUntil {
+		if pe.places && pe.heardLately(now) && now >= pe.shunUntil && !pe.silent {
 			willing = append(willing, cell.VM{Address: a, Domain: pe.domain, Share: pe.share})
 		}
 	}
@@ -328,3 +338,12 @@
 	defer p.mu.Unlock()
 	pe.shunUntil = until
 }
+
+// shunSilent leaves a VM out of the choice of placers until it is heard again. Signs of
+// life of VMs outside the cell are seconds apart in a large deployment; a placer is
+// missed sooner by those who ask it.
+func (p *peers) shunSilent(pe *peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pe.silent = true
+}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -10,9 +10,13 @@
 )
 
 const (
-	// aliveFor is how long after its last note a VM counts as alive. Notes come ten
-	// times a second and few are lost.
-	aliveFor = time.Second
+	// aliveFor is how long after its last note a VM counts as alive, or aliveNotes of
+	// its usual times between two notes, which are longer in large failure domains. Few
+	// notes are lost.
+	aliveFor   = time.Second
+	aliveNotes = 4
+	// everyWeight is the weight of one time between two notes in the usual one.
+	everyWeight = 0.2
 	// fetchTimeout bounds the fetching of a configuration from another VM.
 	fetchTimeout = 700 * time.Millisecond
 	// readerKey is hashed with the VMs' addresses to choose the reader.
@@ -36,7 +40,18 @@
 }
 
 // heardLately says whether the VM counts as alive.
-func (pe *peer) heardLately(now time.Duration) bool { return pe.heard > 0 && now-pe.heard < aliveFor }
+func (pe *peer) heardLately(now time.Duration) bool {
+	return pe.heard > 0 && now-pe.heard < max(aliveFor, aliveNotes*pe.every)
+}
+
+// hear notes that the VM spoke. A silence counts as no more than aliveFor, or a VM that
+// was away would count as alive for long after.
+func (pe *peer) hear(now time.Duration) {
+	if pe.heard > 0 {
+		pe.every += time.Duration(everyWeight * float64(min(now-pe.heard, aliveNotes*aliveFor)-pe.every))
+	}
+	pe.heard, pe.silent = now, false
+}
 
 // configFollowed says whether a VM of this failure domain follows the
 // configuration in the store.
