A placer stays while it can; only the asked VM's answer counts

The old placer, asking the new one, told its former members what it waits for; they did not know it and said so, and were believed; and each counted the other as a member for good. A restarted VM took its place back without knowing loads. Now notes name the placer, only its answer counts (TestOnlyTheAskedVMsAnswerCounts), a placer stays unless another has twice its members or processor time (TestPlacerStays), and the two next in rank hear its loads.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -37,30 +37,85 @@
 	Address, Domain string
 	// Share is its part of a core: placing costs time.
 	Share float64
+	// Members is how many VMs ask it now.
+	Members int
 }
 
-// Placer is the address of the VM that places the requests of self, which may be
-// self. willing are the VMs that are heard, self included if it is willing; empty if
-// there is none.
-func Placer(self VM, willing []VM) string {
-	group := willing
-	if len(willing) > wholeDeployment {
-		group = ofDomain(willing, self.Domain)
+// shareWorthMoving is how many times the part of a core, or the members, of the VM
+// that places now another must have to take over: a change costs what the old one knew.
+const shareWorthMoving = 2
+
+// Ranked orders VMs by who should place: those that do it already, then those with the
+// most processor time. Without that a VM that was restarted took its place back at once,
+// knowing no loads: of 200 requests a second 60 went to engines that were full.
+func Ranked(vms []VM) []VM {
+	most := 0.0
+	for _, v := range vms {
+		most = max(most, v.Share)
 	}
-	if len(group) == 0 {
-		return ""
+	members := func(v VM) int {
+		if v.Share*shareWorthMoving < most {
+			return 0
+		}
+		return v.Members
 	}
-	ranked := slices.Clone(group)
+	ranked := slices.Clone(vms)
 	slices.SortFunc(ranked, func(a, b VM) int {
+		if c := cmp.Compare(members(b), members(a)); c != 0 {
+			return c
+		}
 		if c := cmp.Compare(b.Share, a.Share); c != 0 {
 			return c
 		}
 		return compare(placerKey, a, b)
 	})
+	return ranked
+}
+
+// Placer is the address of the VM that places the requests of self, which may be
+// self. willing are the VMs that are heard, self included if it is willing; empty if
+// there is none. current is the placer so far: self stays with it while it is willing
+// and no other has far more members or processor time, else VMs that change at the same
+// moment would follow each other to and fro.
+func Placer(self VM, willing []VM, current string) string {
+	group := groupOf(self, willing)
+	if len(group) == 0 {
+		return ""
+	}
+	ranked := Ranked(group)
+	i := slices.IndexFunc(ranked, func(v VM) bool { return v.Address == current })
+	if i >= 0 && len(group) <= cellSize {
+		first, now := ranked[0], ranked[i]
+		if first.Members < shareWorthMoving*max(1, now.Members) && first.Share < shareWorthMoving*now.Share {
+			return current
+		}
+	}
 	placers := ranked[:(len(ranked)+cellSize-1)/cellSize]
 	return slices.MinFunc(placers, func(a, b VM) int { return compare(self.Address, a, b) }).Address
 }
 
+// groupOf are the VMs among which self finds its placer.
+func groupOf(self VM, willing []VM) []VM {
+	if len(willing) > wholeDeployment {
+		return ofDomain(willing, self.Domain)
+	}
+	return willing
+}
+
+// successors is how many VMs hear of a placer's loads in case they have to follow it.
+const successors = 2
+
+// Successors are those that would place next if the VM self, which places, were lost.
+func Successors(self VM, willing []VM) []string {
+	var next []string
+	for _, v := range Ranked(groupOf(self, willing)) {
+		if v.Address != self.Address && len(next) < successors {
+			next = append(next, v.Address)
+		}
+	}
+	return next
+}
+
 func ofDomain(vms []VM, domain string) []VM {
 	return slices.DeleteFunc(slices.Clone(vms), func(v VM) bool { return v.Domain != domain })
 }
--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -27,7 +27,7 @@
 			domain[v.Address] = v.Domain
 		}
 		for _, v := range vms {
-			p := Placer(v, vms)
+			p := Placer(v, vms, "")
 			members[p]++
 			if c.vms > wholeDeployment {
 				is.Equal(domain[p], v.Domain)
@@ -47,7 +47,7 @@
 	vms := deployment(16, 4)
 	vms[5].Share = 0.8
 	for _, v := range vms {
-		is.Equal(Placer(v, vms), vms[5].Address)
+		is.Equal(Placer(v, vms, ""), vms[5].Address)
 	}
 }
 
@@ -56,19 +56,19 @@
 func TestNextPlacer(t *testing.T) {
 	is := is.New(t)
 	vms := deployment(8, 4)
-	first := Placer(vms[0], vms)
+	first := Placer(vms[0], vms, "")
 	var left []VM
 	for _, v := range vms {
 		if v.Address != first {
 			left = append(left, v)
 		}
 	}
-	next := Placer(vms[0], left)
+	next := Placer(vms[0], left, "")
 	is.True(next != first)
 	for _, v := range vms {
-		is.Equal(Placer(v, left), next)
+		is.Equal(Placer(v, left, ""), next)
 	}
-	is.Equal(Placer(vms[0], nil), "")
+	is.Equal(Placer(vms[0], nil, ""), "")
 }
 
 // Symptom: what a VM sent grew with the deployment: at 300 VMs 386 KB a second, and
@@ -82,7 +82,7 @@
 	placerOf := make(map[string]string)
 	placers := make(map[string]bool)
 	for _, v := range vms {
-		placerOf[v.Address] = Placer(v, vms)
+		placerOf[v.Address] = Placer(v, vms, "")
 		placers[placerOf[v.Address]] = true
 	}
 	mine := placerOf[self.Address]
@@ -109,3 +109,29 @@
 	}
 	is.True(near > 100)
 }
+
+// Symptom: many requests were late for seconds each time a VM came back after a restart.
+// Sequence: the placer restarts; the next one places; the first is back, ranks first
+// again and knows no loads. Cause: the rank was by processor time and hash alone. One
+// that places goes on, unless it has far less processor time.
+func TestPlacerStays(t *testing.T) {
+	is := is.New(t)
+	vms := deployment(8, 4)
+	first := Placer(vms[0], vms, "")
+	for i := range vms {
+		if vms[i].Address == first {
+			continue
+		}
+		vms[i].Members = 7
+		is.Equal(Placer(vms[0], vms, ""), vms[i].Address)
+		next := Successors(vms[i], vms)
+		is.Equal(len(next), successors)
+		is.True(next[0] != vms[i].Address)
+		is.Equal(Placer(vms[0], vms, first), vms[i].Address)
+		vms[i].Members = 1
+		is.Equal(Placer(vms[0], vms, first), first)
+		vms[i].Share = 0.1
+		is.Equal(Placer(vms[0], vms, vms[i].Address), first)
+		vms[i].Share, vms[i].Members = 0.4, 0
+	}
+}
--- a/core/cell/recipients.go
+++ b/core/cell/recipients.go
@@ -12,8 +12,9 @@
 	Near bool
 	// Places says that it places requests by itself: it needs to know loads.
 	Places bool
-	// Cell says that it is this VM's placer, or asks this one.
-	Cell bool
+	// Cell says that it is this VM's placer, or asks this one; Successor that it would
+	// place if this one were lost.
+	Cell, Successor bool
 }
 
 // Recipients are who gets a note.
@@ -42,7 +43,7 @@
 	var r Recipients
 	for _, p := range peers {
 		switch {
-		case p.Cell && !placesSelf:
+		case p.Cell && !placesSelf, placesSelf && p.Successor:
 			r.Loads = append(r.Loads, p.Address)
 		case p.Cell:
 			r.State = append(r.State, p.Address)
--- a/entry/guests.go
+++ b/entry/guests.go
@@ -53,7 +53,7 @@
 	for _, m := range n.Progress {
 		g.progress(m)
 	}
-	if n.Number > 0 {
+	if n.Loads && n.Placer == g.d.set.Listen.Peers {
 		g.reconcile(n, from)
 	}
 }
@@ -153,11 +153,6 @@
 	now := g.d.now()
 	var again, over []uint64
 	g.mu.Lock()
-	// Loads of a VM that asks go to its placer alone.
-	if _, asks := g.heard[from.String()]; !asks && !(n.Asks && n.Loads) {
-		g.mu.Unlock()
-		return
-	}
 	g.heard[from.String()] = now
 	for _, h := range n.Waiting {
 		named[h] = true
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -72,6 +72,7 @@
 	// followsConfig, places, asks and share are what it said of itself.
 	followsConfig, places, asks bool
 	share                       float64
+	members                     int
 	// shunUntil is until when it is not asked for places.
 	shunUntil time.Duration
 	// silent says that it was this VM's placer and fell silent.
@@ -209,7 +210,10 @@
 	sign := p.note()
 	sign.Number = i + 1
 	sign.Places, sign.CpuShare = p.d.guests.willing(), p.d.set.Limits.CpuShare
-	sign.Asks = p.d.placing.followed() != nil
+	sign.Members = uint32(len(p.d.guests.members()))
+	if placer := p.d.placing.followed(); placer != nil {
+		sign.Placer = placer.addr.String()
+	}
 	p.writeAll(p.encode(sign), to.Signs)
 	state := proto.Clone(sign).(*schema.PeerNote)
 	p.d.placing.describe(state)
@@ -244,13 +248,17 @@
 func (p *peers) recipients(i uint64) cell.Recipients {
 	members := p.d.guests.members()
 	placer := p.d.placing.followed()
+	var next []string
+	if placer == nil && len(members) > 0 {
+		next = cell.Successors(p.willing(p.d.now()))
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	peers := make([]cell.Peer, 0, len(p.addrs))
 	for a, pe := range p.addrs {
 		peers = append(peers, cell.Peer{
 			Address: a, Near: pe.domain == p.d.set.Vm.FailureDomain, Places: !pe.asks,
-			Cell: pe == placer || slices.Contains(members, a),
+			Cell: pe == placer || placer == nil && slices.Contains(members, a), Successor: slices.Contains(next, a),
 		})
 	}
 	// Each VM begins elsewhere in the list, or one VM would hear all others at once
@@ -393,7 +401,7 @@
 		pe.hear(p.d.now())
 		pe.followsConfig = n.FollowsConfig
 		if n.Number > 0 {
-			pe.places, pe.share, pe.asks = n.Places, n.CpuShare, n.Asks
+			pe.places, pe.share, pe.asks, pe.members = n.Places, n.CpuShare, n.Placer != "", int(n.Members)
 		}
 	}
 	p.mu.Unlock()
@@ -454,5 +462,5 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sched.PeerUses(s.now(), n.Vm, n.FailureDomain, uses, !n.Asks)
+	s.sched.PeerUses(s.now(), n.Vm, n.FailureDomain, uses, n.Placer == "")
 }
--- a/entry/placing.go
+++ b/entry/placing.go
@@ -45,6 +45,7 @@
 
 // ask is a request that waits for the placer's answer.
 type ask struct {
+	to      *peer
 	answers chan *schema.PlaceDecision
 	queued  bool
 }
@@ -62,15 +63,26 @@
 // place finds an endpoint for a job; ok is false if ctx ended first.
 func (p *placing) place(ctx context.Context, j dispatch.Job) (dec dispatch.Decision, ok bool) {
 	if to := p.current(); to != nil && p.d.sched.isEngine(j.Service) {
-		dec, ok, done := p.ask(ctx, to, j)
-		if done {
+		start := p.d.now()
+		dec, ok, alone := p.ask(ctx, to, j)
+		if alone == "" {
 			return dec, ok
 		}
-		p.d.count("placed_alone")
+		p.d.count("placed_alone." + alone)
+		p.d.log.Info().Str("placer", to.addr.String()).Str("reason", alone).Uint64("handle", j.Handle).
+			Dur("asked_for", p.d.now()-start).Msg("placed_alone")
 	}
 	return p.d.sched.place(ctx, j)
 }
 
+// Reasons for placing a request here though another VM places.
+const (
+	aloneUnknown  = "not_known_there"
+	aloneUnusable = "endpoint_unusable_here"
+	aloneSilent   = "no_answer"
+	aloneMoved    = "placer_changed"
+)
+
 // current is the placer, if it is heard.
 func (p *placing) current() *peer {
 	p.mu.Lock()
@@ -89,9 +101,9 @@
 	return p.placer
 }
 
-// ask asks the placer; done is false if this VM has to place for itself.
-func (p *placing) ask(ctx context.Context, to *peer, j dispatch.Job) (dec dispatch.Decision, ok, done bool) {
-	a := &ask{answers: make(chan *schema.PlaceDecision, answerBuffer)}
+// ask asks the placer; alone says why this VM has to place for itself, if it has.
+func (p *placing) ask(ctx context.Context, to *peer, j dispatch.Job) (dec dispatch.Decision, ok bool, alone string) {
+	a := &ask{to: to, answers: make(chan *schema.PlaceDecision, answerBuffer)}
 	p.mu.Lock()
 	p.asks[j.Handle] = a
 	p.mu.Unlock()
@@ -108,12 +120,14 @@
 				p.setQueued(a)
 				timer.Reset(placerSilence)
 			case schema.PlaceDecision_REFUSED:
-				return refused(m), true, true
+				return refused(m), true, ""
 			case schema.PlaceDecision_PLACED:
-				dec := p.adopt(to, j, m)
-				return dec, true, dec.Endpoint != nil
+				if dec := p.adopt(to, j, m); dec.Endpoint != nil {
+					return dec, true, ""
+				}
+				return dec, false, aloneUnusable
 			default:
-				return dec, false, false
+				return dec, false, aloneUnknown
 			}
 		case <-timer.C:
 			if a.queued && p.current() == to {
@@ -123,19 +137,19 @@
 			if a.queued {
 				// It has fallen silent, or another VM places now.
 				p.leave(to, j.Handle)
-				return dec, false, false
+				return dec, false, aloneMoved
 			}
 			if sends == maxAsks {
 				p.leave(to, j.Handle)
 				p.shun(to)
-				return dec, false, false
+				return dec, false, aloneSilent
 			}
 			sends++
 			timer.Reset(askAgain)
 			p.d.peers.send(p.askNote(j), to.addr)
 		case <-ctx.Done():
 			p.leave(to, j.Handle)
-			return dec, false, true
+			return dec, false, ""
 		}
 	}
 }
@@ -227,7 +241,14 @@
 	if old != nil && now-since > placerSilence && !p.d.peers.heardWithin(old, placerSilence) {
 		p.d.peers.shunSilent(old)
 	}
-	address, to := p.d.peers.placer()
+	current := ""
+	switch {
+	case old != nil:
+		current = old.addr.String()
+	case len(p.d.guests.members()) > 0:
+		current = p.d.set.Listen.Peers
+	}
+	address, to := p.d.peers.placer(current)
 	p.mu.Lock()
 	p.placer = to
 	if old != to {
@@ -271,7 +292,7 @@
 		a := p.asks[m.Handle]
 		known := p.runs[m.Handle] != nil
 		p.mu.Unlock()
-		if a != nil {
+		if a != nil && a.to.addr.String() == from.String() {
 			select {
 			case a.answers <- m:
 			default:
@@ -304,10 +325,23 @@
 func micros(us uint64) time.Duration { return time.Duration(us) * time.Microsecond }
 
 // placer works out which VM places for this one, and its record; nil if it is this one.
-func (p *peers) placer() (address string, to *peer) {
+func (p *peers) placer(current string) (address string, to *peer) {
 	now := p.d.now()
-	self := cell.VM{Address: p.d.set.Listen.Peers, Domain: p.d.set.Vm.FailureDomain, Share: p.d.set.Limits.CpuShare}
-	var willing []cell.VM
+	self, willing := p.willing(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	chosen := cell.Placer(self, willing, current)
+	if chosen == "" || chosen == self.Address {
+		return self.Address, nil
+	}
+	return chosen, p.addrs[chosen]
+}
+
+// willing are the VMs that would place requests, and this one as such.
+func (p *peers) willing(now time.Duration) (self cell.VM, willing []cell.VM) {
+	self = cell.VM{
+		Address: p.d.set.Listen.Peers, Domain: p.d.set.Vm.FailureDomain, Share: p.d.set.Limits.CpuShare, Members: len(p.d.guests.members()),
+	}
 	if p.d.guests.willing() {
 		willing = append(willing, self)
 	}
@@ -315,14 +349,10 @@
 	defer p.mu.Unlock()
 	for a, pe := range p.addrs {
 		if pe.places && pe.heardLately(now) && now >= pe.shunUntil && !pe.silent {
-			willing = append(willing, cell.VM{Address: a, Domain: pe.domain, Share: pe.share})
+			willing = append(willing, cell.VM{Address: a, Domain: pe.domain, Share: pe.share, Members: pe.members})
 		}
 	}
-	chosen := cell.Placer(self, willing)
-	if chosen == "" || chosen == self.Address {
-		return self.Address, nil
-	}
-	return chosen, p.addrs[chosen]
+	return self, willing
 }
 
 // heardWithin says whether a VM spoke within a time.
