--- a/entry/placing.go
+++ b/entry/placing.go
@@ -65,9 +65,6 @@
 
 // place finds an endpoint for a job; ok is false if ctx ended first.
 func (p *placing) place(ctx context.Context, j dispatch.Job) (dec dispatch.Decision, ok bool) {
-	if !p.d.sched.isEngine(j.Service) {
-		return p.d.sched.place(ctx, j)
-	}
 	j.Avoided = p.d.sched.unreachable(j.Service)
 	for to := p.current(); to != nil; to = p.current() {
 		start := p.d.now()
