--- a/entry/forward.go
+++ b/entry/forward.go
@@ -42,7 +42,7 @@
 	var last attempt
 	var s *stream
 	for try := 0; ; try++ {
-		dec, ok := c.d.placing.place(ctx, c.jobFor(s))
+		dec, ok := c.d.placing.place(ctx, c.call.ID, c.jobFor(s))
 		if !ok {
 			c.giveUp(s)
 			return
--- a/entry/placing.go
+++ b/entry/placing.go
@@ -63,8 +63,8 @@
 	return &placing{d: d, asks: make(map[uint64]*ask), runs: make(map[uint64]*remoteRun)}
 }
 
-// place finds an endpoint for a job; ok is false if ctx ended first.
-func (p *placing) place(ctx context.Context, j dispatch.Job) (dec dispatch.Decision, ok bool) {
+// place finds an endpoint for a job of a caller's request; ok is false if ctx ended first.
+func (p *placing) place(ctx context.Context, request string, j dispatch.Job) (dec dispatch.Decision, ok bool) {
 	j.Avoided = p.d.sched.unreachable(j.Service)
 	for to := p.current(); to != nil; to = p.current() {
 		start := p.d.now()
@@ -72,26 +72,26 @@
 		if alone == "" {
 			return dec, ok
 		}
-		if alone == aloneUnusable && len(j.Avoided) < maxAvoided {
+		p.d.log.Info().Str("request", request).Str("placer", to.addr.String()).Str("reason", alone).
+			Uint64("endpoint_hash", dec.Name).Dur("asked_for", p.d.now()-start).Msg("placer_passed_over")
+		if dec.Name != 0 && len(j.Avoided) < maxAvoided {
 			// Asked anew, as another request: what is left of this one may be on its way.
 			j.Avoided = append(j.Avoided, dec.Name)
 			j.Handle = p.d.lastHandle.Add(1)
 			continue
 		}
 		p.d.count("placed_alone." + alone)
-		p.d.log.Info().Str("placer", to.addr.String()).Str("reason", alone).Uint64("handle", j.Handle).
-			Dur("asked_for", p.d.now()-start).Msg("placed_alone")
 		break
 	}
 	return p.d.sched.place(ctx, j)
 }
 
-// Reasons for placing a request here though another VM places.
+// Reasons for placing a request here though another VM places, beside those why its
+// endpoint may not be used.
 const (
-	aloneUnknown  = "not_known_there"
-	aloneUnusable = "endpoint_unusable_here"
-	aloneSilent   = "no_answer"
-	aloneMoved    = "placer_changed"
+	aloneUnknown = "not_known_there"
+	aloneSilent  = "no_answer"
+	aloneMoved   = "placer_changed"
 )
 
 // current is the placer, if it is heard.
@@ -132,10 +132,8 @@
 			case schema.PlaceDecision_REFUSED:
 				return refused(m), true, ""
 			case schema.PlaceDecision_PLACED:
-				if dec := p.adopt(to, j, m); dec.Endpoint != nil {
-					return dec, true, ""
-				}
-				return dispatch.Decision{Name: m.Endpoint}, false, aloneUnusable
+				dec, why := p.adopt(to, j, m)
+				return dec, dec.Endpoint != nil, string(why)
 			default:
 				return dec, false, aloneUnknown
 			}
@@ -178,19 +176,18 @@
 
 // adopt takes over what the placer decided, unless this VM knows that the endpoint
 // may not be used.
-func (p *placing) adopt(to *peer, j dispatch.Job, m *schema.PlaceDecision) dispatch.Decision {
+func (p *placing) adopt(to *peer, j dispatch.Job, m *schema.PlaceDecision) (dispatch.Decision, dispatch.Unusable) {
 	dec, why := p.d.sched.adopt(j, m.Endpoint, micros(m.PredictedUs), int(m.PromptTokens))
 	if dec == nil {
-		p.d.log.Info().Uint64("handle", j.Handle).Str("placer", to.addr.String()).Uint64("endpoint_hash", m.Endpoint).Str("reason", string(why)).Msg("placement_declined")
 		p.leave(to, j.Handle)
-		return dispatch.Decision{}
+		return dispatch.Decision{Name: m.Endpoint}, why
 	}
 	dec.By, dec.Candidates, dec.Waiting = to.addr.String(), int(m.Candidates), int(m.Waiting)
 	dec.Load = dispatch.Use{Running: int(m.Running), PromptTokens: int(m.PromptTokens), Gap: micros(m.EventGapUs)}
 	p.mu.Lock()
 	p.runs[j.Handle] = &remoteRun{placer: to}
 	p.mu.Unlock()
-	return *dec
+	return *dec, ""
 }
 
 func refused(m *schema.PlaceDecision) dispatch.Decision {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -218,6 +218,7 @@
 		d.registryLostAt.Store(0)
 		if whole {
 			from = c.next
+			d.log.Info().Uint64("offset", c.next).Int("endpoints", len(records)).Msg("registry_read")
 		}
 		changed := d.takeEndpoints(records, whole, c.next)
 		if d.peers.reads() {
