--- /dev/null
+++ b/entry/notes.go
@@ -0,0 +1,236 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chivefield/chivefield/core/allowance"
+	"github.com/chivefield/chivefield/core/cell"
+	"github.com/chivefield/chivefield/core/dispatch"
+	"github.com/chivefield/chivefield/schema"
+)
+
+// names lists the VMs known, or none if the list is not whole.
+func (p *peers) names() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.complete || len(p.addrs) >= maxListed {
+		return nil
+	}
+	names := make([]string, 0, len(p.addrs))
+	for a, pe := range p.addrs {
+		names = append(names, entryOf(allowance.VM{Address: a, Domain: pe.domain}))
+	}
+	slices.Sort(names)
+	return append(names, entryOf(allowance.VM{Address: p.d.set.Listen.Peers, Domain: p.d.set.Vm.FailureDomain}))
+}
+
+func (p *peers) note() *schema.PeerNote {
+	n := &schema.PeerNote{Vm: p.d.set.Vm.Name, Incarnation: p.inc, Address: p.d.set.Listen.Peers, FailureDomain: p.d.set.Vm.FailureDomain}
+	if t := p.d.table.Load(); t != nil {
+		n.ConfigVersion = t.Document.Version
+	}
+	n.FollowsConfig, n.StoreLost = p.follows.Load(), p.d.registryLost(p.d.now())
+	return n
+}
+
+// tell sends notes until ctx ends.
+func (p *peers) tell(ctx context.Context) error {
+	t := time.NewTicker(noteEvery)
+	defer t.Stop()
+	for i := uint64(0); ; i++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		p.d.guests.sweep()
+		p.d.placing.choose()
+		p.tellOnce(i)
+	}
+}
+
+// tellOnce sends the i-th note: with loads to those who place requests, with what a
+// cell needs to the rest of it, and a sign of life to some others.
+func (p *peers) tellOnce(i uint64) {
+	to := p.recipients(i)
+	sign := p.note()
+	sign.Number = i + 1
+	sign.Places, sign.CpuShare = p.d.guests.willing(), p.d.set.Limits.CpuShare
+	sign.Registry = p.d.registry.position()
+	sign.Members = uint32(len(p.d.guests.members()))
+	if placer := p.d.placing.followed(); placer != nil {
+		sign.Placer = placer.addr.String()
+	}
+	p.writeAll(p.encode(sign), to.Signs)
+	state := proto.Clone(sign).(*schema.PeerNote)
+	p.d.placing.describe(state)
+	whole := i%vmsEvery == 0
+	if whole {
+		state.Vms = p.names()
+		// Those who ask need the paces for when they place for themselves.
+		state.Loads, state.Uses = true, p.d.sched.uses(true)
+	}
+	p.writeAll(p.encode(state), to.State)
+	if !whole {
+		state.Loads, state.Uses = true, p.d.sched.uses(false)
+	}
+	p.writeAll(p.encode(state), to.Loads)
+}
+
+func (p *peers) writeAll(b []byte, to []string) {
+	p.mu.Lock()
+	addrs := make([]*net.UDPAddr, 0, len(to))
+	for _, a := range to {
+		if pe := p.addrs[a]; pe != nil {
+			addrs = append(addrs, pe.addr)
+		}
+	}
+	p.mu.Unlock()
+	for _, a := range addrs {
+		p.write(b, a)
+	}
+}
+
+// recipients chooses who gets the i-th note.
+func (p *peers) recipients(i uint64) cell.Recipients {
+	members := p.d.guests.members()
+	placer := p.d.placing.followed()
+	var next []string
+	if placer == nil && len(members) > 0 {
+		next = cell.Successors(p.willing(p.d.now()))
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peers := make([]cell.Peer, 0, len(p.addrs))
+	for a, pe := range p.addrs {
+		peers = append(peers, cell.Peer{
+			Address: a, Near: pe.domain == p.d.set.Vm.FailureDomain, Places: !pe.asks,
+			Cell: pe == placer || placer == nil && slices.Contains(members, a), Successor: slices.Contains(next, a),
+		})
+	}
+	// Each VM begins elsewhere in the list, or one VM would hear all others at once
+	// and then none for a while.
+	return cell.RecipientsOf(peers, i+p.offset, placer == nil)
+}
+
+// turnRange bounds offsets; more than the turns of a list of any length in use.
+const turnRange = 1 << 16
+
+func turnOffset(address string) uint64 { return xxhash.Sum64String(address) % turnRange }
+
+func (p *peers) encode(n *schema.PeerNote) []byte {
+	b, err := proto.Marshal(n)
+	if err != nil {
+		p.d.log.Error().Err(err).Msg("note_unsendable")
+		return nil
+	}
+	if len(b) > maxDatagram {
+		p.d.count("notes_too_long")
+		return nil
+	}
+	return b
+}
+
+func (p *peers) send(n *schema.PeerNote, to *net.UDPAddr) { p.write(p.encode(n), to) }
+
+func (p *peers) write(b []byte, to *net.UDPAddr) {
+	if len(b) == 0 {
+		return
+	}
+	if _, err := p.conn.WriteToUDP(b, to); err != nil {
+		p.d.count("note_errors")
+	}
+}
+
+func (p *peers) receive(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() })
+	defer stop()
+	buf := make([]byte, maxDatagram)
+	for {
+		size, from, err := p.conn.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			p.d.count("note_errors")
+			continue
+		}
+		n := &schema.PeerNote{}
+		if err := proto.Unmarshal(buf[:size], n); err != nil {
+			p.d.count("notes_unreadable")
+			continue
+		}
+		p.take(n, from)
+	}
+}
+
+// take takes in one note.
+func (p *peers) take(n *schema.PeerNote, from *net.UDPAddr) {
+	p.d.placing.take(n, from)
+	p.d.guests.take(n, from)
+	if n.Address == "" {
+		// Messages on single requests say nothing else.
+		return
+	}
+	p.mu.Lock()
+	pe := p.learn(allowance.VM{Address: n.Address, Domain: n.FailureDomain})
+	if len(n.Vms) > 0 {
+		p.learnList(n.Vms)
+	}
+	p.share()
+	if pe != nil {
+		pe.hear(p.d.now())
+		pe.followsConfig, pe.storeLost = n.FollowsConfig, n.StoreLost
+		if n.Number > 0 {
+			pe.places, pe.share, pe.asks, pe.members = n.Places, n.CpuShare, n.Placer != "", int(n.Members)
+			pe.registry = n.Registry
+		}
+	}
+	p.mu.Unlock()
+	p.takeRelayed(n)
+	if n.Loads {
+		p.d.sched.peerUses(n)
+	}
+	for _, g := range n.Grants {
+		back := p.d.shares.receive(allowance.Amount{Organisation: g.Organisation, Units: g.Amount})
+		// What was returned once is not sent again, or it would go to and fro.
+		if back > 0 && !n.Returned {
+			p.giveBack(g.Organisation, back, from)
+		}
+	}
+	p.answer(n.Wants, from)
+}
+
+// uses returns this VM's load as others need it.
+func (s *scheduling) uses(paces bool) []*schema.EndpointUse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*schema.EndpointUse
+	for _, u := range s.sched.Uses(s.now(), paces) {
+		list = append(list, &schema.EndpointUse{
+			Endpoint: u.Name, Running: uint32(u.Running), Waiting: uint32(u.Waiting),
+			PromptTokens: uint32(u.PromptTokens), EventGapUs: uint32(u.Gap.Microseconds()), Doubted: u.Doubted, Gone: u.Gone,
+		})
+	}
+	return list
+}
+
+func (s *scheduling) peerUses(n *schema.PeerNote) {
+	uses := make([]dispatch.NamedUse, 0, len(n.Uses))
+	for _, u := range n.Uses {
+		uses = append(uses, dispatch.NamedUse{Name: u.Endpoint, Use: dispatch.Use{
+			Running: int(u.Running), Waiting: int(u.Waiting), PromptTokens: int(u.PromptTokens),
+			Gap: time.Duration(u.EventGapUs) * time.Microsecond, Doubted: u.Doubted, Gone: u.Gone,
+		}})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sched.PeerUses(s.now(), n.Vm, n.FailureDomain, uses, n.Placer == "")
+}
--- a/entry/placing.go
+++ b/entry/placing.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/chivefield/chivefield/core/cell"
 	"github.com/chivefield/chivefield/core/dispatch"
 	"github.com/chivefield/chivefield/schema"
 )
@@ -239,46 +238,6 @@
 	}
 }
 
-// choose works out the placer from the VMs that are heard. Runs of one that has
-// fallen silent become this VM's own: nobody else tells of their load.
-func (p *placing) choose() {
-	now := p.d.now()
-	p.mu.Lock()
-	old, since := p.placer, p.since
-	p.mu.Unlock()
-	if old != nil && now-since > placerSilence && !p.d.peers.heardWithin(old, placerSilence) {
-		p.d.peers.shunSilent(old)
-	}
-	current := ""
-	switch {
-	case old != nil:
-		current = old.addr.String()
-	case len(p.d.guests.members()) > 0:
-		current = p.d.set.Listen.Peers
-	}
-	address, to := p.d.peers.placer(current)
-	p.mu.Lock()
-	p.placer = to
-	if old != to {
-		p.since = now
-	}
-	var owned []uint64
-	for h, r := range p.runs {
-		if !p.d.peers.heardWithin(r.placer, placerSilence) {
-			owned = append(owned, h)
-			delete(p.runs, h)
-		}
-	}
-	p.mu.Unlock()
-	for _, h := range owned {
-		p.d.sched.own(h)
-	}
-	if old != to {
-		p.d.sched.chooseAs(address)
-		p.d.log.Info().Str("placer", address).Bool("self", to == nil).Dur("uptime", now).Int("runs_owned", len(owned)).Msg("placer_chosen")
-	}
-}
-
 // describe adds what the placer needs to see that it knows all requests of this VM.
 func (p *placing) describe(n *schema.PeerNote) {
 	p.mu.Lock()
@@ -332,56 +291,9 @@
 
 func micros(us uint64) time.Duration { return time.Duration(us) * time.Microsecond }
 
-// placer works out which VM places for this one, and its record; nil if it is this one.
-func (p *peers) placer(current string) (address string, to *peer) {
-	now := p.d.now()
-	self, willing := p.willing(now)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	chosen := cell.Placer(self, willing, current)
-	if chosen == "" || chosen == self.Address {
-		return self.Address, nil
-	}
-	return chosen, p.addrs[chosen]
-}
-
-// willing are the VMs that would place requests, and this one as such.
-func (p *peers) willing(now time.Duration) (self cell.VM, willing []cell.VM) {
-	self = cell.VM{
-		Address: p.d.set.Listen.Peers, Domain: p.d.set.Vm.FailureDomain, Share: p.d.set.Limits.CpuShare, Members: len(p.d.guests.members()),
-	}
-	if p.d.guests.willing() {
-		willing = append(willing, self)
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for a, pe := range p.addrs {
-		if pe.places && pe.heardLately(now) && now >= pe.shunUntil && !pe.silent {
-			willing = append(willing, cell.VM{Address: a, Domain: pe.domain, Share: pe.share, Members: pe.members})
-		}
-	}
-	return self, willing
-}
-
-// heardWithin says whether a VM spoke within a time.
-func (p *peers) heardWithin(pe *peer, d time.Duration) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.d.now()-pe.heard < d
-}
-
 // shun leaves a VM out of the choice of placers for a time.
 func (p *peers) shun(pe *peer, until time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pe.shunUntil = until
 }
-
-// shunSilent leaves a VM out of the choice of placers until it is heard again. Signs of
-// life of VMs outside the cell are seconds apart in a large deployment; a placer is
-// missed sooner by those who ask it.
-func (p *peers) shunSilent(pe *peer) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	pe.silent = true
-}
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/chivefield/chivefield/core/members"
 	"github.com/chivefield/chivefield/schema"
 )
 
@@ -148,3 +149,165 @@
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list[:min(sources, len(list))]
 }
+
+// followEndpoints keeps the known endpoints up to date. One VM of each failure
+// domain reads the registry and passes on what changed; the others read only when
+// they hear nothing or have missed something.
+func (d *Daemon) followEndpoints(ctx context.Context) error {
+	c := cursor{store: d.opts.Store, feed: FeedEndpoints}
+	var dep dependency
+	read := time.NewTimer(0)
+	defer read.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case r := <-d.peers.relays:
+			if !d.takeRelay(ctx, &c, r) {
+				read.Reset(0)
+			} else if !d.peers.reads() {
+				read.Reset(spread(relaySilence))
+			}
+			continue
+		case <-read.C:
+		}
+		if !c.known && d.awaitsRelay() {
+			read.Reset(noteEvery)
+			continue
+		}
+		from := c.next
+		records, whole, err := c.read(ctx, 0)
+		d.noteStore(&dep, "endpoints", err)
+		if err != nil {
+			d.registryLostAt.Store(int64(d.now()))
+			d.registry.lose()
+			d.sched.update(func(_ time.Duration, m *members.Set) { m.Away() })
+			read.Reset(spread(retryEvery))
+			continue
+		}
+		d.registryLostAt.Store(0)
+		if whole {
+			from = c.next
+			d.log.Info().Uint64("offset", c.next).Int("endpoints", len(records)).Msg("registry_read")
+		}
+		changed := d.takeEndpoints(records, whole, c.next)
+		if d.peers.reads() {
+			d.peers.relay(from, c.next, changed)
+			read.Reset(spread(endpointsEvery))
+		} else {
+			read.Reset(spread(relaySilence))
+		}
+	}
+}
+
+// storeLostFor is how long a VM that could not read the registry leaves the reading for
+// its failure domain to others.
+const storeLostFor = 5 * time.Second
+
+// registryLost says whether this VM could not read the registry lately.
+func (d *Daemon) registryLost(now time.Duration) bool {
+	at := time.Duration(d.registryLostAt.Load())
+	return at > 0 && now-at < storeLostFor
+}
+
+const (
+	// listWait is how long a starting VM waits for the list of VMs, and for their notes.
+	listWait = 300 * time.Millisecond
+	// relayWait is how long it leaves the first reading to the reader of its failure
+	// domain, which takes as long as one VM needs for the whole registry.
+	relayWait = 1500 * time.Millisecond
+	// manyVMs is from how many VMs on it does so: fewer cost the store little, and
+	// waiting costs callers.
+	manyVMs = 24
+)
+
+// awaitsRelay says whether a starting VM of a large deployment leaves the reading of
+// the registry to others. When all VMs were killed at once, 300 of them took 8.5 s until
+// each had read 3,000 endpoints from the store.
+func (d *Daemon) awaitsRelay() bool {
+	up := d.now()
+	n, known := d.peers.count()
+	switch {
+	case known && n <= manyVMs || up > relayWait:
+		return false
+	case up < listWait:
+		return true
+	}
+	return !d.peers.reads()
+}
+
+// takeRelay takes in what the reader passed on. If this VM has missed something it gets
+// everything from a VM that has not; it reports false if there is none.
+func (d *Daemon) takeRelay(ctx context.Context, c *cursor, r relay) bool {
+	if c.known && r.From <= c.next {
+		if r.Next >= c.next {
+			c.next = r.Next
+			d.takeEndpoints(relayed(r.Records), false, c.next)
+		}
+		return true
+	}
+	records, next, err := d.peers.fetchEndpoints(ctx, r.Next, r.from)
+	if err != nil {
+		d.log.Info().Str("from", r.from).Uint64("offset", r.Next).Err(err).Msg("registry_fetch_failed")
+		return false
+	}
+	c.next, c.known = next, true
+	d.takeEndpoints(records, true, next)
+	d.log.Info().Uint64("offset", next).Int("endpoints", len(records)).Msg("registry_fetched")
+	return true
+}
+
+func relayed(list []*schema.StoreRecord) []Record {
+	records := make([]Record, 0, len(list))
+	for _, r := range list {
+		records = append(records, Record{Key: r.Key, Value: r.Value})
+	}
+	return records
+}
+
+// takeEndpoints takes records of the registry in, and returns those that changed
+// something.
+func (d *Daemon) takeEndpoints(records []Record, whole bool, next uint64) []Record {
+	d.registry.take(records, whole, next)
+	changes := make([]members.Change, 0, len(records))
+	kept := records[:0]
+	for _, r := range records {
+		c, err := d.codec.Endpoint(r)
+		if err != nil {
+			d.log.Error().Err(err).Msg("endpoint_unreadable")
+			continue
+		}
+		changes = append(changes, c)
+		kept = append(kept, r)
+	}
+	var changed []Record
+	var told []members.Change
+	d.sched.update(func(now time.Duration, m *members.Set) {
+		m.Back(now)
+		if whole {
+			m.Replace(now, changes)
+			return
+		}
+		for i, c := range changes {
+			before := m.Version()
+			m.Apply(now, c)
+			if m.Version() != before || c.Endpoint == nil {
+				changed, told = append(changed, kept[i]), append(told, c)
+			}
+		}
+		m.Expire(now)
+	})
+	d.logEndpoints(told)
+	d.endpointsKnown.Store(true)
+	return changed
+}
+
+func (d *Daemon) logEndpoints(changes []members.Change) {
+	for _, c := range changes {
+		ev := d.log.Info().Str("endpoint", c.ID).Bool("removed", c.Endpoint == nil)
+		if c.Endpoint != nil {
+			ev = ev.Str("address", c.Endpoint.Address).Bool("leaving", c.Endpoint.Leaving)
+		}
+		ev.Msg("endpoint_changed")
+	}
+}
