Short work that can be on time goes before late work of the tier above

TestShortWorkGoesBeforeLateWork was red before. A share of 0.3 of the usual work in place of 0.2 made refusals later than TestRefusalsComeEarly allows; left.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -35,8 +35,9 @@
 	Domain string
 
 	arrived time.Duration
-	// late says that the objective cannot be met any more.
+	// late says that the objective cannot be met any more; rank orders the queue.
 	late bool
+	rank int
 }
 
 // Decision is what to do with a waiting job.
@@ -119,6 +120,8 @@
 	// fast those of each class were placed.
 	placed, refused rate
 	served          map[class]*rate
+	// effort is the usual work of a placed job, as work tells it.
+	effort float64
 }
 
 // endpoint is the view of one endpoint.
@@ -392,6 +395,7 @@
 	c.ep.turn.take()
 	sv.placed.count(now)
 	sv.classRate(class{j.Tier, j.late}).count(now)
+	sv.effort += (work(j) - sv.effort) * effortWeight
 	ep := c.ep.Endpoint
 	s.out = append(s.out, Decision{
 		Handle: j.Handle, Endpoint: &ep, Predicted: c.first, Candidates: len(sv.list), Waiting: len(sv.queue), Load: c.load,
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -261,3 +261,23 @@
 	is.True(!adopt(now, 3))
 	is.Equal(s.Unreachable(playService), []uint64{NameOf("e")})
 }
+
+// Symptom: the lowest tier earned 0.26 to 0.285 of what it was owed on a day with bursts,
+// where 0.30 was asked. Sequence: more comes than the engines do; late jobs of the middle
+// tier wait; the short jobs of the lowest go behind them and turn late too. Cause: tier
+// before all else, also where it keeps short work behind work that is late anyway. The
+// load: one and a half times what the engines do, one scheduler for all. Before, 0.18 of
+// the lowest tier were on time.
+func TestShortWorkGoesBeforeLateWork(t *testing.T) {
+	is := is.New(t)
+	onTime, asked, long := 0, 0, 0.0
+	for seed := range uint64(4) {
+		p := newPlay(seed, 1, 11, unlike, mixOf(1.5, 0.5))
+		p.run(20 * time.Second)
+		onTime, asked = onTime+p.results[2].onTime, asked+p.results[2].asked
+		long += part(p.results[0].onTime, p.results[0].asked) / 4
+	}
+	t.Logf("%.3f of the lowest tier on time, %.3f of the highest", part(onTime, asked), long)
+	is.True(part(onTime, asked) > 0.2)
+	is.True(long > 0.92)
+}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -93,16 +93,12 @@
 	fastest := sv.fastest()
 	for _, j := range sv.queue {
 		j.late = now+sv.atBest(j, fastest) > j.Objective
+		j.rank = sv.rankOf(j)
 	}
 	slices.SortStableFunc(sv.queue, func(a, b *Job) int {
 		switch {
-		case a.Tier != b.Tier:
-			return a.Tier - b.Tier
-		case a.late != b.late:
-			if a.late {
-				return 1
-			}
-			return -1
+		case a.rank != b.rank:
+			return a.rank - b.rank
 		case a.late:
 			return int(a.arrived - b.arrived)
 		default:
