Missed records are read from the store; only VMs that it turns away ask others

One lost datagram cost 0.75 MB over narrow links, where reading on from the store costs little. Waiting for the reader at the start is gone with it: it gained nothing.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -163,10 +163,3 @@
 	p.d.log.Info().Str("address", v.Address).Str("peer_domain", v.Domain).Int("vms", len(p.addrs)+1).Msg("peer_known")
 	return pe
 }
-
-// count is the number of VMs known, and whether the list of them is whole.
-func (p *peers) count() (n int, whole bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.addrs) + 1, p.complete
-}
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -11,9 +11,7 @@
 )
 
 // registry keeps the records of the registry of endpoints as this VM knows them, for
-// VMs that have missed some: one that the store turns away has no other source, and
-// when all VMs start at once their reading of the whole registry would take the store
-// longer the more there are.
+// VMs that the store turns away: they have no other source for what they have missed.
 type registry struct {
 	mu      sync.Mutex
 	records map[string]Record
@@ -171,10 +169,6 @@
 			continue
 		case <-read.C:
 		}
-		if !c.known && d.awaitsRelay() {
-			read.Reset(noteEvery)
-			continue
-		}
 		from := c.next
 		records, whole, err := c.read(ctx, 0)
 		d.noteStore(&dep, "endpoints", err)
@@ -210,35 +204,9 @@
 	return at > 0 && now-at < storeLostFor
 }
 
-const (
-	// listWait is how long a starting VM waits for the list of VMs, and for their notes.
-	listWait = 300 * time.Millisecond
-	// relayWait is how long it leaves the first reading to the reader of its failure
-	// domain, which takes as long as one VM needs for the whole registry.
-	relayWait = 1500 * time.Millisecond
-	// manyVMs is from how many VMs on it does so: fewer cost the store little, and
-	// waiting costs callers. 100 VMs that each read 1,000 endpoints serve 2 s after all
-	// were killed; 61 VMs that waited for each other refused 1,856 requests meanwhile.
-	manyVMs = 128
-)
-
-// awaitsRelay says whether a starting VM of a large deployment leaves the reading of
-// the registry to others. When all VMs were killed at once, 300 of them took 8.5 s until
-// each had read 3,000 endpoints from the store.
-func (d *Daemon) awaitsRelay() bool {
-	up := d.now()
-	n, known := d.peers.count()
-	switch {
-	case known && n <= manyVMs || up > relayWait:
-		return false
-	case up < listWait:
-		return true
-	}
-	return !d.peers.reads()
-}
-
-// takeRelay takes in what the reader passed on. If this VM has missed something it gets
-// everything from a VM that has not; it reports false if there is none.
+// takeRelay takes in what the reader passed on. If this VM has missed something it reads
+// on from the store, which is little; if it cannot, it gets everything from a VM that has
+// not missed it. It reports false if the store should be read.
 func (d *Daemon) takeRelay(ctx context.Context, c *cursor, r relay) bool {
 	if c.known && r.From <= c.next {
 		if r.Next >= c.next {
@@ -247,10 +215,13 @@
 		}
 		return true
 	}
+	if !d.registryLost(d.now()) {
+		return false
+	}
 	records, next, err := d.peers.fetchEndpoints(ctx, r.Next, r.from)
 	if err != nil {
 		d.log.Info().Str("from", r.from).Uint64("offset", r.Next).Err(err).Msg("registry_fetch_failed")
-		return false
+		return c.known
 	}
 	c.next, c.known = next, true
 	d.takeEndpoints(records, true, next)
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -124,17 +124,6 @@
 	s.syncEndpoints()
 }
 
-// isEngine says whether a service's endpoints are model engines.
-func (s *scheduling) isEngine(service string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.table == nil {
-		return false
-	}
-	sv := s.table.Service(service)
-	return sv != nil && sv.Engine != nil
-}
-
 // place asks for an endpoint and waits for the decision; ok is false if ctx
 // ended first.
 func (s *scheduling) place(ctx context.Context, j dispatch.Job) (dispatch.Decision, bool) {
