--- a/entry/note_test.go
+++ b/entry/note_test.go
@@ -36,3 +36,36 @@
 		})
 	}
 }
+
+// BenchmarkPlacing measures the datagrams of one request that another VM places: their
+// bytes in all, without what UDP and IP add, and encoding and decoding them.
+func BenchmarkPlacing(b *testing.B) {
+	const handle = 1 << 63
+	notes := []*schema.PeerNote{
+		{PlaceAsks: []*schema.PlaceAsk{{
+			Handle: handle, Service: "chive-review", Tier: 1, Prompt: 6600, Events: 60, ObjectiveUs: 800000, AbandonUs: 3200000,
+			LimitUs: 15000000, MaxPauseUs: 250000, FailureDomain: "kewdale-a",
+		}}},
+		{PlaceDecisions: []*schema.PlaceDecision{{
+			Handle: handle, Verdict: schema.PlaceDecision_PLACED, Endpoint: handle + 1, PredictedUs: 120000, Candidates: 128, Waiting: 12,
+			Running: 8, PromptTokens: 5000, EventGapUs: 20000,
+		}}},
+		{Progress: []*schema.RunProgress{{Handle: handle, Started: true}}},
+		{Progress: []*schema.RunProgress{{Handle: handle, Ended: true}}},
+	}
+	sizes := 0
+	for b.Loop() {
+		sizes = 0
+		for _, n := range notes {
+			m, err := proto.Marshal(n)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if err := proto.Unmarshal(m, &schema.PeerNote{}); err != nil {
+				b.Fatal(err)
+			}
+			sizes += len(m)
+		}
+	}
+	b.ReportMetric(float64(sizes), "bytes")
+}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -131,6 +131,8 @@
 	"stream_broken":  "the stream was broken off towards the caller",
 	"caller_left":    "the caller closed its connection",
 	"body_broken":    "the request's body did not arrive whole",
+
+	"placer_passed_over": "the VM that places for this one could not be used",
 }
 
 // Write prints a story with times from its first line on.
