--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -94,9 +94,9 @@
 	heard := make(map[string]int)
 	for i := range uint64(100) {
 		r := RecipientsOf(peers, i, false)
-		is.True(len(r.Signs) <= nearSigns+farSigns)
+		is.True(len(r.Heartbeats) <= nearHeartbeats+farHeartbeats)
 		is.Equal(r.Loads, []string{mine})
-		for _, a := range r.Signs {
+		for _, a := range r.Heartbeats {
 			heard[a]++
 		}
 	}
--- a/core/cell/recipients.go
+++ b/core/cell/recipients.go
@@ -20,8 +20,8 @@
 // Recipients are who gets a note.
 type Recipients struct {
 	// Loads get the whole state with loads, State that without, for those of the own
-	// cell that place nothing, Signs only a sign of life.
-	Loads, State, Signs []string
+	// cell that place nothing, Heartbeats only says that the sender lives.
+	Loads, State, Heartbeats []string
 }
 
 const (
@@ -29,10 +29,10 @@
 	// own failure domain and of others.
 	nearLoads = 16
 	farLoads  = 6
-	// nearSigns and farSigns bound signs of life to all others. With ten notes a second
+	// nearHeartbeats and farHeartbeats bound heartbeats to all others. With ten notes a second
 	// and 138 VMs in a failure domain one hears each other every 3.5 s.
-	nearSigns = 4
-	farSigns  = 1
+	nearHeartbeats = 4
+	farHeartbeats  = 1
 )
 
 // RecipientsOf chooses who gets the i-th note, all in turns where there are too many:
@@ -59,7 +59,7 @@
 	}
 	r.Loads = append(r.Loads, inTurn(near, nearLoads, i)...)
 	r.Loads = append(r.Loads, inTurn(far, farLoads, i)...)
-	r.Signs = append(inTurn(nearOthers, nearSigns, i), inTurn(farOthers, farSigns, i)...)
+	r.Heartbeats = append(inTurn(nearOthers, nearHeartbeats, i), inTurn(farOthers, farHeartbeats, i)...)
 	return r
 }
 
--- a/core/dispatch/vain.go
+++ b/core/dispatch/hopeless.go
@@ -38,12 +38,12 @@
 // maxWait bounds waits that are told apart; no caller waits for so long.
 const maxWait = 30 * time.Second
 
-// vain says whether a job waits in vain, so that its caller is better told now, while
+// hopeless says whether a job waits for nothing, so that its caller is better told now, while
 // it has time to return: others of its class ahead of it take until it is late, and
 // the late ones until its caller leaves. Before, nine in ten refused jobs of the lowest
 // tier had been held for 1.3 s of their callers' 2 at one and a half times the
 // engines' capacity.
-func (sv *service) vain(now time.Duration, j *Job, ahead map[class]int, late int) bool {
+func (sv *service) hopeless(now time.Duration, j *Job, ahead map[class]int, late int) bool {
 	if j.late {
 		// Those behind it in the queue do not count.
 		late = ahead[class{j.Tier, true}]
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -138,7 +138,7 @@
 		switch {
 		case len(sv.list) == 0 || len(j.Tried) > 0 && !sv.untried(j):
 			s.refuse(now, sv, j, ReasonNoEndpoint)
-		case now+sv.atBest(j, fastest) >= j.Abandon || sv.vain(now, j, ahead, late[j.Tier]):
+		case now+sv.atBest(j, fastest) >= j.Abandon || sv.hopeless(now, j, ahead, late[j.Tier]):
 			s.refuse(now, sv, j, ReasonTooLate)
 		case len(kept) >= maxQueued:
 			s.refuse(now, sv, j, ReasonFull)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,15 +67,15 @@
 	// lastHandle starts at random: handles are unique over all VMs.
 	lastHandle atomic.Uint64
 
-	sched   *scheduling
-	placing *placing
-	guests  *guests
-	shares  *sharing
-	pool    *upstream.Pool
-	idle    *idleLimit
-	bodies  *memoryBudget
-	metrics metrics.Registry
-	peers   *peers
+	sched      *scheduling
+	placing    *placing
+	remoteJobs *remoteJobs
+	shares     *sharing
+	pool       *upstream.Pool
+	idle       *idleLimit
+	bodies     *memoryBudget
+	metrics    metrics.Registry
+	peers      *peers
 }
 
 const (
@@ -109,8 +109,8 @@
 	d.sched = newScheduling(d.set.Vm.Name, d.set.Vm.FailureDomain, d.now)
 	d.sched.probe = d.probe
 	d.lastHandle.Store(rand.Uint64())
-	d.placing, d.guests = newPlacing(d), newGuests(d)
-	d.sched.remote = d.guests.decided
+	d.placing, d.remoteJobs = newPlacing(d), newRemoteJobs(d)
+	d.sched.remote = d.remoteJobs.decided
 	d.sched.chooseAs(d.set.Listen.Peers)
 	d.shares = newSharing(d.set, d.now)
 	d.peers = newPeers(d)
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -50,26 +50,26 @@
 			return nil
 		case <-t.C:
 		}
-		p.d.guests.sweep()
+		p.d.remoteJobs.sweep()
 		p.d.placing.choose()
 		p.tellOnce(i)
 	}
 }
 
 // tellOnce sends the i-th note: with loads to those who place requests, with what a
-// cell needs to the rest of it, and a sign of life to some others.
+// cell needs to the rest of it, and a heartbeat to some others.
 func (p *peers) tellOnce(i uint64) {
 	to := p.recipients(i)
-	sign := p.note()
-	sign.Number = i + 1
-	sign.Places, sign.CpuShare = p.d.guests.willing(), p.d.set.Limits.CpuShare
-	sign.Registry = p.d.registry.position()
-	sign.Members = uint32(len(p.d.guests.members()))
+	heartbeat := p.note()
+	heartbeat.Number = i + 1
+	heartbeat.Places, heartbeat.CpuShare = p.d.remoteJobs.willing(), p.d.set.Limits.CpuShare
+	heartbeat.Registry = p.d.registry.position()
+	heartbeat.Members = uint32(len(p.d.remoteJobs.members()))
 	if placer := p.d.placing.followed(); placer != nil {
-		sign.Placer = placer.addr.String()
+		heartbeat.Placer = placer.addr.String()
 	}
-	p.writeAll(p.encode(sign), to.Signs)
-	state := proto.Clone(sign).(*schema.PeerNote)
+	p.writeAll(p.encode(heartbeat), to.Heartbeats)
+	state := proto.Clone(heartbeat).(*schema.PeerNote)
 	p.d.placing.describe(state)
 	whole := i%vmsEvery == 0
 	if whole {
@@ -100,7 +100,7 @@
 
 // recipients chooses who gets the i-th note.
 func (p *peers) recipients(i uint64) cell.Recipients {
-	members := p.d.guests.members()
+	members := p.d.remoteJobs.members()
 	placer := p.d.placing.followed()
 	var next []string
 	if placer == nil && len(members) > 0 {
@@ -174,7 +174,7 @@
 // take takes in one note.
 func (p *peers) take(n *schema.PeerNote, from *net.UDPAddr) {
 	p.d.placing.take(n, from)
-	p.d.guests.take(n, from)
+	p.d.remoteJobs.take(n, from)
 	if n.Address == "" {
 		// Messages on single requests say nothing else.
 		return
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -19,7 +19,7 @@
 	// paces.
 	vmsEvery = 10
 	// maxListed bounds the VMs that notes list, 3 KB of them (BenchmarkNote). Larger
-	// deployments know each other from the store and by signs of life.
+	// deployments know each other from the store and by heartbeat.
 	maxListed = 64
 	// maxDatagram is the largest note; a larger one is not sent, and counted.
 	maxDatagram = 8 << 10
@@ -68,8 +68,8 @@
 	share    float64
 	members  int
 	registry uint64
-	// shunUntil is until when it is not asked for places.
-	shunUntil time.Duration
+	// avoidUntil is until when it is not asked for places.
+	avoidUntil time.Duration
 	// silent says that it was this VM's placer and fell silent.
 	silent bool
 }
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -14,13 +14,13 @@
 	old, since := p.placer, p.since
 	p.mu.Unlock()
 	if old != nil && now-since > placerSilence && !p.d.peers.heardWithin(old, placerSilence) {
-		p.d.peers.shunSilent(old)
+		p.d.peers.avoidSilent(old)
 	}
 	current := ""
 	switch {
 	case old != nil:
 		current = old.addr.String()
-	case len(p.d.guests.members()) > 0:
+	case len(p.d.remoteJobs.members()) > 0:
 		current = p.d.set.Listen.Peers
 	}
 	address, to := p.d.peers.placer(current)
@@ -62,15 +62,15 @@
 // willing are the VMs that would place requests, and this one as such.
 func (p *peers) willing(now time.Duration) (self cell.VM, willing []cell.VM) {
 	self = cell.VM{
-		Address: p.d.set.Listen.Peers, Domain: p.d.set.Vm.FailureDomain, Share: p.d.set.Limits.CpuShare, Members: len(p.d.guests.members()),
+		Address: p.d.set.Listen.Peers, Domain: p.d.set.Vm.FailureDomain, Share: p.d.set.Limits.CpuShare, Members: len(p.d.remoteJobs.members()),
 	}
-	if p.d.guests.willing() {
+	if p.d.remoteJobs.willing() {
 		willing = append(willing, self)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for a, pe := range p.addrs {
-		if pe.places && pe.heardLately(now) && now >= pe.shunUntil && !pe.silent {
+		if pe.places && pe.heardLately(now) && now >= pe.avoidUntil && !pe.silent {
 			willing = append(willing, cell.VM{Address: a, Domain: pe.domain, Share: pe.share, Members: pe.members})
 		}
 	}
@@ -84,10 +84,10 @@
 	return p.d.now()-pe.heard < d
 }
 
-// shunSilent leaves a VM out of the choice of placers until it is heard again. Signs of
+// avoidSilent leaves a VM out of the choice of placers until it is heard again. Heartbeats of
 // life of VMs outside the cell are seconds apart in a large deployment; a placer is
 // missed sooner by those who ask it.
-func (p *peers) shunSilent(pe *peer) {
+func (p *peers) avoidSilent(pe *peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pe.silent = true
--- a/entry/placing.go
+++ b/entry/placing.go
@@ -18,8 +18,8 @@
 	// region; after maxAsks the VM places for itself.
 	askAgain = 40 * time.Millisecond
 	maxAsks  = 3
-	// shunFor is how long a placer that did not answer is left alone.
-	shunFor = time.Second
+	// avoidFor is how long a placer that did not answer is left alone.
+	avoidFor = time.Second
 	// willingAfter is how long a process hears others before it places for them:
 	// until then it knows neither their loads nor the endpoints' paces.
 	willingAfter = 2 * time.Second
@@ -148,7 +148,7 @@
 			}
 			if sends == maxAsks {
 				p.leave(to, j.Handle)
-				p.shun(to)
+				p.avoid(to)
 				return dec, false, aloneSilent
 			}
 			sends++
@@ -204,10 +204,10 @@
 	p.d.peers.send(&schema.PeerNote{Progress: []*schema.RunProgress{m}}, to.addr)
 }
 
-// shun leaves a placer alone that did not answer.
-func (p *placing) shun(to *peer) {
-	p.d.peers.shun(to, p.d.now()+shunFor)
-	p.d.log.Warn().Str("placer", to.addr.String()).Int("asks", maxAsks).Dur("for", shunFor).Msg("placer_lost")
+// avoid leaves a placer alone that did not answer.
+func (p *placing) avoid(to *peer) {
+	p.d.peers.avoid(to, p.d.now()+avoidFor)
+	p.d.log.Warn().Str("placer", to.addr.String()).Int("asks", maxAsks).Dur("for", avoidFor).Msg("placer_lost")
 	p.choose()
 }
 
@@ -291,9 +291,9 @@
 
 func micros(us uint64) time.Duration { return time.Duration(us) * time.Microsecond }
 
-// shun leaves a VM out of the choice of placers for a time.
-func (p *peers) shun(pe *peer, until time.Duration) {
+// avoid leaves a VM out of the choice of placers for a time.
+func (p *peers) avoid(pe *peer, until time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	pe.shunUntil = until
+	pe.avoidUntil = until
 }
--- a/entry/guests.go
+++ b/entry/remote_jobs.go
@@ -10,27 +10,27 @@
 )
 
 const (
-	// guestSettle is how old a decision must be before a note that does not name it
+	// decisionSettle is how old a decision must be before a note that does not name it
 	// counts: notes may have left before the decision came.
-	guestSettle = 300 * time.Millisecond
-	// guestSilence is after how long without a note another VM's requests are
+	decisionSettle = 300 * time.Millisecond
+	// askerSilence is after how long without a note another VM's requests are
 	// dropped: it is dead or cut off, and places for itself.
-	guestSilence = 1500 * time.Millisecond
+	askerSilence = 1500 * time.Millisecond
 )
 
-// guests are the requests of other VMs that this one places. A lost datagram is made
+// remoteJobs are the requests of other VMs that this one places. A lost datagram is made
 // up for by the notes, which name all requests: what the other VM does not name is
 // over, what it waits for is told again.
-type guests struct {
+type remoteJobs struct {
 	d *Daemon
 
 	mu   sync.Mutex
-	jobs map[uint64]*guest
+	jobs map[uint64]*remoteJob
 	// heard is when each VM that asks spoke last, by its address.
 	heard map[string]time.Duration
 }
 
-type guest struct {
+type remoteJob struct {
 	from    *net.UDPAddr
 	service string
 	since   time.Duration
@@ -38,61 +38,61 @@
 	decision *schema.PlaceDecision
 }
 
-func newGuests(d *Daemon) *guests {
-	return &guests{d: d, jobs: make(map[uint64]*guest), heard: make(map[string]time.Duration)}
+func newRemoteJobs(d *Daemon) *remoteJobs {
+	return &remoteJobs{d: d, jobs: make(map[uint64]*remoteJob), heard: make(map[string]time.Duration)}
 }
 
 // willing says whether this VM places requests for others.
-func (g *guests) willing() bool { return g.d.ready() && g.d.now() > willingAfter }
+func (r *remoteJobs) willing() bool { return r.d.ready() && r.d.now() > willingAfter }
 
 // take takes in what another VM asks, and how its requests go.
-func (g *guests) take(n *schema.PeerNote, from *net.UDPAddr) {
+func (r *remoteJobs) take(n *schema.PeerNote, from *net.UDPAddr) {
 	for _, m := range n.PlaceAsks {
-		g.ask(m, from)
+		r.ask(m, from)
 	}
 	for _, m := range n.Progress {
-		g.progress(m)
+		r.progress(m)
 	}
-	if n.Loads && n.Placer == g.d.set.Listen.Peers {
-		g.reconcile(n, from)
+	if n.Loads && n.Placer == r.d.set.Listen.Peers {
+		r.reconcile(n, from)
 	}
 }
 
 // ask queues one request and answers.
-func (g *guests) ask(m *schema.PlaceAsk, from *net.UDPAddr) {
-	if !g.willing() {
-		g.reply(from, &schema.PlaceDecision{Handle: m.Handle})
+func (r *remoteJobs) ask(m *schema.PlaceAsk, from *net.UDPAddr) {
+	if !r.willing() {
+		r.reply(from, &schema.PlaceDecision{Handle: m.Handle})
 		return
 	}
-	g.mu.Lock()
-	known := g.jobs[m.Handle]
+	r.mu.Lock()
+	known := r.jobs[m.Handle]
 	if known == nil {
-		g.jobs[m.Handle] = &guest{from: from, service: m.Service, since: g.d.now()}
-		g.heard[from.String()] = g.d.now()
+		r.jobs[m.Handle] = &remoteJob{from: from, service: m.Service, since: r.d.now()}
+		r.heard[from.String()] = r.d.now()
 	}
-	g.mu.Unlock()
+	r.mu.Unlock()
 	if known != nil {
-		g.answer(m.Handle, from)
+		r.answer(m.Handle, from)
 		return
 	}
-	g.d.sched.submit(g.job(m))
-	if g.waits(m.Handle) {
-		g.reply(from, &schema.PlaceDecision{Handle: m.Handle, Verdict: schema.PlaceDecision_QUEUED})
+	r.d.sched.submit(r.job(m))
+	if r.waits(m.Handle) {
+		r.reply(from, &schema.PlaceDecision{Handle: m.Handle, Verdict: schema.PlaceDecision_QUEUED})
 	}
 }
 
 // waits says whether a request has no decision yet.
-func (g *guests) waits(handle uint64) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	job := g.jobs[handle]
+func (r *remoteJobs) waits(handle uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	job := r.jobs[handle]
 	return job != nil && job.decision == nil
 }
 
 // answer says again what is known of a request.
-func (g *guests) answer(handle uint64, to *net.UDPAddr) {
-	g.mu.Lock()
-	job := g.jobs[handle]
+func (r *remoteJobs) answer(handle uint64, to *net.UDPAddr) {
+	r.mu.Lock()
+	job := r.jobs[handle]
 	reply := &schema.PlaceDecision{Handle: handle, Verdict: schema.PlaceDecision_QUEUED}
 	switch {
 	case job == nil:
@@ -100,21 +100,21 @@
 	case job.decision != nil:
 		reply = job.decision
 	}
-	g.mu.Unlock()
-	g.reply(to, reply)
+	r.mu.Unlock()
+	r.reply(to, reply)
 }
 
-func (g *guests) reply(to *net.UDPAddr, m *schema.PlaceDecision) {
-	g.d.peers.send(&schema.PeerNote{PlaceDecisions: []*schema.PlaceDecision{m}}, to)
+func (r *remoteJobs) reply(to *net.UDPAddr, m *schema.PlaceDecision) {
+	r.d.peers.send(&schema.PeerNote{PlaceDecisions: []*schema.PlaceDecision{m}}, to)
 }
 
 // decided passes a decision on to the VM that asked. It reports false if the request
 // is nobody's.
-func (g *guests) decided(dec dispatch.Decision) bool {
-	g.mu.Lock()
-	job := g.jobs[dec.Handle]
+func (r *remoteJobs) decided(dec dispatch.Decision) bool {
+	r.mu.Lock()
+	job := r.jobs[dec.Handle]
 	if job == nil {
-		g.mu.Unlock()
+		r.mu.Unlock()
 		return false
 	}
 	m := &schema.PlaceDecision{
@@ -126,99 +126,99 @@
 		m.Verdict, m.Endpoint = schema.PlaceDecision_PLACED, dispatch.NameOf(dec.Endpoint.ID)
 	}
 	// A refusal is kept until the other VM no longer names the request, to be told again.
-	job.decision, job.since = m, g.d.now()
-	g.mu.Unlock()
-	g.reply(job.from, m)
+	job.decision, job.since = m, r.d.now()
+	r.mu.Unlock()
+	r.reply(job.from, m)
 	return true
 }
 
 // progress takes in how a request goes.
-func (g *guests) progress(m *schema.RunProgress) {
+func (r *remoteJobs) progress(m *schema.RunProgress) {
 	if m.Started {
-		g.d.sched.events(m.Handle, 1)
+		r.d.sched.events(m.Handle, 1)
 	}
 	if m.Ended {
-		g.drop(m.Handle, dispatch.Outcome(m.Outcome))
+		r.drop(m.Handle, dispatch.Outcome(m.Outcome))
 	}
 }
 
 // drop ends a request, whether it waits or runs.
-func (g *guests) drop(handle uint64, o dispatch.Outcome) {
-	g.mu.Lock()
-	job := g.jobs[handle]
-	delete(g.jobs, handle)
-	g.mu.Unlock()
+func (r *remoteJobs) drop(handle uint64, o dispatch.Outcome) {
+	r.mu.Lock()
+	job := r.jobs[handle]
+	delete(r.jobs, handle)
+	r.mu.Unlock()
 	if job != nil {
-		g.d.sched.withdraw(job.service, handle, o)
+		r.d.sched.withdraw(job.service, handle, o)
 	}
 }
 
 // reconcile compares what another VM names with what is known of its requests.
-func (g *guests) reconcile(n *schema.PeerNote, from *net.UDPAddr) {
+func (r *remoteJobs) reconcile(n *schema.PeerNote, from *net.UDPAddr) {
 	named := make(map[uint64]bool, len(n.Placed)+len(n.Waiting))
 	for _, h := range n.Placed {
 		named[h] = true
 	}
-	now := g.d.now()
+	now := r.d.now()
 	var again, over []uint64
-	g.mu.Lock()
-	g.heard[from.String()] = now
+	r.mu.Lock()
+	r.heard[from.String()] = now
 	for _, h := range n.Waiting {
 		named[h] = true
-		if job := g.jobs[h]; job == nil || job.decision != nil {
+		if job := r.jobs[h]; job == nil || job.decision != nil {
 			again = append(again, h)
 		}
 	}
-	for h, job := range g.jobs {
-		if !named[h] && now-job.since > guestSettle && job.from.String() == from.String() {
+	for h, job := range r.jobs {
+		if !named[h] && now-job.since > decisionSettle && job.from.String() == from.String() {
 			over = append(over, h)
 		}
 	}
-	g.mu.Unlock()
+	r.mu.Unlock()
 	for _, h := range again {
-		g.answer(h, from)
+		r.answer(h, from)
 	}
 	for _, h := range over {
-		g.drop(h, dispatch.Left)
+		r.drop(h, dispatch.Left)
 	}
 }
 
 // sweep drops the requests of VMs that have fallen silent.
-func (g *guests) sweep() {
-	now := g.d.now()
+func (r *remoteJobs) sweep() {
+	now := r.d.now()
 	var over []uint64
-	g.mu.Lock()
-	for address, at := range g.heard {
-		if now-at < guestSilence {
+	r.mu.Lock()
+	for address, at := range r.heard {
+		if now-at < askerSilence {
 			continue
 		}
-		delete(g.heard, address)
-		for h, job := range g.jobs {
+		delete(r.heard, address)
+		for h, job := range r.jobs {
 			if job.from.String() == address {
 				over = append(over, h)
 			}
 		}
 	}
-	g.mu.Unlock()
+	r.mu.Unlock()
 	for _, h := range over {
-		g.drop(h, dispatch.Left)
+		r.drop(h, dispatch.Left)
 	}
 }
 
 // members are the VMs that ask this one.
-func (g *guests) members() []string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	list := make([]string, 0, len(g.heard))
-	for a := range g.heard {
+func (r *remoteJobs) members() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]string, 0, len(r.heard))
+	for a := range r.heard {
 		list = append(list, a)
 	}
 	return list
 }
 
 // job is the request as this VM's scheduler sees it.
-func (g *guests) job(m *schema.PlaceAsk) dispatch.Job {
-	now := g.d.now()
+func (r *remoteJobs) job(m *schema.PlaceAsk) dispatch.Job {
+	now := r.d.now()
 	j := dispatch.Job{
 		Handle: m.Handle, Service: m.Service, Tier: int(m.Tier), Prompt: int(m.Prompt), Events: int(m.Events),
 		Objective: now + time.Duration(m.ObjectiveUs)*time.Microsecond, Abandon: now + time.Duration(m.AbandonUs)*time.Microsecond,
