--- a/history/deployment.go
+++ b/history/deployment.go
@@ -291,7 +291,8 @@
 }
 
 // versions checks that configurations come into force on time and never go back.
-// Each version has a route of its own, so an answer other than 404 shows it in force.
+// Each version has a route of its own, so an answer other than 404 shows it in force;
+// but for 503, which a VM also says that has just started and knows no version.
 func (c *deploymentCheck) versions() {
 	type life struct {
 		vm string
@@ -304,7 +305,7 @@
 	seen := make(map[life]sight)
 	probes := make([]*Sending, 0, len(c.Sendings))
 	for i := range c.Sendings {
-		if s := &c.Sendings[i]; s.Probes > 0 && s.Status != 0 && !s.Left {
+		if s := &c.Sendings[i]; s.Probes > 0 && s.Status != 0 && s.Status != 503 && !s.Left {
 			probes = append(probes, s)
 		}
 	}
--- a/history/deployment_test.go
+++ b/history/deployment_test.go
@@ -52,8 +52,9 @@
 		{"work for nobody", Deployment{Sendings: s(func(v *Sending) { v.Left, v.Whole, v.Status = true, false, 0 }), Runs: []Run{late}}, []Promise{Stopped}},
 		{"beyond its allowance", Deployment{Sendings: s(nil), Runs: []Run{costly}, Limits: []Limit{{"org", time.Second, 10}}}, []Promise{WithinAllowance}},
 		{"not in force", Deployment{Sendings: []Sending{probe(2, 9*time.Second, 404)}, Published: map[int]time.Duration{2: 5 * time.Second}}, []Promise{InForce}},
-		{"still in force", Deployment{Sendings: []Sending{probe(1, 9*time.Second, 503)}, Published: map[int]time.Duration{2: 5 * time.Second}}, []Promise{InForce}},
-		{"went back", Deployment{Sendings: []Sending{probe(2, time.Second, 503), probe(1, 2*time.Second, 503)}}, []Promise{InForce}},
+		{"still in force", Deployment{Sendings: []Sending{probe(1, 9*time.Second, 500)}, Published: map[int]time.Duration{2: 5 * time.Second}}, []Promise{InForce}},
+		{"went back", Deployment{Sendings: []Sending{probe(2, time.Second, 500), probe(1, 2*time.Second, 500)}}, []Promise{InForce}},
+		{"no version known yet", Deployment{Sendings: []Sending{probe(2, time.Second, 503), probe(1, 2*time.Second, 503)}}, nil},
 		{"all well", Deployment{Sendings: s(nil), Runs: []Run{one}, Arrivals: []Run{one}}, nil},
 		{"excused by faults", Deployment{Sendings: s(func(v *Sending) { v.Whole, v.Status, v.To = false, 0, 13*time.Second }), Unplanned: []Span{{9 * time.Second, 9 * time.Second}}, Disturbed: disturbed}, nil},
 	}
