Cells stay within a region

Cause, by reading: eight VMs in two regions would be one cell; answers from another region come after the three asks of 120 ms, so each request would wait and then be placed alone. Nobody has seen such a deployment yet.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	// wholeDeployment is up to how many VMs of several failure domains are one cell:
+	// wholeDeployment is up to how many VMs of a region's failure domains are one cell:
 	// few enough that each hears each other ten times a second.
 	wholeDeployment = 24
 	// cellSize bounds the VMs of a cell: a placer of 24 VMs with 18 requests a second
@@ -35,6 +35,9 @@
 // VM is one that is heard and willing to place requests for others.
 type VM struct {
 	Address, Domain string
+	// Region is that of the failure domain; a question across regions would take longer
+	// than a request may wait.
+	Region string
 	// Share is its part of a core: placing costs time.
 	Share float64
 	// Members is how many VMs ask it now.
@@ -96,10 +99,11 @@
 
 // groupOf are the VMs among which self finds its placer.
 func groupOf(self VM, willing []VM) []VM {
-	if len(willing) > wholeDeployment {
-		return ofDomain(willing, self.Domain)
+	near := slices.DeleteFunc(slices.Clone(willing), func(v VM) bool { return v.Region != self.Region })
+	if len(near) > wholeDeployment {
+		return ofDomain(near, self.Domain)
 	}
-	return willing
+	return near
 }
 
 // successors is how many VMs hear of a placer's loads in case they have to follow it.
--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -135,3 +135,19 @@
 		vms[i].Share, vms[i].Members = 0.4, 0
 	}
 }
+
+// Symptom: each request waited 120 ms before it was placed. Sequence: eight VMs in two
+// regions, 50 ms apart; the placer is in the other region, and its answers come after the
+// VM has asked three times. Cause: a small deployment was one cell wherever its VMs were.
+func TestCellsStayWithinARegion(t *testing.T) {
+	is := is.New(t)
+	vms := deployment(8, 4)
+	region := make(map[string]string)
+	for i := range vms {
+		vms[i].Region = fmt.Sprint(i % 2)
+		region[vms[i].Address] = vms[i].Region
+	}
+	for _, v := range vms {
+		is.Equal(region[Placer(v, vms, "")], v.Region)
+	}
+}
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -62,7 +62,8 @@
 // willing are the VMs that would place requests, and this one as such.
 func (p *peers) willing(now time.Duration) (self cell.VM, willing []cell.VM) {
 	self = cell.VM{
-		Address: p.d.set.Listen.Peers, Domain: p.d.set.Vm.FailureDomain, Share: p.d.set.Limits.CpuShare, Members: len(p.d.remoteJobs.members()),
+		Address: p.d.set.Listen.Peers, Domain: p.d.set.Vm.FailureDomain, Region: p.d.set.Region(p.d.set.Vm.FailureDomain),
+		Share: p.d.set.Limits.CpuShare, Members: len(p.d.remoteJobs.members()),
 	}
 	if p.d.remoteJobs.willing() {
 		willing = append(willing, self)
@@ -71,7 +72,7 @@
 	defer p.mu.Unlock()
 	for a, pe := range p.addrs {
 		if pe.places && pe.heardLately(now) && now >= pe.avoidUntil && !pe.silent {
-			willing = append(willing, cell.VM{Address: a, Domain: pe.domain, Share: pe.share, Members: pe.members})
+			willing = append(willing, cell.VM{Address: a, Domain: pe.domain, Region: p.d.set.Region(pe.domain), Share: pe.share, Members: pe.members})
 		}
 	}
 	return self, willing
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"os"
 	"time"
 
@@ -25,8 +26,12 @@
 	*schema.EntrySettings
 	InForce, Drain, Grace        time.Duration
 	RetryWindow, AllowanceWindow time.Duration
+	regions                      map[string]string
 }
 
+// Region is the region of a failure domain; empty if the settings do not say.
+func (e *Entry) Region(failureDomain string) string { return e.regions[failureDomain] }
+
 // LoadEntry reads and checks the settings file of an entry daemon.
 func LoadEntry(path string) (*Entry, error) {
 	data, err := os.ReadFile(path)
@@ -67,6 +72,13 @@
 		RetryWindow:     c.duration("bounds.retry_window", raw.Bounds.RetryWindow, defaultWindow),
 		AllowanceWindow: c.duration("bounds.allowance_window", raw.Bounds.AllowanceWindow, defaultWindow),
 	}
+	e.regions = make(map[string]string, len(raw.FailureDomains))
+	for i, d := range raw.FailureDomains {
+		if d.Name == "" {
+			c.fault(fmt.Sprintf("failure_domains[%d].name", i), "is missing")
+		}
+		e.regions[d.Name] = d.Region
+	}
 	if raw.Vm.Name == "" {
 		c.fault("vm.name", "is missing")
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -50,3 +50,28 @@
 	_, err = Parse([]byte(strings.Replace(good, "127.0.0.1:2", "127.0.0.1:1", 1)))
 	is.True(strings.Contains(err.Error(), "addresses of their own"))
 }
+
+// An entry VM's settings name the region of each failure domain; one without a name is
+// a fault with its place.
+func TestEntryRegions(t *testing.T) {
+	is := is.New(t)
+	const entry = `
+[vm]
+name = "vm1"
+failure_domain = "a"
+[listen]
+callers = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+peers = "127.0.0.1:3"
+[platform]
+address = "127.0.0.1:4"
+`
+	set, err := ParseEntry([]byte(entry + "[[failure_domains]]\nname = \"a\"\nregion = \"r\"\n"))
+	is.NoErr(err)
+	is.Equal(set.Region("a"), "r")
+	is.Equal(set.Region("b"), "")
+	_, err = ParseEntry([]byte(entry + "[[failure_domains]]\nregion = \"r\"\n"))
+	var faults *config.FaultsError
+	is.True(errors.As(err, &faults))
+	is.Equal(faults.Faults[0].Path, "failure_domains[0].name")
+}
