A request that its placer forgot is refused when its caller is about to leave

Found by reading: a VM whose notes grow over 8 KB, with some 700 requests under way, is not heard with its state; the placer drops its requests, and those that wait there were held to their time limit. The VM refuses by itself now, and notes may have 32 KB.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -21,8 +21,9 @@
 	// maxListed bounds the VMs that notes list, 3 KB of them (BenchmarkNote). Larger
 	// deployments know each other from the store and by heartbeat.
 	maxListed = 64
-	// maxDatagram is the largest note; a larger one is not sent, and counted.
-	maxDatagram = 8 << 10
+	// maxDatagram is the largest note; a larger one is not sent, and counted. A VM with
+	// 3,000 requests under way names them all in 27 KB.
+	maxDatagram = 32 << 10
 )
 
 // peers exchanges notes with the other VMs by datagrams. A lost datagram costs a
--- a/entry/placing.go
+++ b/entry/placing.go
@@ -137,10 +137,15 @@
 				return dec, false, aloneUnknown
 			}
 		case <-timer.C:
-			if a.queued && p.current() == to {
-				timer.Reset(placerSilence)
+			if a.queued && p.current() == to && p.d.now() < j.Abandon {
+				timer.Reset(min(placerSilence, max(time.Millisecond, j.Abandon-p.d.now())))
 				continue
 			}
+			if p.d.now() >= j.Abandon {
+				// The placer should have refused it by now; its caller is about to leave.
+				p.leave(to, j.Handle)
+				return dispatch.Decision{Handle: j.Handle, Reason: dispatch.ReasonTooLate, RetryAfter: shortWait}, true, ""
+			}
 			if a.queued {
 				// It has fallen silent, or another VM places now.
 				p.leave(to, j.Handle)
