One order by rendezvous hashing; a query that nobody called is gone

Read again: core/cell and core/allowance each ordered VMs by the same hash and tie; both call rendezvous.Compare now. dispatch.Stage and Scheduler.Stage had no caller.

--- a/core/allowance/keepers.go
+++ b/core/allowance/keepers.go
@@ -26,16 +26,7 @@
 	each := max(1, keeperCount/max(1, len(domains)))
 	var keepers []VM
 	for _, list := range domains {
-		slices.SortFunc(list, func(a, b VM) int {
-			wa, wb := rendezvous.Hash(organisation, a.Address), rendezvous.Hash(organisation, b.Address)
-			switch {
-			case wa != wb && wa > wb:
-				return -1
-			case wa != wb:
-				return 1
-			}
-			return strings.Compare(a.Address, b.Address)
-		})
+		slices.SortFunc(list, func(a, b VM) int { return rendezvous.Compare(organisation, a.Address, b.Address) })
 		keepers = append(keepers, list[:min(each, len(list))]...)
 	}
 	slices.SortFunc(keepers, func(a, b VM) int { return strings.Compare(a.Address, b.Address) })
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -70,7 +70,7 @@
 		if c := cmp.Compare(b.Share, a.Share); c != 0 {
 			return c
 		}
-		return compare(placerKey, a, b)
+		return rendezvous.Compare(placerKey, a.Address, b.Address)
 	})
 	return ranked
 }
@@ -94,7 +94,7 @@
 		}
 	}
 	placers := ranked[:(len(ranked)+cellSize-1)/cellSize]
-	return slices.MinFunc(placers, func(a, b VM) int { return compare(self.Address, a, b) }).Address
+	return slices.MinFunc(placers, func(a, b VM) int { return rendezvous.Compare(self.Address, a.Address, b.Address) }).Address
 }
 
 // groupOf are the VMs among which self finds its placer.
@@ -123,11 +123,3 @@
 func ofDomain(vms []VM, domain string) []VM {
 	return slices.DeleteFunc(slices.Clone(vms), func(v VM) bool { return v.Domain != domain })
 }
-
-// compare orders VMs by rendezvous hashing, the one with the highest hash first.
-func compare(key string, a, b VM) int {
-	if c := cmp.Compare(rendezvous.Hash(key, b.Address), rendezvous.Hash(key, a.Address)); c != 0 {
-		return c
-	}
-	return cmp.Compare(a.Address, b.Address)
-}
--- a/core/dispatch/remote.go
+++ b/core/dispatch/remote.go
@@ -12,32 +12,6 @@
 // a run of it: the one that placed it counts its load, the other, which has adopted
 // it, learns from it and notices if the endpoint falls silent.
 
-// Stage is where a job is.
-type Stage int
-
-// Stages of a job.
-const (
-	// Unknown: neither waiting nor placed.
-	Unknown Stage = iota
-	// Waiting for an endpoint.
-	Waiting
-	// Placed at an endpoint.
-	Placed
-)
-
-// Stage says where a job of a service is.
-func (s *Scheduler) Stage(service string, handle uint64) Stage {
-	if s.running[handle] != nil {
-		return Placed
-	}
-	for _, j := range s.service(service).queue {
-		if j.Handle == handle {
-			return Waiting
-		}
-	}
-	return Unknown
-}
-
 // Unusable says why an endpoint may not be used; empty if it may.
 type Unusable string
 
--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -54,3 +54,12 @@
 	}
 	return node, found
 }
+
+// Compare orders candidates for a key, the one with the highest hash first and equal
+// ones by name.
+func Compare(key, a, b string) int {
+	if c := cmp.Compare(Hash(key, b), Hash(key, a)); c != 0 {
+		return c
+	}
+	return cmp.Compare(a, b)
+}
