Incarnations by their start; entries of other writers name no endpoint; fuzzed decoders

An endpoint may start again under its id. Its start tells incarnations apart: a later one is not leaving, is learned anew and ends at once what ran at the one before; an earlier one is old news. Entries with a field missing or of another type, an unknown state, an address that is none or unreadable bytes name no endpoint, and stand in the logs once.

Both whole-VM tests failed before: a caller of a lost stream waited to its limit, and no line told of an entry with an unknown state, which was used as if well.

Found by the fuzz test of notes: a note whose address is a name made the process look it up while it held the lock on the other VMs (the worker hung; input kept).

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -87,6 +88,8 @@
 	services map[string]*service
 	running  map[uint64]*run
 	out      []Decision
+	// restarted are runs whose endpoint has started anew.
+	restarted []uint64
 	// byName finds endpoints by the hash of their ids, as peers name them.
 	byName map[uint64]*endpoint
 	// self is this VM's own short name, others are those heard.
@@ -107,7 +110,8 @@
 }
 
 type service struct {
-	name      string
+	name string
+	// endpoints are by the keys of their incarnations.
 	endpoints map[string]*endpoint
 	list      []*endpoint
 	queue     []*Job
@@ -198,19 +202,43 @@
 	sv.endpoints = make(map[string]*endpoint, len(list))
 	sv.list = sv.list[:0]
 	for _, m := range s.choose(list) {
-		ep := old[m.ID]
+		key := m.Key()
+		ep := old[key]
 		if ep == nil {
-			ep = &endpoint{own: make(map[uint64]*run), name: NameOf(m.ID)}
+			ep = &endpoint{own: make(map[uint64]*run), name: NameOf(key)}
+			s.restarted = append(s.restarted, runsOfEarlier(old, m)...)
 		}
 		ep.Endpoint, ep.engine = *m, engine
 		s.byName[ep.name] = ep
-		sv.endpoints[m.ID] = ep
+		sv.endpoints[key] = ep
 		sv.list = append(sv.list, ep)
 	}
 	s.place(now, sv)
 	return s.take()
 }
 
+// runsOfEarlier are the handles of runs at earlier incarnations of an endpoint.
+func runsOfEarlier(known map[string]*endpoint, m *members.Endpoint) []uint64 {
+	if m.Born == 0 {
+		return nil
+	}
+	var handles []uint64
+	for _, ep := range known {
+		if ep.ID == m.ID && ep.Born < m.Born {
+			handles = slices.AppendSeq(handles, maps.Keys(ep.own))
+		}
+	}
+	return handles
+}
+
+// Restarted returns the runs whose endpoint has started anew since the last call. They
+// are lost, though a connection to an endpoint that lost power shows nothing.
+func (s *Scheduler) Restarted() []uint64 {
+	handles := s.restarted
+	s.restarted = nil
+	return handles
+}
+
 // Submit queues a job and places what can be placed.
 func (s *Scheduler) Submit(now time.Duration, j Job) []Decision {
 	sv := s.service(j.Service)
@@ -343,8 +371,8 @@
 	return uses
 }
 
-// NameOf is the short name by which VMs tell each other of an endpoint.
-func NameOf(id string) uint64 { return xxhash.Sum64String(id) }
+// NameOf is the short name by which VMs tell each other of an endpoint, from its key.
+func NameOf(key string) uint64 { return xxhash.Sum64String(key) }
 
 // NamedUse is a load with the short name of its endpoint.
 type NamedUse struct {
--- a/core/dispatch/ejection_test.go
+++ b/core/dispatch/ejection_test.go
@@ -191,3 +191,30 @@
 	is.True(tries >= 1)
 	is.True(tries <= 2) // in ten seconds
 }
+
+// An endpoint that starts again under its id is learned anew: what the one before failed,
+// ran or was slow at says nothing of it, nor does what another VM says of that one. Its
+// runs are told as lost.
+func TestNextIncarnationIsLearnedAnew(t *testing.T) {
+	is := is.New(t)
+	s := New("self", "a")
+	first := &members.Endpoint{ID: "a", Born: 1000, Service: "plain", Slots: 6, FailureDomain: "a"}
+	next := &members.Endpoint{ID: "a", Born: 2000, Service: "plain", Slots: 6, FailureDomain: "a"}
+	other := &members.Endpoint{ID: "b", Service: "plain", Slots: 6, FailureDomain: "a"}
+	s.SetEndpoints(0, "plain", []*members.Endpoint{first, other}, false)
+	var now time.Duration
+	answer(s, &now, 100, func(id string) bool { return id == "a" })
+	s.PeerUses(now, "vm", "a", []NamedUse{{NameOf(first.Key()), Use{Waiting: 50, Gone: true}}}, true)
+	_, why := s.Adopt(now, Job{Handle: 7, Service: "plain"}, NameOf(other.Key()), 0, 0)
+	is.Equal(why, Unusable(""))
+	s.SetEndpoints(now, "plain", []*members.Endpoint{next, other}, false)
+	is.Equal(len(s.Restarted()), 0) // nothing ran at the one before
+	s.PeerUses(now, "vm", "a", []NamedUse{{NameOf(first.Key()), Use{Waiting: 50, Gone: true, Ejected: true}}}, true)
+	got := answer(s, &now, 100, func(string) bool { return false })
+	t.Log(got)
+	is.True(got["a"] > 40)
+	_, why = s.Adopt(now, Job{Handle: 8, Service: "plain"}, NameOf(next.Key()), 0, 0)
+	is.Equal(why, Unusable(""))
+	s.SetEndpoints(now, "plain", []*members.Endpoint{{ID: "a", Born: 3000, Service: "plain", Slots: 6}, other}, false)
+	is.Equal(s.Restarted(), []uint64{8})
+}
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -160,7 +160,7 @@
 
 // Probe asks for a connection to be opened to an endpoint, to see whether it can
 // be reached. ProbeEnded must follow.
-type Probe struct{ ID, Address string }
+type Probe struct{ Key, Address string }
 
 // Probes returns the endpoints to probe now.
 func (s *Scheduler) Probes(now time.Duration) []Probe {
@@ -168,7 +168,7 @@
 	for _, sv := range s.services {
 		for _, e := range sv.list {
 			if e.fit(now); e.health.probeDue(now) {
-				probes = append(probes, Probe{e.ID, e.Address})
+				probes = append(probes, Probe{e.Key(), e.Address})
 			}
 		}
 	}
@@ -176,8 +176,8 @@
 }
 
 // ProbeEnded says how a probe ended.
-func (s *Scheduler) ProbeEnded(now time.Duration, id string, ok bool) {
-	e := s.byName[NameOf(id)]
+func (s *Scheduler) ProbeEnded(now time.Duration, key string, ok bool) {
+	e := s.byName[NameOf(key)]
 	if e == nil {
 		return
 	}
--- a/core/members/members.go
+++ b/core/members/members.go
@@ -5,13 +5,17 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
 
 // Endpoint is one incarnation of a server of a service.
 type Endpoint struct {
-	ID            string
+	ID string
+	// Born is when this incarnation started, in ms since 1970 by its own clock; 0 if it
+	// does not say. Another start under the same id is another incarnation.
+	Born          int64
 	Service       string
 	Address       string
 	FailureDomain string
@@ -21,10 +25,21 @@
 	SlowStart time.Duration
 }
 
+// Key names the incarnation: what is known of one, connections included, says nothing
+// of the next.
+func (e *Endpoint) Key() string {
+	if e.Born == 0 {
+		return e.ID
+	}
+	return e.ID + "@" + strconv.FormatInt(e.Born, 10)
+}
+
 // Change is one record of the registry: an endpoint, or its removal.
 type Change struct {
 	ID       string
 	Endpoint *Endpoint
+	// Unreadable says that the record names no endpoint that could be understood.
+	Unreadable bool
 }
 
 // returnGrace is how long after the registry's return an entry that lapsed
@@ -42,8 +57,15 @@
 	everAway  bool
 	byService map[string][]*Endpoint
 	version   uint64
+	// latest is the last start known of each id, also of those that are gone: a record
+	// of an earlier incarnation may come late, from a VM that lags.
+	latest map[string]int64
 }
 
+// mostLatest bounds the starts kept of ids that are gone: beyond it those are dropped,
+// which are long past any late record.
+const mostLatest = 4096
+
 type entry struct {
 	Endpoint
 	// missing entries are not in the registry any more, and are dropped at
@@ -53,7 +75,7 @@
 }
 
 // New returns an empty set.
-func New() *Set { return &Set{known: make(map[string]*entry)} }
+func New() *Set { return &Set{known: make(map[string]*entry), latest: make(map[string]int64)} }
 
 // Version grows whenever the usable endpoints change.
 func (s *Set) Version() uint64 { return s.version }
@@ -70,21 +92,55 @@
 
 // Apply takes in one record of the registry.
 func (s *Set) Apply(now time.Duration, c Change) {
+	if c.Unreadable {
+		s.drop(c.ID)
+		return
+	}
 	if c.Endpoint == nil {
 		s.remove(now, c.ID)
 		return
 	}
+	if c.Endpoint.Born < s.latest[c.ID] {
+		return
+	}
 	old := s.known[c.ID]
 	if old != nil && !old.missing && old.Endpoint == *c.Endpoint {
 		return
 	}
 	e := *c.Endpoint
-	if old != nil && old.Leaving {
+	if old != nil && old.Leaving && old.Born == e.Born {
 		// An endpoint that leaves never comes back as the same incarnation; a
 		// registry that lags could say so, and requests would be cut off.
 		e.Leaving = true
 	}
 	s.known[c.ID] = &entry{Endpoint: e}
+	s.remember(e)
+	s.changed()
+}
+
+// remember keeps the start of an incarnation.
+func (s *Set) remember(e Endpoint) {
+	if e.Born == 0 {
+		return
+	}
+	s.latest[e.ID] = e.Born
+	if len(s.latest) <= mostLatest+len(s.known) {
+		return
+	}
+	for id := range s.latest {
+		if s.known[id] == nil {
+			delete(s.latest, id)
+		}
+	}
+}
+
+// drop forgets an entry whose record cannot be understood any more: another writer has
+// its place, and what stood there before may be gone.
+func (s *Set) drop(id string) {
+	if s.known[id] == nil {
+		return
+	}
+	delete(s.known, id)
 	s.changed()
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -62,8 +62,11 @@
 	// or could read it since.
 	registryLostAt atomic.Int64
 	registry       registry
-	draining       atomic.Bool
-	active         atomic.Int64
+	// unreadable are the entries of the registry that could not be understood, with
+	// their faults. Only the goroutine that follows the registry uses it.
+	unreadable map[string]string
+	draining   atomic.Bool
+	active     atomic.Int64
 	// lastHandle starts at random: handles are unique over all VMs.
 	lastHandle atomic.Uint64
 
@@ -102,7 +105,7 @@
 	}
 	d := &Daemon{
 		opts: opts, set: opts.Settings, log: opts.Log, codec: opts.Codec, start: time.Now(),
-		metrics: metrics.NewRegistry(), idle: newIdleLimit(),
+		metrics: metrics.NewRegistry(), idle: newIdleLimit(), unreadable: make(map[string]string),
 	}
 	d.pool = upstream.NewPool(opts.Dial, maxIdlePerEndpoint)
 	d.bodies = newMemoryBudget(int64(float64(d.set.Limits.MemoryMb) * bodyShare * (1 << 20)))
@@ -214,10 +217,10 @@
 // probe sees whether an endpoint can be reached. The connection is kept for the
 // next request.
 func (d *Daemon) probe(p dispatch.Probe) {
-	err := d.pool.Open(p.ID, p.Address)
+	err := d.pool.Open(p.Key, p.Address)
 	d.count("probes")
-	d.log.Info().Str("endpoint", p.ID).Str("address", p.Address).Err(err).Msg("endpoint_probed")
-	d.sched.probeEnded(p.ID, err == nil)
+	d.log.Info().Str("endpoint", p.Key).Str("address", p.Address).Err(err).Msg("endpoint_probed")
+	d.sched.probeEnded(p.Key, err == nil)
 }
 
 func (d *Daemon) sweep(ctx context.Context) error {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -60,7 +60,7 @@
 		if last.delivered {
 			return
 		}
-		c.tried = append(c.tried, dispatch.NameOf(dec.Endpoint.ID))
+		c.tried = append(c.tried, dispatch.NameOf(dec.Endpoint.Key()))
 		c.d.log.Info().Str("request", c.call.ID).Str("endpoint", dec.Endpoint.ID).Stringer("outcome", last.outcome).
 			Int("sent", c.sent).Bool("ran", c.ran).Err(last.err).Msg("attempt_failed")
 		if ctx.Err() != nil {
@@ -174,6 +174,7 @@
 	}
 	tctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	c.d.sched.onRestart(dec.Handle, cancel)
 	watch := c.watch(dec, cancel)
 	a := c.exchange(tctx, ctx, dec, req, s, watch)
 	if watch.over() && !a.delivered {
@@ -186,7 +187,7 @@
 // whole with the request.
 func (c *caller) exchange(ctx, whole context.Context, dec dispatch.Decision, req *upstream.Request, s *stream, watch *stall) attempt {
 	ep := dec.Endpoint
-	ans, err := c.d.pool.Do(ctx, ep.ID, ep.Address, req, false)
+	ans, err := c.d.pool.Do(ctx, ep.Key(), ep.Address, req, false)
 	var ex *upstream.ExchangeError
 	if errors.As(err, &ex) && ex.Stage == upstream.NotSent {
 		if whole.Err() != nil {
--- /dev/null
+++ b/entry/fuzz_test.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chivefield/chivefield/logging"
+	"github.com/chivefield/chivefield/schema"
+	"github.com/chivefield/chivefield/settings"
+)
+
+// Whatever datagram comes from another VM, or from who pretends to be one, the process
+// goes on: a note holds numbers, names and addresses that nobody has checked.
+func FuzzNote(f *testing.F) {
+	set, err := settings.ParseEntry([]byte(`
+[vm]
+name = "self"
+failure_domain = "a"
+[listen]
+callers = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+peers = "127.0.0.1:3"
+[platform]
+address = "127.0.0.1:4"
+[bounds]
+grace = "6s"
+retry_ratio = 0.2
+retry_slack = 50
+allowance_window = "8s"
+allowance_over = 0.1
+allowance_slack = 1000
+`))
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, n := range []*schema.PeerNote{
+		{Vm: "other", Address: "127.0.0.1:5", FailureDomain: "b", Number: 1, Loads: true, Uses: []*schema.EndpointUse{{Endpoint: 1, Running: 1 << 31, EventGapUs: 1, Ejected: true}}},
+		{Address: "nowhere", Vms: []string{"", "a b c", "127.0.0.1:5 b"}, ConfigVersion: 7},
+		{Address: "127.0.0.1:5", Grants: []*schema.AllowanceGrant{{Organisation: "o", Amount: -1}}, Wants: []*schema.AllowanceGrant{{Organisation: "o", Amount: 1e300}}},
+		{PlaceAsks: []*schema.PlaceAsk{{Handle: 1, Service: "s", Tier: -1, Prompt: 1 << 31, ObjectiveUs: -1 << 62}}},
+		{PlaceDecisions: []*schema.PlaceDecision{{Handle: 1, Verdict: 99}}, Progress: []*schema.RunProgress{{Handle: 1, Ended: true, Outcome: 99}}},
+		{Address: "127.0.0.1:5", Endpoints: &schema.EndpointRelay{From: 9, Next: 3, Records: []*schema.StoreRecord{{Key: "k", Value: []byte("{")}}}},
+	} {
+		b, err := proto.Marshal(n)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Add([]byte{0xff})
+	// What the VM would send goes nowhere.
+	closed, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		f.Fatal(err)
+	}
+	if err := closed.Close(); err != nil {
+		f.Fatal(err)
+	}
+	from := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 5}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		n := &schema.PeerNote{}
+		if proto.Unmarshal(b, n) != nil {
+			return
+		}
+		d := New(Options{Settings: set, Log: logging.New(io.Discard)})
+		d.peers.conn = closed
+		d.peers.take(n, from)
+		d.peers.take(n, from)
+		d.remoteJobs.sweep()
+		d.placing.choose()
+		d.peers.tellOnce(0)
+	})
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -154,12 +155,13 @@
 	if known := p.addrs[v.Address]; known != nil {
 		return known
 	}
-	addr, err := net.ResolveUDPAddr("udp4", v.Address)
+	// Only numbers: a name would be looked up while notes wait, for seconds.
+	ap, err := netip.ParseAddrPort(v.Address)
 	if err != nil {
 		p.d.log.Warn().Str("address", v.Address).Err(err).Msg("peer_address_refused")
 		return nil
 	}
-	pe := &peer{addr: addr, domain: v.Domain}
+	pe := &peer{addr: net.UDPAddrFromAddrPort(ap), domain: v.Domain}
 	p.addrs[v.Address] = pe
 	p.d.log.Info().Str("address", v.Address).Str("peer_domain", v.Domain).Int("vms", len(p.addrs)+1).Msg("peer_known")
 	return pe
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -242,15 +242,10 @@
 func (d *Daemon) takeEndpoints(records []Record, whole bool, next uint64) []Record {
 	d.registry.take(records, whole, next)
 	changes := make([]members.Change, 0, len(records))
-	kept := records[:0]
 	for _, r := range records {
 		c, err := d.codec.Endpoint(r)
-		if err != nil {
-			d.log.Error().Err(err).Msg("endpoint_unreadable")
-			continue
-		}
+		d.logUnreadable(r.Key, err)
 		changes = append(changes, c)
-		kept = append(kept, r)
 	}
 	var changed []Record
 	var told []members.Change
@@ -264,7 +259,7 @@
 			before := m.Version()
 			m.Apply(now, c)
 			if m.Version() != before || c.Endpoint == nil {
-				changed, told = append(changed, kept[i]), append(told, c)
+				changed, told = append(changed, records[i]), append(told, c)
 			}
 		}
 		m.Expire(now)
@@ -274,11 +269,29 @@
 	return changed
 }
 
+// mostUnreadable bounds the keys whose fault is remembered, so that each is logged once
+// and not each time it is read.
+const mostUnreadable = 256
+
+// logUnreadable says once what is wrong with an entry.
+func (d *Daemon) logUnreadable(key string, err error) {
+	if err == nil {
+		delete(d.unreadable, key)
+		return
+	}
+	d.count("entries_unreadable")
+	if d.unreadable[key] == err.Error() || len(d.unreadable) >= mostUnreadable {
+		return
+	}
+	d.unreadable[key] = err.Error()
+	d.log.Warn().Str("endpoint", key).Err(err).Msg("endpoint_unreadable")
+}
+
 func (d *Daemon) logEndpoints(changes []members.Change) {
 	for _, c := range changes {
 		ev := d.log.Info().Str("endpoint", c.ID).Bool("removed", c.Endpoint == nil)
 		if c.Endpoint != nil {
-			ev = ev.Str("address", c.Endpoint.Address).Bool("leaving", c.Endpoint.Leaving)
+			ev = ev.Int64("born", c.Endpoint.Born).Str("address", c.Endpoint.Address).Bool("leaving", c.Endpoint.Leaving)
 		}
 		ev.Msg("endpoint_changed")
 	}
--- a/entry/remote_jobs.go
+++ b/entry/remote_jobs.go
@@ -123,7 +123,7 @@
 		Running: uint32(dec.Load.Running), PromptTokens: uint32(dec.Load.PromptTokens), EventGapUs: uint64(dec.Load.Gap.Microseconds()),
 	}
 	if dec.Endpoint != nil {
-		m.Verdict, m.Endpoint = schema.PlaceDecision_PLACED, dispatch.NameOf(dec.Endpoint.ID)
+		m.Verdict, m.Endpoint = schema.PlaceDecision_PLACED, dispatch.NameOf(dec.Endpoint.Key())
 	}
 	// A refusal is kept until the other VM no longer names the request, to be told again.
 	job.decision, job.since = m, r.d.now()
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -25,10 +25,12 @@
 	// remote takes decisions on requests of other VMs.
 	remote  func(dispatch.Decision) bool
 	waiters map[uint64]chan dispatch.Decision
+	// attempts end attempts whose endpoint has started anew.
+	attempts map[uint64]context.CancelFunc
 }
 
 func newScheduling(vm, domain string, now func() time.Duration) *scheduling {
-	return &scheduling{now: now, sched: dispatch.New(vm, domain), members: members.New(), waiters: make(map[uint64]chan dispatch.Decision)}
+	return &scheduling{now: now, sched: dispatch.New(vm, domain), members: members.New(), waiters: make(map[uint64]chan dispatch.Decision), attempts: make(map[uint64]context.CancelFunc)}
 }
 
 // tickEvery is how often waiting requests are looked at. Most are placed when a
@@ -165,9 +167,17 @@
 func (s *scheduling) end(handle uint64, o dispatch.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.attempts, handle)
 	s.deliver(s.sched.End(s.now(), handle, o))
 }
 
+// onRestart ends an attempt when its endpoint has started anew.
+func (s *scheduling) onRestart(handle uint64, cancel context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attempts[handle] = cancel
+}
+
 // setTable tells which services are model engines.
 func (s *scheduling) setTable(t *routing.Table) {
 	s.mu.Lock()
@@ -194,4 +204,9 @@
 	for _, sv := range s.table.Document.Services {
 		s.deliver(s.sched.SetEndpoints(s.now(), sv.Name, s.members.Usable(sv.Name), sv.Engine != nil))
 	}
+	for _, h := range s.sched.Restarted() {
+		if cancel := s.attempts[h]; cancel != nil {
+			cancel()
+		}
+	}
 }
--- a/entry/stall.go
+++ b/entry/stall.go
@@ -35,7 +35,7 @@
 	if !c.route.Repeatable() || c.sent+1 >= c.route.MaxEndpoints {
 		return s
 	}
-	tried := append(slices.Clone(c.tried), dispatch.NameOf(dec.Endpoint.ID))
+	tried := append(slices.Clone(c.tried), dispatch.NameOf(dec.Endpoint.Key()))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.timer = time.AfterFunc(max(stallFirst, stallFactor*dec.Predicted), func() {
