Four failures in a row eject; tried and reverted: failing endpoints are used last

Endpoints are taken back at once only where so many fail that none would be ejected; before, a failed trial alone did it once shares had faded.

Tried and reverted: a cost of failures in placing (share above the usual times the cost of a late answer), shares fading over 3, 5 or 10 s. Endpoints that lose three in ten answers are needed under load, and which are the worse ones changes too fast to learn.

--- a/core/dispatch/ejection.go
+++ b/core/dispatch/ejection.go
@@ -13,7 +13,7 @@
 //
 // What others do is measured by the lower quartile over the service's endpoints, which
 // failing ones cannot move while they are fewer than three in four. Each endpoint's share
-// is kept twice, over its last six and its last thirty outcomes: the first shows a failing
+// is kept twice, over its last five and its last thirty outcomes: the first shows a failing
 // endpoint soon, the second tells a service whose requests fail by themselves from chance.
 // Where three in ten do, the first alone left one of three endpoints out.
 //
@@ -23,9 +23,9 @@
 // VMs.
 
 const (
-	// failWeight is the weight of one outcome in an endpoint's share of failures: five
-	// failures in a row make 0.56.
-	failWeight = 0.15
+	// failWeight is the weight of one outcome in an endpoint's share of failures: four
+	// failures in a row make 0.59.
+	failWeight = 0.2
 	// usualWeight is that in the share which measures the others.
 	usualWeight = 0.03
 	// failTimes and failMargin are by how much an endpoint's share of failures must pass
@@ -137,12 +137,14 @@
 	}
 }
 
-// takeBack returns ejected endpoints that fail no more than others do by now: where all
-// begin to fail, the first to show it are no worse than the rest.
+// takeBack returns ejected endpoints where most others fail half of their requests too, so
+// that none would be ejected any more: the first to show it were no worse than the rest.
 func (sv *service) takeBack(now time.Duration) {
-	bound := sv.failBound()
+	if sv.failBound() < 1 {
+		return
+	}
 	for _, e := range sv.list {
-		if x := &e.health.ejection; x.on && !x.told && e.health.failing <= bound {
+		if x := &e.health.ejection; x.on && !x.told {
 			x.on, x.returned = false, now
 		}
 	}
