A part of the tolerance of allowances is kept for processes that start again

Cause: after all VMs were killed balances began at nothing.

A process now takes its part of what is kept (0.6 of the tolerance) if the store says that the VM's process before started longer ago than the window and 12 s, after its own start is acknowledged there. The random search covers it. Ruled out: balances of the process before told by peers (all are killed together), and by the time since the process before fell silent (nobody knows it).

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -7,8 +7,9 @@
 // part of burst and tolerance; the others ask keepers. Amounts move between VMs only
 // by being taken off the giver's balance before they are sent, so a lost message
 // loses an amount and can never double it; what the receiver cannot use goes back.
-// A restarted process begins with nothing, because it cannot know what its
-// predecessor spent a moment ago.
+// A restarted process cannot know what its predecessor spent a moment ago, so it begins
+// with nothing but a part of the tolerance that is kept for restarts, and gets that only
+// where none was taken there within the window (Restarted).
 package allowance
 
 import "time"
@@ -31,6 +32,13 @@
 // which a VM that was just added is not known to all others.
 const reserve = 0.15
 
+// restartShare is the part of the tolerance that is kept for processes that start again.
+// After all VMs were killed their organisations' balances were at nothing, and for the
+// first second and a half more requests were refused for that (240 of organisations far
+// within their allowance) than were placed, while all engines stood idle.
+// The rest of it is for organisations that ask for more than their allowance anyway.
+const restartShare = 0.6
+
 // holdOver is how long a balance may pass the bound: the time in which a waiting
 // request spends it or gives up.
 const holdOver = 100 * time.Millisecond
@@ -105,8 +113,23 @@
 
 // bound is the most that this VM may hold.
 func (l *Ledger) bound(a *account) float64 {
-	window := a.terms.Rate*l.tol.Window.Seconds() + a.terms.Burst
-	return a.part * (a.terms.Burst + (1-reserve)*(l.tol.Over*window+l.tol.Slack))
+	return a.part * (a.terms.Burst + (1-reserve-restartShare)*l.tolerated(a))
+}
+
+// tolerated is by how much all VMs together may pass what rate and burst allow.
+func (l *Ledger) tolerated(a *account) float64 {
+	return l.tol.Over*(a.terms.Rate*l.tol.Window.Seconds()+a.terms.Burst) + l.tol.Slack
+}
+
+// Restarted gives this VM its part of what is kept for restarts. It must not be called
+// twice within the window for one VM, over all its processes.
+func (l *Ledger) Restarted(now time.Duration) {
+	for _, a := range l.accounts {
+		l.accrue(now, a)
+		grant := a.part * restartShare * l.tolerated(a)
+		a.balance += grant
+		a.earned += grant
+	}
 }
 
 func (l *Ledger) accrue(now time.Duration, a *account) {
--- a/core/allowance/allowance_test.go
+++ b/core/allowance/allowance_test.go
@@ -35,6 +35,10 @@
 			units float64
 		}
 		var spent []spending
+		granted := make([]time.Duration, n)
+		for i := range granted {
+			granted[i] = -tol.Window
+		}
 		var now time.Duration
 		for range rapid.IntRange(1, 150).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond
@@ -44,6 +48,10 @@
 			switch rapid.IntRange(0, 9).Draw(t, "what") {
 			case 0:
 				vms[i] = start(i, now, false)
+				if now-granted[i] >= tol.Window {
+					granted[i] = now
+					vms[i].Restarted(now)
+				}
 			case 1:
 				// An answer to a request for an amount that is lost on the way.
 				vms[i].Give(now, Request{Amount: Amount{"o", units}})
@@ -116,6 +124,27 @@
 	is.True(!l.Spend(2*time.Second, Request{Amount: Amount{"o", 1}}).OK)
 }
 
+// Symptom: after all processes had been killed, requests of organisations far within
+// their allowance were refused for a second and a half, while all endpoints stood idle.
+// Sequence: all start again; each balance is at nothing, and what is earned until then is
+// less than one request. Cause: nothing was kept for that case. Of twenty requests in the
+// first half second, at half of the rate, none was served before.
+func TestRestartedProcessesServeAtOnce(t *testing.T) {
+	is := is.New(t)
+	l := New(Tolerance{Window: 8 * time.Second, Over: 0.1, Slack: 140000}, false)
+	l.SetParts(0, equal(9))
+	l.SetTerms(0, []Terms{{Organisation: "o", Rate: 200000, Burst: 200000}})
+	l.Restarted(0)
+	served := 0
+	for i := range 20 {
+		// 11,100 units a half second are earned here; 6,000 are asked for.
+		if l.Spend(time.Duration(i)*25*time.Millisecond, Request{Amount{"o", 300}, 0.25}).OK {
+			served++
+		}
+	}
+	is.Equal(served, 20)
+}
+
 // Symptom: an organisation that asked for twice its allowance had its most urgent
 // requests refused, one in eight, and next to none of the least urgent ones. Cause:
 // the balance was always near nothing, where only small requests fit, and those of
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -55,3 +55,9 @@
 	}
 	return fmt.Sprintf("no VM knows the registry up to offset %d", e.Offset)
 }
+
+// VMRecordError reports a record of a VM that cannot be understood.
+type VMRecordError struct{ Record string }
+
+// Error describes the failure.
+func (e *VMRecordError) Error() string { return "record of a VM: " + strconv.Quote(e.Record) }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -113,6 +114,36 @@
 // entryOf is how a VM stands in lists of VMs: its address and failure domain.
 func entryOf(v allowance.VM) string { return v.Address + " " + v.Domain }
 
+// vmRecord is a VM's own record in the store: its entry, and when its process started.
+type vmRecord struct {
+	allowance.VM
+	// started is by the VM's clock; zero if the record does not say.
+	started time.Time
+}
+
+// String is the record as it is written: the entry and Unix milliseconds.
+func (r vmRecord) String() string {
+	return entryOf(r.VM) + " " + strconv.FormatInt(r.started.UnixMilli(), 10)
+}
+
+// parseVMRecord reads an entry of a list of VMs or a record of the store.
+func parseVMRecord(s string) (vmRecord, error) {
+	fields := strings.Fields(s)
+	if len(fields) < 2 {
+		return vmRecord{}, &VMRecordError{Record: s}
+	}
+	r := vmRecord{VM: allowance.VM{Address: fields[0], Domain: fields[1]}}
+	if len(fields) == 2 {
+		return r, nil
+	}
+	ms, err := strconv.ParseInt(fields[2], 10, 64)
+	if err != nil {
+		return vmRecord{}, &VMRecordError{Record: s}
+	}
+	r.started = time.UnixMilli(ms)
+	return r, nil
+}
+
 // learnAll takes in the whole list of VMs.
 func (p *peers) learnAll(entries []string) {
 	p.mu.Lock()
@@ -122,12 +153,12 @@
 
 func (p *peers) learnList(entries []string) {
 	for _, e := range entries {
-		address, domain, ok := strings.Cut(e, " ")
-		if !ok {
-			p.d.log.Warn().Str("entry", e).Msg("peer_entry_refused")
+		r, err := parseVMRecord(e)
+		if err != nil {
+			p.d.log.Warn().Err(err).Msg("peer_entry_refused")
 			continue
 		}
-		p.learn(allowance.VM{Address: address, Domain: domain})
+		p.learn(r.VM)
 	}
 	p.complete = true
 	p.share()
--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -51,6 +51,13 @@
 	s.ledger.SetTerms(s.now(), terms)
 }
 
+// restarted takes what is kept for processes that start again.
+func (s *sharing) restarted() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Restarted(s.now())
+}
+
 // setVMs takes in all VMs of the deployment, this one included.
 func (s *sharing) setVMs(vms []allowance.VM) {
 	s.mu.Lock()
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -178,30 +178,30 @@
 		Int("organisations", len(doc.Organisations)).Msg("config_in_force")
 }
 
-// announce writes this VM's address to the store once, and reads those of
-// others now and then.
+// announce writes this VM's record to the store once, after it has read those of all, and
+// reads them again now and then.
 func (d *Daemon) announce(ctx context.Context) error {
 	var dep dependency
 	written := false
 	for ctx.Err() == nil {
-		if !written {
-			err := d.opts.Store.Announce(ctx, d.set.Vm.Name, []byte(entryOf(allowance.VM{Address: d.set.Listen.Peers, Domain: d.set.Vm.FailureDomain})))
-			d.noteStore(&dep, "vms", err)
-			written = err == nil
-		}
 		records, _, err := d.opts.Store.Newest(ctx, FeedVMs)
 		d.noteStore(&dep, "vms", err)
-		if err != nil || !written {
+		if err != nil {
 			pause(ctx, retryEvery)
 			continue
 		}
-		var entries []string
-		for _, r := range records {
-			if len(r.Value) > 0 {
-				entries = append(entries, string(r.Value))
+		d.learnVMs(records)
+		if !written {
+			self := vmRecord{VM: allowance.VM{Address: d.set.Listen.Peers, Domain: d.set.Vm.FailureDomain}, started: time.Now()}
+			err := d.opts.Store.Announce(ctx, d.set.Vm.Name, []byte(self.String()))
+			d.noteStore(&dep, "vms", err)
+			if err != nil {
+				pause(ctx, retryEvery)
+				continue
 			}
+			written = true
+			d.claimRestart(records, self)
 		}
-		d.peers.learnAll(entries)
 		if d.peers.reads() {
 			pause(ctx, announceEvery)
 		} else {
@@ -210,3 +210,54 @@
 	}
 	return nil
 }
+
+func (d *Daemon) learnVMs(records []Record) {
+	var entries []string
+	for _, r := range records {
+		if len(r.Value) > 0 {
+			entries = append(entries, string(r.Value))
+		}
+	}
+	d.peers.learnAll(entries)
+}
+
+const (
+	// restartsApart is by how much longer than the window of allowances the starts of two
+	// processes of a VM must lie apart for the second to get what is kept for restarts.
+	// Starts are told by clocks that jump by seconds, and a lost write may be done seconds
+	// after.
+	restartsApart = 12 * time.Second
+	// restartLate is after what uptime it is not asked for any more: balances have been
+	// earned by then.
+	restartLate = 3 * time.Second
+)
+
+// claimRestart takes what is kept for restarts, if the store says that this VM's process
+// before started long ago. The store knows of this start already: a process that follows
+// at once finds it there and gets nothing.
+func (d *Daemon) claimRestart(before []Record, self vmRecord) {
+	if d.set.Vm.FirstStart || d.now() > restartLate {
+		return
+	}
+	for _, r := range before {
+		if r.Key != d.set.Vm.Name {
+			continue
+		}
+		last, err := parseVMRecord(string(r.Value))
+		if err != nil {
+			d.log.Warn().Err(err).Msg("own_record_unreadable")
+			return
+		}
+		claimed := mayClaim(last, self, d.set.AllowanceWindow)
+		if claimed {
+			d.shares.restarted()
+		}
+		d.log.Info().Dur("since_last_start", self.started.Sub(last.started)).Bool("claimed", claimed).Msg("restart_allowance")
+	}
+}
+
+// mayClaim says whether a VM's process may take what is kept for restarts, by the record
+// of the one before.
+func mayClaim(last, self vmRecord, window time.Duration) bool {
+	return !last.started.IsZero() && self.started.Sub(last.started) > window+restartsApart
+}
