Mechanisms have names and can be switched off in the settings

experiments.off lists them; an unknown name is refused with those there are, and each process logs at its start what is switched off.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/chivefield/chivefield/core/mechanism"
 	"github.com/chivefield/chivefield/core/members"
 )
 
@@ -85,6 +86,8 @@
 // Scheduler is one VM's queues and its view of the endpoints. It is not safe
 // for concurrent use.
 type Scheduler struct {
+	// off are mechanisms that are switched off.
+	off      mechanism.Off
 	services map[string]*service
 	running  map[uint64]*run
 	out      []Decision
@@ -111,6 +114,7 @@
 
 type service struct {
 	name string
+	off  mechanism.Off
 	// endpoints are by the keys of their incarnations.
 	endpoints map[string]*endpoint
 	list      []*endpoint
@@ -182,10 +186,13 @@
 	}
 }
 
+// SwitchOff runs without some mechanisms. It must be called before any other method.
+func (s *Scheduler) SwitchOff(off mechanism.Off) { s.off = off }
+
 func (s *Scheduler) service(name string) *service {
 	sv := s.services[name]
 	if sv == nil {
-		sv = &service{name: name, endpoints: make(map[string]*endpoint), served: make(map[class]*rate)}
+		sv = &service{name: name, off: s.off, endpoints: make(map[string]*endpoint), served: make(map[class]*rate)}
 		s.services[name] = sv
 	}
 	return sv
@@ -409,7 +416,7 @@
 		if u.Gap > 0 {
 			ep.gap.hear(u.Gap.Seconds())
 		}
-		if u.Doubted {
+		if u.Doubted && !s.off.Has(mechanism.PeerDoubts) {
 			ep.peerDoubts(now)
 		}
 		ep.health.gone = ep.health.gone || u.Gone
--- a/core/dispatch/ejection.go
+++ b/core/dispatch/ejection.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/chivefield/chivefield/core/mechanism"
 )
 
 // An endpoint that fails requests at once always has free slots, so placing by load
@@ -129,7 +131,7 @@
 		if !x.on {
 			e.health.failing = 0
 		}
-	case failed && e.fails(sv):
+	case failed && !sv.off.Has(mechanism.Ejection) && e.fails(sv):
 		x.begin(now, e.otherEjections(now))
 	}
 	if failed {
@@ -199,7 +201,7 @@
 	x := &e.health.ejection
 	trusted := x.returned > 0 && now-x.returned < trustFor
 	answered := e.health.answered > 0 && now-e.health.answered < ownWord
-	if x.on || trusted || answered || 2*(sv.ejected()+1) > len(sv.list) {
+	if sv.off.Has(mechanism.Ejection) || x.on || trusted || answered || 2*(sv.ejected()+1) > len(sv.list) {
 		return
 	}
 	x.begin(now, e.otherEjections(now))
--- a/core/dispatch/filter.go
+++ b/core/dispatch/filter.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/chivefield/chivefield/core/mechanism"
+)
 
 // plainFill is up to how many times its slots a plain service may have requests. Its
 // answers take less time than it takes to hear of others' loads, so a turn would cost
@@ -12,6 +16,9 @@
 	if !e.engine {
 		return u.Running+u.Waiting < plainFill*e.Slots
 	}
+	if s.off.Has(mechanism.Turns) {
+		return u.Running+u.Waiting < e.Slots
+	}
 	e.turn.order(e, otherVM{name: s.self, domain: s.domain}, s.others, s.placers)
 	c := s.companyOf(e)
 	return e.turn.may(now, e.Slots-u.Running-u.Waiting, c.takes, c.age <= freshAge)
--- a/core/dispatch/hopeless.go
+++ b/core/dispatch/hopeless.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/chivefield/chivefield/core/mechanism"
+)
 
 // class is jobs that are served in order among themselves: those of a tier that can
 // still be on time, or those of it that are late.
@@ -49,7 +53,7 @@
 		late = ahead[class{j.Tier, true}]
 	}
 	wait, known := sv.wait(now, class{j.Tier, true}, late)
-	if !known || wait <= j.Abandon-now {
+	if sv.off.Has(mechanism.Hopeless) || !known || wait <= j.Abandon-now {
 		return false
 	}
 	if j.late {
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/chivefield/chivefield/core/mechanism"
 )
 
 // maxQueued bounds the jobs of one service that wait at a VM.
@@ -30,7 +32,7 @@
 	if len(seats) == 0 {
 		return
 	}
-	sv.scarce = float64(len(seats)) < 0.25*float64(len(sv.list))
+	sv.scarce = !s.off.Has(mechanism.ScarceSlowFirst) && float64(len(seats)) < 0.25*float64(len(sv.list))
 	kept := sv.queue[:0]
 	for _, j := range sv.queue {
 		c := s.best(now, sv, j, seats)
@@ -170,6 +172,9 @@
 // spread by its handle so that callers do not return together.
 func (sv *service) comeBack(now time.Duration, j *Job) time.Duration {
 	excess := sv.refused.perSecond(now) / max(1, sv.placed.perSecond(now))
+	if sv.off.Has(mechanism.PacedReturn) {
+		return leastBack
+	}
 	base := min(leastBack+time.Duration(excess*float64(perExcess)), mostBack)
 	spread := time.Duration(j.Handle*2654435761%1000) * base / 1000
 	return base/2 + spread
--- a/core/dispatch/rank.go
+++ b/core/dispatch/rank.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "github.com/chivefield/chivefield/core/mechanism"
+
 // The queue's order: by tier, and within one the jobs that can be on time before the
 // late ones. One exception: a job that takes a small part of the usual work, and can be
 // on time, goes before the late jobs of the tier just above its own. Under overload the
@@ -23,7 +25,7 @@
 	switch {
 	case j.late:
 		return ranksOfTier*j.Tier + rankLate
-	case j.Tier > 0 && work(j) < shortShare*sv.effort:
+	case j.Tier > 0 && !sv.off.Has(mechanism.ShortFirst) && work(j) < shortShare*sv.effort:
 		return ranksOfTier*(j.Tier-1) + rankBelow
 	}
 	return ranksOfTier * j.Tier
--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/chivefield/chivefield/core/mechanism"
+)
 
 // candidate is an endpoint with what is expected of it for one job.
 type candidate struct {
@@ -62,10 +66,10 @@
 	if j.Remote {
 		from = j.Domain
 	}
-	if e.FailureDomain != from {
+	if e.FailureDomain != from && !s.off.Has(mechanism.NearFirst) {
 		c.score += farCost
 	}
-	if e.FailureDomain != s.domain {
+	if e.FailureDomain != s.domain && !s.off.Has(mechanism.StaleCost) {
 		c.score += staleCost * s.company[1].age.Seconds()
 	}
 	return c
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,8 @@
 	"github.com/chivefield/chivefield/core/routing"
 	"github.com/chivefield/chivefield/settings"
 	"github.com/chivefield/chivefield/upstream"
+
+	"github.com/chivefield/chivefield/core/mechanism"
 )
 
 // Options are what a daemon takes from outside.
@@ -112,7 +114,7 @@
 	}
 	d.pool = upstream.NewPool(opts.Dial, maxIdlePerEndpoint)
 	d.bodies = newMemoryBudget(int64(float64(d.set.Limits.MemoryMb) * bodyShare * (1 << 20)))
-	d.sched = newScheduling(d.set.Vm.Name, d.set.Vm.FailureDomain, d.now)
+	d.sched = newScheduling(d.set.Vm.Name, d.set.Vm.FailureDomain, d.set.Off, d.now)
 	d.sched.probe = d.probe
 	d.lastHandle.Store(rand.Uint64())
 	d.placing, d.remoteJobs = newPlacing(d), newRemoteJobs(d)
@@ -173,7 +175,7 @@
 	group.Go(func() error { return d.reload(work) })
 	group.Go(func() error { return d.shutdown(ctx, work, front, stop) })
 	d.log.Info().Str("failure_domain", d.set.Vm.FailureDomain).
-		Bool("first_start", d.set.Vm.FirstStart).Msg("started")
+		Bool("first_start", d.set.Vm.FirstStart).Stringer("switched_off", d.set.Off).Msg("started")
 	err = group.Wait()
 	d.log.Info().Err(err).Msg("stopped")
 	return err
@@ -233,7 +235,7 @@
 	default:
 	}
 	left := informedWithin - d.now()
-	if left <= 0 {
+	if left <= 0 || d.set.Off.Has(mechanism.StartWait) {
 		return
 	}
 	t := time.NewTimer(left)
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/chivefield/chivefield/core/cell"
+
+	"github.com/chivefield/chivefield/core/mechanism"
 )
 
 // choose works out the placer from the VMs that are heard. Runs of one that has
@@ -50,6 +52,9 @@
 func (p *peers) placer(current string) (address string, to *peer) {
 	now := p.d.now()
 	self, willing := p.willing(now)
+	if p.d.set.Off.Has(mechanism.Cells) {
+		return self.Address, nil
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	chosen := cell.Placer(self, willing, current)
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -8,6 +8,8 @@
 	"github.com/chivefield/chivefield/core/dispatch"
 	"github.com/chivefield/chivefield/core/members"
 	"github.com/chivefield/chivefield/core/routing"
+
+	"github.com/chivefield/chivefield/core/mechanism"
 )
 
 // scheduling lets the goroutines of requests use the scheduler, and brings each
@@ -29,8 +31,10 @@
 	attempts map[uint64]context.CancelFunc
 }
 
-func newScheduling(vm, domain string, now func() time.Duration) *scheduling {
-	return &scheduling{now: now, sched: dispatch.New(vm, domain), members: members.New(), waiters: make(map[uint64]chan dispatch.Decision), attempts: make(map[uint64]context.CancelFunc)}
+func newScheduling(vm, domain string, off mechanism.Off, now func() time.Duration) *scheduling {
+	s := &scheduling{now: now, sched: dispatch.New(vm, domain), members: members.New(), waiters: make(map[uint64]chan dispatch.Decision), attempts: make(map[uint64]context.CancelFunc)}
+	s.sched.SwitchOff(off)
+	return s
 }
 
 // tickEvery is how often waiting requests are looked at. Most are placed when a
--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -10,6 +10,8 @@
 	"github.com/chivefield/chivefield/core/budget"
 	"github.com/chivefield/chivefield/core/routing"
 	"github.com/chivefield/chivefield/settings"
+
+	"github.com/chivefield/chivefield/core/mechanism"
 )
 
 // sharing is this VM's part of what all VMs share: allowances and the budgets of
@@ -185,6 +187,9 @@
 }
 
 func (s *sharing) reserve(tier int) float64 {
+	if s.set.Off.Has(mechanism.TierReserve) {
+		return 0
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.reserves[tier]
--- a/entry/stall.go
+++ b/entry/stall.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/chivefield/chivefield/core/dispatch"
+
+	"github.com/chivefield/chivefield/core/mechanism"
 )
 
 const (
@@ -32,7 +34,7 @@
 func (c *caller) watch(dec dispatch.Decision, cancel context.CancelFunc) *stall {
 	s := &stall{}
 	// This attempt counts too.
-	if !c.route.Repeatable() || c.sent+1 >= c.route.MaxEndpoints {
+	if c.d.set.Off.Has(mechanism.StallRetry) || !c.route.Repeatable() || c.sent+1 >= c.route.MaxEndpoints {
 		return s
 	}
 	tried := append(slices.Clone(c.tried), dispatch.NameOf(dec.Endpoint.Key()))
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -8,6 +8,8 @@
 
 	"github.com/chivefield/chivefield/core/allowance"
 	"github.com/chivefield/chivefield/core/routing"
+
+	"github.com/chivefield/chivefield/core/mechanism"
 )
 
 const (
@@ -237,7 +239,7 @@
 // before started long ago. The store knows of this start already: a process that follows
 // at once finds it there and gets nothing.
 func (d *Daemon) claimRestart(before []Record, self vmRecord) {
-	if d.set.Vm.FirstStart || d.now() > restartLate {
+	if d.set.Vm.FirstStart || d.now() > restartLate || d.set.Off.Has(mechanism.RestartAllowance) {
 		return
 	}
 	for _, r := range before {
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chivefield/chivefield/config"
+	"github.com/chivefield/chivefield/core/mechanism"
 	"github.com/chivefield/chivefield/schema"
 	"github.com/chivefield/chivefield/tomlproto"
 )
@@ -26,7 +27,9 @@
 	*schema.EntrySettings
 	InForce, Drain, Grace        time.Duration
 	RetryWindow, AllowanceWindow time.Duration
-	regions                      map[string]string
+	// Off are the mechanisms that are switched off.
+	Off     mechanism.Off
+	regions map[string]string
 }
 
 // Region is the region of a failure domain; empty if the settings do not say.
@@ -62,6 +65,7 @@
 	section(&raw.Platform)
 	section(&raw.Limits)
 	section(&raw.Bounds)
+	section(&raw.Experiments)
 	number(&raw.Limits.MemoryMb, defaultEntryMemory)
 	number(&raw.Limits.MaxDescriptors, defaultEntryDescriptors)
 	e := &Entry{
@@ -79,6 +83,11 @@
 		}
 		e.regions[d.Name] = d.Region
 	}
+	off, err := mechanism.Parse(raw.Experiments.Off)
+	if err != nil {
+		c.fault("experiments.off", err.Error())
+	}
+	e.Off = off
 	if raw.Vm.Name == "" {
 		c.fault("vm.name", "is missing")
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -75,3 +76,23 @@
 	is.True(errors.As(err, &faults))
 	is.Equal(faults.Faults[0].Path, "failure_domains[0].name")
 }
+
+// An operator who switches off a mechanism under a wrong name must hear of it: the
+// suspected one would go on.
+func TestUnknownMechanismIsRefused(t *testing.T) {
+	is := is.New(t)
+	settings := func(name string) []byte {
+		return fmt.Appendf(nil, `
+vm = { name = "v", failure_domain = "a" }
+listen = { callers = "127.0.0.1:1", ready = "127.0.0.1:2", peers = "127.0.0.1:3" }
+platform = { address = "127.0.0.1:4" }
+experiments = { off = ["turns", %q] }
+`, name)
+	}
+	set, err := ParseEntry(settings("cells"))
+	is.NoErr(err)
+	is.Equal(set.Off.String(), "turns,cells")
+	_, err = ParseEntry(settings("cell"))
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "experiments.off"))
+}
