Ejection after five failures in a row, not by a share of failures

Cause: a share over the last outcomes makes any endpoint of many that lose three in ten answers look bad for a moment; it was ejected though it served more than it spoiled.

--- a/core/dispatch/ejection.go
+++ b/core/dispatch/ejection.go
@@ -9,15 +9,18 @@
 
 // An endpoint that fails requests at once always has free slots, so placing by load
 // sends it all that comes: three such endpoints of sixty took five hundred to a thousand
-// requests each in five seconds, while they said that they were well. An endpoint whose
-// share of failures is far above that of the others is ejected: it gets single requests
-// on trial, after pauses that grow, until several in a row have succeeded.
+// requests each in five seconds, while they said that they were well. An endpoint that
+// fails several in a row is ejected: it gets single requests on trial, after pauses that
+// grow, until several in a row have succeeded.
 //
-// What others do is measured by the lower quartile over the service's endpoints, which
-// failing ones cannot move while they are fewer than three in four. Each endpoint's share
-// is kept twice, over its last five and its last thirty outcomes: the first shows a failing
-// endpoint soon, the second tells a service whose requests fail by themselves from chance.
-// Where three in ten do, the first alone left one of three endpoints out.
+// Only failures in a row count: an endpoint that spoils some of its requests serves the
+// others, and is needed under load. Ejecting by a share of failures, also with a margin of a
+// half, cost 0.034 of the worth on days on which three in five endpoints lost three in ten
+// answers (four seeds), since chance makes any of them look bad for a moment.
+//
+// Where the requests of a service fail by themselves nobody is ejected. That is measured
+// by the lower quartile of the endpoints' shares of failures, which failing ones cannot
+// move while they are fewer than three in four.
 //
 // VMs that place requests tell each other. One that hears of an ejection does the same
 // unless it had an answer of its own just before, and its pauses grow with the number of
@@ -25,21 +28,15 @@
 // VMs.
 
 const (
-	// failWeight is the weight of one outcome in an endpoint's share of failures: four
-	// failures in a row make 0.59.
-	failWeight = 0.2
-	// usualWeight is that in the share which measures the others.
+	// failuresInARow eject an endpoint. One that fails six in ten does so after one in
+	// thirteen requests, one that fails three in ten after one in four hundred.
+	failuresInARow = 5
+	// usualWeight is the weight of one outcome in an endpoint's share of failures: about
+	// its last thirty count.
 	usualWeight = 0.03
-	// failTimes and failMargin are by how much an endpoint's share of failures must pass
-	// the others'. One that fails less than half still serves more than it spoils: where
-	// three in five lost three in ten answers for six seconds, a margin of 0.25 ejected
-	// half of them, and 0.632 of the worth was earned in place of 0.668.
-	failTimes  = 2
-	failMargin = 0.5
-	// mostlyFailing is the share from which an endpoint is ejected however many are
-	// already: it serves next to nothing. Others are ejected up to half of the service,
-	// so that what is left is not drowned.
-	mostlyFailing = 0.7
+	// usualMost is the lower quartile of shares from which requests are taken to fail by
+	// themselves: by then five failures in a row are no rare chance.
+	usualMost = 0.25
 	// trialPause is the first pause before a trial of a VM that is alone with it; others
 	// add as much each. trialMost bounds it as it doubles.
 	trialPause = time.Second
@@ -116,35 +113,40 @@
 
 // outcome takes in a run that the endpoint answered or failed.
 func (e *endpoint) outcome(now time.Duration, r *run, failed bool, sv *service) {
-	share := 0.0
-	if failed {
-		share = 1
-	}
-	e.health.failing += (share - e.health.failing) * failWeight
-	e.health.usual += (share - e.health.usual) * usualWeight
+	e.health.count(r.sent, failed)
 	x := &e.health.ejection
 	switch {
-	case x.on:
-		if r.trial {
-			x.ended(now, failed, e.otherEjections(now))
-		}
-		if !x.on {
-			e.health.failing = 0
-		}
-	case failed && !sv.off.Has(mechanism.Ejection) && e.fails(sv):
+	case x.on && r.trial:
+		x.ended(now, failed, e.otherEjections(now))
+	case x.on || sv.off.Has(mechanism.Ejection):
+	case e.health.inARow >= failuresInARow && sv.usualFailing() < usualMost:
 		x.begin(now, e.otherEjections(now))
 	}
-	if failed {
+	if failed && sv.usualFailing() >= usualMost {
 		sv.takeBack(now)
 	}
 }
 
-// takeBack returns ejected endpoints where most others fail half of their requests too, so
-// that none would be ejected any more: the first to show it were no worse than the rest.
-func (sv *service) takeBack(now time.Duration) {
-	if sv.failBound() < 1 {
+// count takes in whether a request that was sent at a time failed. What was sent before the
+// first failure in a row says nothing: streams that had begun go on to their end.
+func (h *health) count(sent time.Duration, failed bool) {
+	if !failed {
+		if sent >= h.rowSince {
+			h.inARow = 0
+		}
+		h.failing -= h.failing * usualWeight
 		return
 	}
+	if h.inARow == 0 {
+		h.rowSince = sent
+	}
+	h.inARow++
+	h.failing += (1 - h.failing) * usualWeight
+}
+
+// takeBack returns ejected endpoints where the requests of most others fail too: the first
+// to show it were no worse than the rest.
+func (sv *service) takeBack(now time.Duration) {
 	for _, e := range sv.list {
 		if x := &e.health.ejection; x.on && !x.told {
 			x.on, x.returned = false, now
@@ -152,25 +154,14 @@
 	}
 }
 
-// fails says whether the endpoint fails so much more than the others that it is better
-// left out.
-func (e *endpoint) fails(sv *service) bool {
-	if e.health.failing <= sv.failBound() {
-		return false
-	}
-	return e.health.failing > mostlyFailing || 2*(sv.ejected()+1) <= len(sv.list)
-}
-
-// failBound is the share of failures up to which an endpoint fails no more than others.
-func (sv *service) failBound() float64 {
-	lately, usual := make([]float64, 0, len(sv.list)), make([]float64, 0, len(sv.list))
+// usualFailing is the lower quartile of the endpoints' shares of failures.
+func (sv *service) usualFailing() float64 {
+	shares := make([]float64, 0, len(sv.list))
 	for _, e := range sv.list {
-		lately, usual = append(lately, e.health.failing), append(usual, e.health.usual)
+		shares = append(shares, e.health.failing)
 	}
-	slices.Sort(lately)
-	slices.Sort(usual)
-	quartile := (len(lately) - 1) / 4
-	return failTimes*max(lately[quartile], usual[quartile]) + failMargin
+	slices.Sort(shares)
+	return shares[(len(shares)-1)/4]
 }
 
 // ejected is how many endpoints are on trial.
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -15,8 +15,8 @@
 //   - Another incarnation answers at its address. The registry may list the one
 //     before for seconds; the word of one VM is enough for all.
 //   - It rejects requests as full: it rests a moment.
-//   - It fails more requests than the others of its service, though it is healthy by
-//     its own word: it is ejected (ejection.go).
+//   - It fails one request after the other, though it is healthy by its own word: it is
+//     ejected (ejection.go).
 
 const (
 	// rejectedRest is how long an endpoint that said it is full rests: about the
@@ -49,9 +49,12 @@
 	probing bool
 	// answered is when it last answered a request.
 	answered time.Duration
-	// failing is the share of requests that failed lately, usual that over a longer time.
-	failing, usual float64
-	ejection       ejection
+	// failing is the share of requests that failed, inARow how many did without a success
+	// in between, rowSince when the first of them was sent.
+	failing  float64
+	inARow   int
+	rowSince time.Duration
+	ejection ejection
 }
 
 // heard notes a sign of life.
