Ejections and their ends are logged and counted

One line each with the endpoint's incarnation, failures in a row, whether another VM's word did it, and the pause; counter ejections. On-call could not see why a healthy endpoint got nothing.

--- a/core/dispatch/ejection.go
+++ b/core/dispatch/ejection.go
@@ -63,6 +63,37 @@
 	passed, running int
 	// returned is when the endpoint was last taken back.
 	returned time.Duration
+	// reported is the state that Ejections told last.
+	reported bool
+}
+
+// EjectionChange says that an endpoint was ejected or taken back.
+type EjectionChange struct {
+	// Endpoint is the key of its incarnation.
+	Endpoint string
+	Ejected  bool
+	// Told says that another VM's word ejected it.
+	Told bool
+	// Failures is how many requests failed here without a success in between.
+	Failures int
+	// Pause is the time until the first trial.
+	Pause time.Duration
+}
+
+// Ejections returns what changed since the last call.
+func (s *Scheduler) Ejections() []EjectionChange {
+	var changes []EjectionChange
+	for _, sv := range s.services {
+		for _, e := range sv.list {
+			x := &e.health.ejection
+			if x.on == x.reported {
+				continue
+			}
+			x.reported = x.on
+			changes = append(changes, EjectionChange{Endpoint: e.Key(), Ejected: x.on, Told: x.told, Failures: e.health.inARow, Pause: x.pause})
+		}
+	}
+	return changes
 }
 
 // begin ejects the endpoint. others is how many other VMs try it too.
--- a/core/dispatch/ejection_test.go
+++ b/core/dispatch/ejection_test.go
@@ -147,9 +147,16 @@
 	var now time.Duration
 	s := plainServers("a", "b", "c", "d")
 	answer(s, &now, 200, func(id string) bool { return id == "a" })
+	changes := s.Ejections()
+	is.Equal(len(changes), 1)
+	is.True(changes[0].Ejected)
+	is.Equal(changes[0].Endpoint, "a")
 	answer(s, &now, 300, func(string) bool { return false })
 	got := answer(s, &now, 400, func(string) bool { return false })
 	is.True(got["a"] > 60)
+	changes = s.Ejections()
+	is.Equal(len(changes), 1)
+	is.True(!changes[0].Ejected)
 }
 
 // Symptom: a placer that sees nothing wrong leaves out an endpoint for good on the word
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -118,7 +118,7 @@
 	d.pool = upstream.NewPool(opts.Dial, maxIdlePerEndpoint)
 	d.bodies = newMemoryBudget(int64(float64(d.set.Limits.MemoryMb) * bodyShare * (1 << 20)))
 	d.sched = newScheduling(d.set.Vm.Name, d.set.Vm.FailureDomain, d.set.Off, d.now)
-	d.sched.probe = d.probe
+	d.sched.probe, d.sched.noteEjection = d.probe, d.noteEjection
 	d.lastHandle.Store(rand.Uint64())
 	d.placing, d.remoteJobs = newPlacing(d), newRemoteJobs(d)
 	d.sched.remote = d.remoteJobs.decided
@@ -264,6 +264,16 @@
 	d.sched.probeEnded(p.Key, err == nil)
 }
 
+// noteEjection logs which endpoint gets requests on trial only, and why.
+func (d *Daemon) noteEjection(c dispatch.EjectionChange) {
+	event := "endpoint_taken_back"
+	if c.Ejected {
+		event = "endpoint_ejected"
+		d.count("ejections")
+	}
+	d.log.Info().Str("endpoint", c.Endpoint).Bool("told", c.Told).Int("failures_in_a_row", c.Failures).Dur("pause", c.Pause).Msg(event)
+}
+
 func (d *Daemon) sweep(ctx context.Context) error {
 	t := time.NewTicker(sweepEvery)
 	defer t.Stop()
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -23,7 +23,9 @@
 	version uint64
 	// probe opens a connection to an endpoint and reports with probeEnded.
 	probe func(dispatch.Probe)
-	table *routing.Table
+	// noteEjection logs an ejection or its end.
+	noteEjection func(dispatch.EjectionChange)
+	table        *routing.Table
 	// remote takes decisions on requests of other VMs.
 	remote  func(dispatch.Decision) bool
 	waiters map[uint64]chan dispatch.Decision
@@ -56,7 +58,11 @@
 				s.deliver(s.sched.Tick(s.now()))
 			}
 			probes := s.sched.Probes(s.now())
+			changes := s.sched.Ejections()
 			s.mu.Unlock()
+			for _, c := range changes {
+				s.noteEjection(c)
+			}
 			for _, p := range probes {
 				go s.probe(p)
 			}
