chivefield report: an account of an incident from the logs of all VMs

What became of the requests by route and second, the worst seconds with their likely cause, the endpoints that failed most; text and JSON. Refusals name their route in the logs now. Not in it: a bound of what engines could have done, plots.

--- a/cmd/chivefield/explain.go
+++ b/cmd/chivefield/explain.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"os"
 
 	"github.com/chivefield/chivefield/explain"
@@ -24,19 +23,11 @@
 
 // Execute implements flags.Commander.
 func (c *explainCommand) Execute([]string) error {
-	in := io.Reader(os.Stdin)
-	var files []io.Reader
-	for _, path := range c.Args.Logs {
-		f, err := os.Open(path)
-		if err != nil {
-			return err
-		}
-		defer func() { _ = f.Close() }()
-		files = append(files, f)
-	}
-	if len(files) > 0 {
-		in = io.MultiReader(files...)
+	in, closeLogs, err := openLogs(c.Args.Logs)
+	if err != nil {
+		return err
 	}
+	defer closeLogs()
 	lines, err := explain.Request(in, c.Args.Request)
 	if err != nil {
 		return err
--- a/cmd/chivefield/main.go
+++ b/cmd/chivefield/main.go
@@ -19,6 +19,7 @@
 	Config  configCommand  `command:"config" description:"Submit or show the configuration in force"`
 	Audit   auditCommand   `command:"audit" description:"List every change of configuration on the log, with its verdict"`
 	Explain explainCommand `command:"explain" description:"Tell the story of one request from the logs of all VMs"`
+	Report  reportCommand  `command:"report" description:"Give an account of an incident from the logs of all VMs" long-description:"What became of the requests by route and second, the worst seconds with their likely cause, and what endpoints failed."`
 	Load    loadCommand    `command:"load" description:"Measure policies on the users' workloads in virtual time"`
 	Demo    demoCommand    `command:"demo" description:"Run the whole path on built-in stand-ins and tell what happens"`
 	Slopes  slopesCommand  `command:"slopes" description:"Measure the slopes from which docs/CAPACITY.md is worked out"`
--- /dev/null
+++ b/cmd/chivefield/report.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/chivefield/chivefield/report"
+)
+
+type reportCommand struct {
+	Step  time.Duration `long:"step" default:"1s" description:"length of a step"`
+	Worst int           `long:"worst" default:"10" description:"how many of the worst steps to print"`
+	JSON  bool          `long:"json" description:"print everything as JSON"`
+	Args  struct {
+		Logs []string `positional-arg-name:"LOG" description:"log files of any number of VMs; standard input without any"`
+	} `positional-args:"yes"`
+}
+
+// stepError reports a step that is none.
+type stepError struct{ step time.Duration }
+
+func (e *stepError) Error() string { return "--step must be over 0, not " + e.step.String() }
+
+// Execute implements flags.Commander.
+func (c *reportCommand) Execute([]string) error {
+	if c.Step <= 0 {
+		return &stepError{c.Step}
+	}
+	in, closeLogs, err := openLogs(c.Args.Logs)
+	if err != nil {
+		return err
+	}
+	defer closeLogs()
+	a, err := report.Read(in, c.Step)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(a)
+	}
+	return a.Write(os.Stdout, c.Worst)
+}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -248,7 +248,11 @@
 // refuse answers for the system itself.
 func (c *caller) refuse(bad refusal) {
 	c.d.count("refusals." + bad.reason)
-	c.d.log.Info().Str("request", c.call.ID).Int("status", bad.status).Str("reason", bad.reason).
+	route := ""
+	if c.route != nil {
+		route = c.route.Name
+	}
+	c.d.log.Info().Str("request", c.call.ID).Str("route", route).Int("status", bad.status).Str("reason", bad.reason).
 		Dur("retry_after", bad.after).Int("sent", c.sent).Dur("held", time.Since(c.arrived)).Msg("refused")
 	if c.org != nil && c.units > 0 && !c.ran {
 		c.d.peers.refund(allowance.Amount{Organisation: c.org.Name, Units: c.units})
--- /dev/null
+++ b/report/report.go
@@ -0,0 +1,303 @@
+// Package report gives an account of an incident from the logs of all VMs: what became of
+// the requests, second by second and route by route, what endpoints did, and the worst
+// seconds with their likely cause. Lines that were dropped for the logs' budget are missing
+// from it; the account says how many there were.
+package report
+
+import (
+	"bufio"
+	"cmp"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/chivefield/chivefield/explain"
+)
+
+// Counts are what became of requests. A request here is one attempt of a caller.
+type Counts struct {
+	Asked  int `json:"asked"`
+	OnTime int `json:"on_time"`
+	Late   int `json:"late"`
+	// Refused counts the system's own answers, by reason.
+	Refused map[string]int `json:"refused"`
+	// Broken counts streams that were broken off, Left callers that left.
+	Broken int `json:"broken"`
+	Left   int `json:"left"`
+}
+
+// Served is the share of the requests that were on time; 1 if none was asked.
+func (c *Counts) Served() float64 {
+	if c.Asked == 0 {
+		return 1
+	}
+	return float64(c.OnTime) / float64(c.Asked)
+}
+
+// refusals is the number of refusals of all reasons.
+func (c *Counts) refusals() int {
+	n := 0
+	for _, k := range c.Refused {
+		n += k
+	}
+	return n
+}
+
+func (c *Counts) add(o outcome, reason string) {
+	c.Asked++
+	switch o {
+	case onTime:
+		c.OnTime++
+	case late:
+		c.Late++
+	case broken:
+		c.Broken++
+	case left:
+		c.Left++
+	case refused:
+		if c.Refused == nil {
+			c.Refused = make(map[string]int)
+		}
+		c.Refused[reason]++
+	}
+}
+
+// Step is a span of time, by the arrival of requests.
+type Step struct {
+	From time.Time `json:"from"`
+	Counts
+	// Failures counts attempts at endpoints that failed, by outcome.
+	Failures map[string]int `json:"failures"`
+	// Started counts processes that started, StoreLost and PlacersLost what VMs lost.
+	Started     int `json:"started"`
+	StoreLost   int `json:"store_lost"`
+	PlacersLost int `json:"placers_lost"`
+	// Cause is the likely cause of what was not on time; empty if all was.
+	Cause string `json:"cause"`
+}
+
+// Route is what became of the requests of one route. Requests without a route, such as those
+// with an unknown path, stand under the empty name.
+type Route struct {
+	Name string `json:"name"`
+	Counts
+	// Waited is the mean time until an endpoint was picked.
+	Waited time.Duration `json:"waited_ns"`
+	placed int
+}
+
+// Endpoint is what one endpoint did.
+type Endpoint struct {
+	Name     string         `json:"name"`
+	Placed   int            `json:"placed"`
+	Failures map[string]int `json:"failures"`
+	// Ejections counts the VMs' ejections of it.
+	Ejections int `json:"ejections"`
+	// Gap is the time between two events that was last assumed.
+	Gap time.Duration `json:"gap_ns"`
+}
+
+// failed is the number of failures of all outcomes.
+func (e *Endpoint) failed() int {
+	n := 0
+	for _, k := range e.Failures {
+		n += k
+	}
+	return n
+}
+
+// Account is the whole.
+type Account struct {
+	Steps     []Step     `json:"steps"`
+	Routes    []Route    `json:"routes"`
+	Endpoints []Endpoint `json:"endpoints"`
+	// Dropped counts lines that are missing from the logs.
+	Dropped int `json:"lines_dropped"`
+}
+
+// Worst returns the n steps with the smallest share on time among those with a tenth of the
+// usual number of requests or more, the worst first.
+func (a *Account) Worst(n int) []Step {
+	asked := 0
+	for _, s := range a.Steps {
+		asked += s.Asked
+	}
+	least := float64(asked) / float64(max(1, len(a.Steps))) / tellingShare
+	var list []Step
+	for _, s := range a.Steps {
+		if float64(s.Asked) >= least && s.Served() < 1 {
+			list = append(list, s)
+		}
+	}
+	slices.SortStableFunc(list, func(x, y Step) int { return cmp.Compare(x.Served(), y.Served()) })
+	return list[:min(n, len(list))]
+}
+
+// tellingShare is how many times fewer requests than usual a step may have to be judged.
+const tellingShare = 10
+
+type outcome int
+
+const (
+	onTime outcome = iota
+	late
+	refused
+	broken
+	left
+)
+
+// ending is how a request ended.
+type ending struct {
+	request string
+	arrived time.Time
+	outcome outcome
+	reason  string
+}
+
+// maxLine bounds a line of a log, in bytes.
+const maxLine = 1 << 20
+
+// Read works the account out of logs of any number of VMs, in any order, in steps of a
+// length. The error is an explain.ReadError.
+func Read(r io.Reader, step time.Duration) (*Account, error) {
+	b := &builder{
+		step: step, steps: make(map[time.Time]*Step), routes: make(map[string]*Route),
+		endpoints: make(map[string]*Endpoint), routeOf: make(map[string]string),
+	}
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, maxLine)
+	for sc.Scan() {
+		if l, ok := explain.Parse(sc.Text()); ok {
+			b.line(&l)
+		}
+	}
+	if err := sc.Err(); err != nil {
+		return nil, &explain.ReadError{Err: err}
+	}
+	return b.account(), nil
+}
+
+type builder struct {
+	step      time.Duration
+	steps     map[time.Time]*Step
+	routes    map[string]*Route
+	endpoints map[string]*Endpoint
+	// routeOf are the routes of requests that have an endpoint.
+	routeOf map[string]string
+	endings []ending
+	dropped int
+}
+
+func (b *builder) at(t time.Time) *Step {
+	from := t.Truncate(b.step)
+	s := b.steps[from]
+	if s == nil {
+		s = &Step{From: from, Failures: make(map[string]int)}
+		b.steps[from] = s
+	}
+	return s
+}
+
+func (b *builder) endpoint(name string) *Endpoint {
+	e := b.endpoints[name]
+	if e == nil {
+		e = &Endpoint{Name: name, Failures: make(map[string]int)}
+		b.endpoints[name] = e
+	}
+	return e
+}
+
+func (b *builder) route(name string) *Route {
+	r := b.routes[name]
+	if r == nil {
+		r = &Route{Name: name}
+		b.routes[name] = r
+	}
+	return r
+}
+
+// line takes in one event.
+func (b *builder) line(l *explain.Line) {
+	switch l.Event {
+	case "placed":
+		b.placed(l)
+	case "attempt_failed":
+		b.at(l.At).Failures[l.Get("outcome")]++
+		b.endpoint(l.Get("endpoint")).Failures[l.Get("outcome")]++
+	case "answered", "streamed":
+		o := onTime
+		if l.Get("late") == "true" {
+			o = late
+		}
+		b.end(l, l.At.Add(-milliseconds(l.Get("took"))), o, "")
+	case "refused":
+		b.routeOf[l.Get("request")] = l.Get("route")
+		b.end(l, l.At.Add(-milliseconds(l.Get("held"))), refused, l.Get("reason"))
+	case "stream_broken":
+		b.end(l, l.At, broken, l.Get("reason"))
+	case "caller_left":
+		b.end(l, l.At.Add(-milliseconds(l.Get("held"))), left, "")
+	case "endpoint_ejected":
+		b.endpoint(l.Get("endpoint")).Ejections++
+	case "started":
+		b.at(l.At).Started++
+	case "store_lost":
+		b.at(l.At).StoreLost++
+	case "placer_lost":
+		b.at(l.At).PlacersLost++
+	case "log_lines_dropped":
+		n, err := strconv.Atoi(l.Get("lines"))
+		if err == nil {
+			b.dropped += n
+		}
+	}
+}
+
+func (b *builder) placed(l *explain.Line) {
+	name := l.Get("route")
+	b.routeOf[l.Get("request")] = name
+	r := b.route(name)
+	r.placed++
+	r.Waited += milliseconds(l.Get("waited"))
+	e := b.endpoint(l.Get("endpoint"))
+	e.Placed++
+	e.Gap = milliseconds(l.Get("gap"))
+}
+
+func (b *builder) end(l *explain.Line, arrived time.Time, o outcome, reason string) {
+	b.endings = append(b.endings, ending{request: l.Get("request"), arrived: arrived, outcome: o, reason: reason})
+}
+
+// milliseconds reads a time as the logs write it; 0 if it is none.
+func milliseconds(v string) time.Duration {
+	ms, err := strconv.ParseFloat(v, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+func (b *builder) account() *Account {
+	for _, e := range b.endings {
+		b.at(e.arrived).add(e.outcome, e.reason)
+		b.route(b.routeOf[e.request]).add(e.outcome, e.reason)
+	}
+	a := &Account{Dropped: b.dropped}
+	for _, from := range slices.SortedFunc(maps.Keys(b.steps), time.Time.Compare) {
+		s := b.steps[from]
+		s.Cause = cause(s)
+		a.Steps = append(a.Steps, *s)
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.routes)) {
+		r := b.routes[name]
+		r.Waited /= time.Duration(max(1, r.placed))
+		a.Routes = append(a.Routes, *r)
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.endpoints)) {
+		a.Endpoints = append(a.Endpoints, *b.endpoints[name])
+	}
+	slices.SortStableFunc(a.Endpoints, func(x, y Endpoint) int { return cmp.Compare(y.failed(), x.failed()) })
+	return a
+}
--- /dev/null
+++ b/report/report_test.go
@@ -0,0 +1,78 @@
+package report
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// session is what the VMs logged in three seconds: a calm one; one in which an endpoint
+// resets requests; one in which a VM starts anew and an organisation meets its allowance.
+const session = `
+time=2026-08-12T08:41:00.100Z level=info event=placed request=r1 route=plan endpoint=e1 waited=4 gap=20 vm=a
+time=2026-08-12T08:41:00.900Z level=info event=streamed request=r1 took=800 late=false vm=a
+collected by a tool: time=2026-08-12T08:41:00.200Z level=info event=placed request=r2 route=look endpoint=e2 waited=2 gap=0 vm=b
+time=2026-08-12T08:41:00.250Z level=info event=answered request=r2 took=50 late=false vm=b
+time=2026-08-12T08:41:01.100Z level=info event=placed request=r3 route=plan endpoint=e1 waited=10 gap=21 vm=a
+time=2026-08-12T08:41:01.110Z level=info event=attempt_failed request=r3 endpoint=e1 outcome=broken vm=a
+time=2026-08-12T08:41:01.120Z level=info event=refused request=r3 route=plan status=502 reason=attempts_spent held=20 vm=a
+time=2026-08-12T08:41:01.500Z level=info event=endpoint_ejected endpoint=e1 told=false failures_in_a_row=5 vm=a
+time=2026-08-12T08:41:03.100Z level=info event=refused request=r4 route=look status=503 reason=too_late held=1300 vm=b
+time=2026-08-12T08:41:02.100Z level=info event=started failure_domain=d first_start=false vm=a
+time=2026-08-12T08:41:02.300Z level=info event=refused request=r5 route=look status=429 reason=over_allowance held=1 vm=a
+time=2026-08-12T08:41:02.400Z level=warn event=stream_broken request=r6 reason=too_late events=3 vm=a
+time=2026-08-12T08:41:02.500Z level=info event=caller_left request=r7 held=100 vm=a
+time=2026-08-12T08:41:02.600Z level=warn event=log_lines_dropped lines=7 total=7 vm=a
+no line of a daemon
+`
+
+func TestAccount(t *testing.T) {
+	is := is.New(t)
+	a, err := Read(strings.NewReader(session), time.Second)
+	is.NoErr(err)
+	is.Equal(len(a.Steps), 3)
+	is.Equal(a.Steps[0].OnTime, 2)
+	is.Equal(a.Steps[0].Cause, "")
+	// r4 came in the second step, though it was refused in the fourth.
+	is.Equal(a.Steps[1].Asked, 2)
+	is.Equal(a.Steps[1].Refused, map[string]int{"attempts_spent": 1, "too_late": 1})
+	is.Equal(a.Steps[1].Cause, CauseEndpoints)
+	is.Equal(a.Steps[2].Cause, CauseVMs)
+	is.Equal(a.Dropped, 7)
+	is.Equal(a.Endpoints[0].Name, "e1")
+	is.Equal(a.Endpoints[0].Placed, 2)
+	is.Equal(a.Endpoints[0].Ejections, 1)
+	is.Equal(a.Endpoints[0].Gap, 21*time.Millisecond)
+	is.Equal(a.Worst(1)[0].Asked, 2)
+	var b bytes.Buffer
+	is.NoErr(a.Write(&b, 5))
+	want, err := os.ReadFile("testdata/account")
+	is.NoErr(err)
+	is.Equal(b.String(), string(want))
+}
+
+func TestCauses(t *testing.T) {
+	for want, s := range map[string]*Step{
+		CauseAllowance: {Counts: Counts{Asked: 10, OnTime: 5, Refused: map[string]int{reasonAllowance: 4}}},
+		CauseOverload:  {Counts: Counts{Asked: 10, OnTime: 5, Refused: map[string]int{reasonTooLate: 4}}},
+		CausePlacers:   {Counts: Counts{Asked: 10, OnTime: 5, Refused: map[string]int{reasonTooLate: 4}}, PlacersLost: 1},
+		CauseLate:      {Counts: Counts{Asked: 10, OnTime: 5, Late: 5}},
+		CauseStore:     {Counts: Counts{Asked: 10, OnTime: 5, Late: 5}, StoreLost: 1},
+	} {
+		is := is.New(t)
+		is.Equal(cause(s), want)
+	}
+}
+
+// Without a line there is nothing to judge, and nothing fails.
+func TestEmptyLogs(t *testing.T) {
+	is := is.New(t)
+	a, err := Read(strings.NewReader(""), time.Second)
+	is.NoErr(err)
+	is.Equal(len(a.Worst(3)), 0)
+	is.NoErr(a.Write(&bytes.Buffer{}, 3))
+}
--- /dev/null
+++ b/report/write.go
@@ -0,0 +1,59 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// mostEndpoints bounds the endpoints that are printed: those that failed most.
+const mostEndpoints = 12
+
+// Write prints the account as tables, with the n worst steps.
+func (a *Account) Write(w io.Writer, worst int) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "route\tasked\ton time\tlate\trefused\tbroken\tleft\twaited")
+	for _, r := range a.Routes {
+		fmt.Fprintf(t, "%s\t%s\t%s\n", nameOr(r.Name), r.cells(), r.Waited.Round(time.Millisecond))
+	}
+	fmt.Fprintln(t, "\nworst\tasked\ton time\tlate\trefused\tbroken\tleft\tlikely cause")
+	for _, s := range a.Worst(worst) {
+		fmt.Fprintf(t, "%s\t%s\t%s\n", s.From.Format("15:04:05.0"), s.cells(), s.Cause)
+	}
+	fmt.Fprintln(t, "\nendpoint\tplaced\tfailed\tejected\tgap")
+	for _, e := range a.Endpoints[:min(mostEndpoints, len(a.Endpoints))] {
+		fmt.Fprintf(t, "%s\t%d\t%s\t%d\t%s\n", nameOr(e.Name), e.Placed, list(e.Failures), e.Ejections, e.Gap)
+	}
+	if a.Dropped > 0 {
+		fmt.Fprintf(t, "\n%d lines are missing from the logs\n", a.Dropped)
+	}
+	return t.Flush()
+}
+
+func (c *Counts) cells() string {
+	return fmt.Sprintf("%d\t%d\t%d\t%s\t%d\t%d", c.Asked, c.OnTime, c.Late, list(c.Refused), c.Broken, c.Left)
+}
+
+// list prints counts by name, such as "3 (too_late 2, no_route 1)".
+func list(counts map[string]int) string {
+	n, parts := 0, make([]string, 0, len(counts))
+	for _, k := range slices.Sorted(maps.Keys(counts)) {
+		n += counts[k]
+		parts = append(parts, fmt.Sprintf("%s %d", k, counts[k]))
+	}
+	if n == 0 {
+		return "0"
+	}
+	return fmt.Sprintf("%d (%s)", n, strings.Join(parts, ", "))
+}
+
+func nameOr(name string) string {
+	if name == "" {
+		return "-"
+	}
+	return name
+}
