Last read: logs are scanned by one piece of code, one check of what a process knows

explain and report each had the loop over a log and its bound: explain.Scan serves both. ready and noteInformed asked the same two things: knowsAll. In ejection, counting and sorting over a service's endpoints is left out where it cannot change the outcome (fewer than five in a row; nobody ejected), and a check that its caller had made is gone. No behaviour changed.

Tests of explain, report, entry, core/dispatch and platform/whole green.

--- a/core/dispatch/ejection.go
+++ b/core/dispatch/ejection.go
@@ -140,9 +140,6 @@
 
 // ended takes in the end of a trial.
 func (x *ejection) ended(now time.Duration, failed bool, others int) {
-	if !x.on {
-		return
-	}
 	if failed {
 		x.passed, x.told = 0, false
 		x.wait(now, others)
@@ -161,10 +158,10 @@
 	case x.on && r.trial:
 		x.ended(now, failed, e.otherEjections(now))
 	case x.on || sv.off.Has(mechanism.Ejection):
-	case e.health.inARow >= sv.rowToEject() && sv.usualFailing() < usualMost:
+	case e.health.inARow >= failuresInARow && e.health.inARow >= sv.rowToEject() && sv.usualFailing() < usualMost:
 		x.begin(now, e.otherEjections(now))
 	}
-	if failed && sv.usualFailing() >= usualSure {
+	if failed && sv.ejected() > 0 && sv.usualFailing() >= usualSure {
 		sv.takeBack(now)
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -214,7 +214,7 @@
 // ready says whether requests can be served here. An outage of the store does
 // not change that: what was known stays in force.
 func (d *Daemon) ready() bool {
-	return !d.draining.Load() && d.table.Load() != nil && d.endpointsKnown.Load()
+	return !d.draining.Load() && d.knowsAll()
 }
 
 // informedWithin is up to what uptime a request waits until configuration and endpoints
@@ -222,9 +222,12 @@
 // meanwhile, 30 to 40 in a start of nine VMs, returned too late for their objective.
 const informedWithin = 500 * time.Millisecond
 
+// knowsAll says whether configuration and endpoints are known.
+func (d *Daemon) knowsAll() bool { return d.table.Load() != nil && d.endpointsKnown.Load() }
+
 // noteInformed lets requests go on that wait for what a process must know.
 func (d *Daemon) noteInformed() {
-	if d.table.Load() != nil && d.endpointsKnown.Load() {
+	if d.knowsAll() {
 		d.informedOnce.Do(func() { close(d.informed) })
 	}
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -44,23 +44,37 @@
 // Unwrap returns the cause.
 func (e *ReadError) Unwrap() error { return e.Err }
 
-// Request returns the lines about a request, from logs of any number of VMs, in
-// order of time. Words before a line's time, as tools that collect logs add them,
-// are passed over.
-func Request(r io.Reader, id string) ([]Line, error) {
-	var lines []Line
+// Scan calls each for every event of a log whose line holds a text; an empty one is in all.
+// Lines that are none of the daemon's are passed over. The error is a ReadError.
+func Scan(r io.Reader, text string, each func(*Line)) error {
 	sc := bufio.NewScanner(r)
 	sc.Buffer(nil, maxLine)
 	for sc.Scan() {
-		if !strings.Contains(sc.Text(), "request="+id) {
+		if !strings.Contains(sc.Text(), text) {
 			continue
 		}
-		if l, ok := Parse(sc.Text()); ok && l.Get("request") == id {
-			lines = append(lines, l)
+		if l, ok := Parse(sc.Text()); ok {
+			each(&l)
 		}
 	}
 	if err := sc.Err(); err != nil {
-		return nil, &ReadError{Err: err}
+		return &ReadError{Err: err}
+	}
+	return nil
+}
+
+// Request returns the lines about a request, from logs of any number of VMs, in
+// order of time. Words before a line's time, as tools that collect logs add them,
+// are passed over.
+func Request(r io.Reader, id string) ([]Line, error) {
+	var lines []Line
+	err := Scan(r, "request="+id, func(l *Line) {
+		if l.Get("request") == id {
+			lines = append(lines, *l)
+		}
+	})
+	if err != nil {
+		return nil, err
 	}
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.At.Compare(b.At) })
 	return lines, nil
--- a/report/report.go
+++ b/report/report.go
@@ -5,7 +5,6 @@
 package report
 
 import (
-	"bufio"
 	"cmp"
 	"io"
 	"maps"
@@ -156,9 +155,6 @@
 	reason  string
 }
 
-// maxLine bounds a line of a log, in bytes.
-const maxLine = 1 << 20
-
 // Read works the account out of logs of any number of VMs, in any order, in steps of a
 // length. The error is an explain.ReadError.
 func Read(r io.Reader, step time.Duration) (*Account, error) {
@@ -166,15 +162,8 @@
 		step: step, steps: make(map[time.Time]*Step), routes: make(map[string]*Route),
 		endpoints: make(map[string]*Endpoint), routeOf: make(map[string]string),
 	}
-	sc := bufio.NewScanner(r)
-	sc.Buffer(nil, maxLine)
-	for sc.Scan() {
-		if l, ok := explain.Parse(sc.Text()); ok {
-			b.line(&l)
-		}
-	}
-	if err := sc.Err(); err != nil {
-		return nil, &explain.ReadError{Err: err}
+	if err := explain.Scan(r, "", b.line); err != nil {
+		return nil, err
 	}
 	return b.account(), nil
 }
