Predictions are times that can be: first events have a time of their own

Cause: an event of a stream may hold fifteen tokens, while the first one holds a single token and comes sooner than a usual time between events. The time to read a token was what a first event took beyond that, so it was learned as next to nothing; the division by it wrapped, also for a time a moment before the last first event, and the notes carried the result to other VMs.

Now what a first event takes beyond reading is learned by itself, against the time between events; what is learned has bounds; prompts and loads that callers and VMs tell are checked where they enter and counted (impossible_quantities).

Ruled out: guarding the two divisions alone leaves the time to read at its least, so that prompts of 6,000 tokens count as nothing.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -108,6 +108,8 @@
 	near []bool
 	// placers counts the changes of who places requests.
 	placers int
+	// impossible counts quantities that cannot be.
+	impossible int
 	// company is what is known of the VMs of the own failure domain, and of others.
 	company [2]company
 }
@@ -249,6 +251,7 @@
 // Submit queues a job and places what can be placed.
 func (s *Scheduler) Submit(now time.Duration, j Job) []Decision {
 	sv := s.service(j.Service)
+	s.checkJob(&j)
 	j.arrived = now
 	sv.queue = append(sv.queue, &j)
 	s.place(now, sv)
@@ -410,6 +413,7 @@
 		if ep == nil {
 			continue
 		}
+		s.checkUse(&u.Use)
 		// A VM that asks another sends no requests on trial by itself.
 		u.Ejected = u.Ejected && places
 		ep.setOther(peerUse{u.Use, i, now})
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -27,17 +27,16 @@
 			continue
 		}
 		u.Waiting++
-		u.PromptTokens += r.job.Prompt
+		u.PromptTokens = addTokens(u.PromptTokens, r.job.Prompt)
 		if oldest < 0 || r.sent < oldest {
 			oldest, first = r.sent, r.job.Prompt
 		}
 	}
-	if oldest >= 0 && read > 0 {
-		since := max(oldest, e.lastFirst)
-		u.PromptTokens -= min(first, int((now-since).Seconds()/read))
+	if oldest >= 0 {
+		u.PromptTokens -= readIn(now-max(oldest, e.lastFirst), read, first)
 	}
 	if e.gap.seen >= tellAfter {
-		u.Gap = time.Duration(e.gap.value * float64(time.Second))
+		u.Gap = seconds(e.gap.value)
 	}
 	return u
 }
@@ -66,7 +65,7 @@
 		kept = append(kept, o)
 		u.Running += o.Running
 		u.Waiting += o.Waiting
-		u.PromptTokens += max(0, o.PromptTokens-int(age.Seconds()/read))
+		u.PromptTokens = addTokens(u.PromptTokens, o.PromptTokens-readIn(age, read, o.PromptTokens))
 	}
 	e.others = kept
 	return u
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // floor follows the low end of a quantity: what it takes when nothing disturbs.
 // An engine's pace shows when no prompt is being read in between; an average
@@ -15,17 +18,22 @@
 const (
 	floorDown = 0.3
 	floorUp   = 0.01
-	// floorJump bounds how far above the floor a single value counts.
+	// floorJump bounds how far above or below the floor a single value counts: events
+	// that a stalled link brings at the same moment say nothing of the engine.
 	floorJump = 3
 )
 
+// observe takes in a value above 0; others are none.
 func (f *floor) observe(v float64) {
+	if !(v > 0) || math.IsInf(v, 0) {
+		return
+	}
 	f.seen++
 	switch {
 	case f.value == 0:
 		f.value = v
 	case v < f.value:
-		f.value += (v - f.value) * floorDown
+		f.value += (max(v, f.value/floorJump) - f.value) * floorDown
 	default:
 		f.value += (min(v, floorJump*f.value) - f.value) * floorUp
 	}
@@ -81,10 +89,31 @@
 	// the engine's speed, but grows with the prompt, since each token attends to all
 	// before it.
 	readRatio [promptSizes]floor
+	// firstRatio is what the first event takes beyond the reading of the prompt, against
+	// the time between events. It may hold a single token where others hold thirty, or as
+	// many as they.
+	firstRatio floor
 	// plain is the usual time of an answer without a prompt, in seconds.
 	plain float64
 }
 
+// Bounds of what is learned. A quantity that is learned as nothing makes times of nothing
+// and divisions by it, which shows as predictions that cannot be.
+const (
+	// leastGap and mostGap bound the time between two events, in seconds. No engine writes
+	// a hundred thousand tokens a second to one caller, and no caller waits for a minute.
+	leastGap = 1e-5
+	mostGap  = 60
+	// leastReadRatio and mostReadRatio bound the time to read a token against the time
+	// between events: an engine reads between ten tokens and a hundred thousand while it
+	// writes an event.
+	leastReadRatio = 1e-5
+	mostReadRatio  = 0.1
+	// leastFirst and mostFirst bound what a first event takes against any other.
+	leastFirst = 0.01
+	mostFirst  = 1.5
+)
+
 func orStart(v, start float64) float64 {
 	if v == 0 {
 		return start
@@ -104,6 +133,9 @@
 	// first event, in tokens.
 	tellingPrompt = 500
 	plainWeight   = 0.1
+	// tellingAhead is the most that may be read before a prompt, as a share of it, for
+	// its time to tell the time to read: what is ahead is known a moment late.
+	tellingAhead = 0.25
 )
 
 // observeFirst takes in the time to the first event of a run.
@@ -116,15 +148,31 @@
 		p.plain += (t - p.plain) * gapWeight
 		return
 	}
-	if r.job.Prompt < tellingPrompt || r.ep.gap.value == 0 {
+	prompt := float64(r.job.Prompt)
+	if r.ep.gap.value == 0 || float64(r.ahead) > tellingAhead*prompt {
 		return
 	}
-	gap := r.ep.gap.value
-	p.readRatio[sizeOf(r.job.Prompt)].observe(max(0, t-gap) / gap / float64(r.job.Prompt+r.ahead))
+	tokens := prompt + float64(r.ahead)
+	ratio := t / p.gapOf(r.ep)
+	// Which of the two a first event tells follows from which is the larger part.
+	if reading := p.ratioOf(r.job.Prompt) * tokens; prompt < tellingPrompt || reading < p.firstShare() {
+		p.firstRatio.observe(clamp(ratio-reading, leastFirst, mostFirst))
+		return
+	}
+	p.readRatio[sizeOf(r.job.Prompt)].observe(clamp((ratio-p.firstShare())/tokens, leastReadRatio, mostReadRatio))
 }
 
+// firstShare is what a first event takes beyond the reading of its prompt, in times
+// between two events.
+func (p *pace) firstShare() float64 { return p.firstRatio.get(startFirst) }
+
+// startFirst is assumed of first events until some were seen: as long as any other.
+const startFirst = 1
+
 // gapOf is the expected time between events at an endpoint, in seconds.
-func (p *pace) gapOf(e *endpoint) float64 { return e.gap.get(orStart(p.gap, startGap)) }
+func (p *pace) gapOf(e *endpoint) float64 {
+	return clamp(e.gap.get(orStart(p.gap, startGap)), leastGap, mostGap)
+}
 
 // promptSizes is the number of sizes of prompts, each four times the one before
 // and the first up to smallPrompt tokens.
@@ -141,12 +189,15 @@
 	return size
 }
 
-// readOf is the expected time to read a token of a prompt of some length at an
-// endpoint, in seconds. Sizes that were not seen yet count as the next smaller.
-func (p *pace) readOf(e *endpoint, prompt int) float64 {
+// ratioOf is the expected time to read a token of a prompt of some length, in times
+// between two events. Sizes that were not seen yet count as the next smaller.
+func (p *pace) ratioOf(prompt int) float64 {
 	ratio := startReadRatio
 	for size := range sizeOf(prompt) + 1 {
 		ratio = max(p.readRatio[size].get(ratio), p.readRatio[0].get(0))
 	}
-	return p.gapOf(e) * ratio
+	return clamp(ratio, leastReadRatio, mostReadRatio)
 }
+
+// readOf is that at an endpoint, in seconds; never 0.
+func (p *pace) readOf(e *endpoint, prompt int) float64 { return p.gapOf(e) * p.ratioOf(prompt) }
--- a/core/dispatch/play_test.go
+++ b/core/dispatch/play_test.go
@@ -33,6 +33,13 @@
 	domains, near, far int
 	told               int
 
+	// tokens is how many tokens an event of a stream holds.
+	tokens int
+	// ratios are the times to first events that were seen, over those predicted.
+	ratios []float64
+	// impossible counts decisions with a prediction or a load that cannot be.
+	impossible int
+
 	// failing engines reset requests as they come; broken counts those.
 	failing map[string]failure
 	broken  int
@@ -111,6 +118,10 @@
 	playService = "engines"
 	playPause   = 250 * time.Millisecond
 	playPatient = 2 * time.Second
+	// No request of the play waits longer for its first event, and no engine has more
+	// unread prompt tokens.
+	playLongest    = time.Minute
+	playMostUnread = 1 << 20
 )
 
 // newPlay makes engines of the given slownesses, with slots each, in one failure
@@ -124,7 +135,7 @@
 	p := &play{
 		rand: rand.New(rand.NewPCG(seed, seed)), engines: make(map[string]*engine.Model),
 		kinds: kinds, jobs: make(map[uint64]*played), results: make([]result, len(kinds)), burst: 1,
-		domains: domains, near: playNear, far: playFar, failing: make(map[string]failure),
+		domains: domains, near: playNear, far: playFar, tokens: playTokens, failing: make(map[string]failure),
 	}
 	var list []*members.Endpoint
 	for i, x := range slow {
@@ -244,7 +255,7 @@
 	relative := (float64(prompt) + 10*float64(output)) / (k.prompt + 10*k.output)
 	pl := &played{kind: i, vm: vm, credit: min(4, 0.3+0.7*relative), largest: float64(prompt) > 2.2*k.prompt, submitted: p.now, output: output}
 	pl.job = Job{
-		Handle: p.next, Service: playService, Tier: k.tier, Prompt: prompt, Events: p.size(float64(output)/playTokens, 0.7), MaxPause: playPause, Limit: p.now + k.limit,
+		Handle: p.next, Service: playService, Tier: k.tier, Prompt: prompt, Events: p.size(float64(output)/float64(p.tokens), 0.7), MaxPause: playPause, Limit: p.now + k.limit,
 		Objective: p.now + k.objective, Abandon: p.now + max(playPatient, 4*k.objective),
 	}
 	p.jobs[p.next] = pl
@@ -268,6 +279,9 @@
 		}
 		pl.engine = d.Endpoint.ID
 		pl.placed, pl.expected = p.now, d.Predicted
+		if d.Predicted <= 0 || d.Predicted > playLongest || d.Load.PromptTokens < 0 || d.Load.PromptTokens > playMostUnread {
+			p.impossible++
+		}
 		if len(p.failing) > 0 && p.breaks(pl.engine) {
 			pl.reset = true
 			continue
@@ -286,6 +300,7 @@
 			}
 			if ev.Kind == engine.First {
 				pl.started, pl.first, pl.last = true, ev.At, ev.At
+				p.ratios = append(p.ratios, float64(ev.At-pl.placed)/float64(max(1, pl.expected)))
 				p.vms[pl.vm].Events(p.now, h, 1)
 				continue
 			}
@@ -304,7 +319,7 @@
 		if !pl.started {
 			continue
 		}
-		if n := p.engines[pl.engine].Written(strconv.FormatUint(h, 10))/playTokens - pl.told; n > 0 {
+		if n := p.engines[pl.engine].Written(strconv.FormatUint(h, 10))/p.tokens - pl.told; n > 0 {
 			pl.told += n
 			pl.pause = max(pl.pause, p.now-pl.last)
 			pl.last = p.now
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -125,7 +125,7 @@
 	if fastest == nil || !fastest.engine {
 		return 0
 	}
-	return seconds(sv.pace.readOf(fastest, j.Prompt)*float64(j.Prompt) + sv.pace.gapOf(fastest))
+	return seconds(sv.pace.readOf(fastest, j.Prompt)*float64(j.Prompt) + sv.pace.firstShare()*sv.pace.gapOf(fastest))
 }
 
 // refuseHopeless refuses jobs whose caller is about to leave or would have left by
--- a/core/dispatch/remote.go
+++ b/core/dispatch/remote.go
@@ -39,8 +39,9 @@
 	case e.health.unreachable():
 		return nil, NotReached
 	}
+	s.checkJob(&j)
 	j.arrived = now
-	r := s.begin(now, &j, candidate{ep: e, first: first, ahead: ahead})
+	r := s.begin(now, &j, candidate{ep: e, first: first, ahead: s.bounded(ahead, mostTokens)})
 	r.adopted = true
 	ep := e.Endpoint
 	return &Decision{Handle: j.Handle, Endpoint: &ep, Predicted: first}, ""
--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -75,12 +75,10 @@
 	return c
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 func (sv *service) rateEngine(now time.Duration, j *Job, c *candidate) {
 	gap, read := sv.pace.gapOf(c.ep), sv.pace.readOf(c.ep, j.Prompt)
 	c.load.Gap = seconds(gap)
-	first := sv.pace.readOf(c.ep, 0)*float64(c.load.PromptTokens) + read*float64(j.Prompt) + gap
+	first := sv.pace.readOf(c.ep, 0)*float64(c.load.PromptTokens) + read*float64(j.Prompt) + sv.pace.firstShare()*gap
 	if c.load.Running+c.load.Waiting >= c.ep.Slots {
 		first += slotEvents * gap
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -118,7 +118,7 @@
 	d.pool = upstream.NewPool(opts.Dial, maxIdlePerEndpoint)
 	d.bodies = newMemoryBudget(int64(float64(d.set.Limits.MemoryMb) * bodyShare * (1 << 20)))
 	d.sched = newScheduling(d.set.Vm.Name, d.set.Vm.FailureDomain, d.set.Off, d.now)
-	d.sched.probe, d.sched.noteEjection = d.probe, d.noteEjection
+	d.sched.probe, d.sched.noteEjection, d.sched.countImpossible = d.probe, d.noteEjection, d.countImpossible
 	d.lastHandle.Store(rand.Uint64())
 	d.placing, d.remoteJobs = newPlacing(d), newRemoteJobs(d)
 	d.sched.remote = d.remoteJobs.decided
@@ -267,6 +267,13 @@
 	d.sched.probeEnded(p.Key, err == nil)
 }
 
+// countImpossible counts quantities that callers or other VMs told and that cannot be.
+func (d *Daemon) countImpossible(n int) {
+	if n > 0 {
+		metrics.GetOrRegisterCounter("impossible_quantities", d.metrics).Inc(int64(n))
+	}
+}
+
 // noteEjection logs which endpoint gets requests on trial only, and why.
 func (d *Daemon) noteEjection(c dispatch.EjectionChange) {
 	event := "endpoint_taken_back"
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -23,6 +23,8 @@
 	version uint64
 	// probe opens a connection to an endpoint and reports with probeEnded.
 	probe func(dispatch.Probe)
+	// countImpossible counts quantities that cannot be.
+	countImpossible func(n int)
 	// noteEjection logs an ejection or its end.
 	noteEjection func(dispatch.EjectionChange)
 	table        *routing.Table
@@ -59,7 +61,9 @@
 			}
 			probes := s.sched.Probes(s.now())
 			changes := s.sched.Ejections()
+			impossible := s.sched.Impossible()
 			s.mu.Unlock()
+			s.countImpossible(impossible)
 			for _, c := range changes {
 				s.noteEjection(c)
 			}
