--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -52,6 +52,40 @@
 	}
 }
 
+// officeMix is three kinds before engines whose events hold 15 tokens, as one failure domain
+// of 40 engines meets them.
+func officeMix(load float64) []kind {
+	return []kind{
+		{name: "long", tier: 0, perSecond: 64 * load, prompt: 6670, output: 390, spread: 1.3, objective: 800 * time.Millisecond, limit: 12 * time.Second, worth: 7, late: 3.6},
+		{name: "middle", tier: 1, perSecond: 78 * load, prompt: 690, output: 290, spread: 1.2, objective: 400 * time.Millisecond, limit: 10 * time.Second, worth: 2.2, late: 1.1},
+		{name: "short", tier: 2, perSecond: 118 * load, prompt: 1860, output: 22, spread: 1.2, objective: 400 * time.Millisecond, limit: 2500 * time.Millisecond, worth: 0.29, late: 0.14},
+	}
+}
+
+// BenchmarkDomainPolicy plays one failure domain with a number of VMs that place.
+func BenchmarkDomainPolicy(b *testing.B) {
+	for _, placers := range []int{1, 3} {
+		for _, load := range []float64{0.7, 1, 1.3, 1.8} {
+			b.Run(fmt.Sprintf("placers=%d/load=%v", placers, load), func(b *testing.B) {
+				const seeds = 3
+				earned := 0.0
+				for seed := range uint64(seeds) {
+					p := newPlay(seed, placers, 6, manyUnlike(40), officeMix(load))
+					p.tokens, p.maxPause = 15, 500*time.Millisecond
+					p.run(12 * time.Second)
+					earned += p.share()
+					if seed == 0 {
+						b.Log(p)
+					}
+				}
+				for b.Loop() {
+				}
+				b.ReportMetric(earned/seeds, "earned")
+			})
+		}
+	}
+}
+
 // BenchmarkDecision measures one placement and its end at a number of endpoints,
 // half of whose slots are taken.
 func BenchmarkDecision(b *testing.B) {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -122,6 +122,8 @@
 	list      []*endpoint
 	queue     []*Job
 	pace      pace
+	// eventTokens is how many tokens an event of a stream holds.
+	eventTokens int
 	// scarce says that few endpoints have room.
 	scarce bool
 	// placed is how fast jobs were placed lately, served how fast those of each class
@@ -194,12 +196,17 @@
 func (s *Scheduler) service(name string) *service {
 	sv := s.services[name]
 	if sv == nil {
-		sv = &service{name: name, off: s.off, endpoints: make(map[string]*endpoint), served: make(map[class]*rate)}
+		sv = &service{name: name, off: s.off, eventTokens: usualEventTokens, endpoints: make(map[string]*endpoint), served: make(map[class]*rate)}
 		s.services[name] = sv
 	}
 	return sv
 }
 
+// SetEventTokens tells how many tokens an event of a service's streams holds.
+func (s *Scheduler) SetEventTokens(name string, tokens int) {
+	s.service(name).eventTokens = tokens
+}
+
 // SetEndpoints replaces the usable endpoints of a service. engine says that
 // they are model engines.
 func (s *Scheduler) SetEndpoints(now time.Duration, name string, list []*members.Endpoint, engine bool) []Decision {
--- a/core/dispatch/play_test.go
+++ b/core/dispatch/play_test.go
@@ -33,8 +33,10 @@
 	domains, near, far int
 	told               int
 
-	// tokens is how many tokens an event of a stream holds.
-	tokens int
+	// tokens is how many tokens an event of a stream holds, maxPause the longest pause
+	// between two that is on time.
+	tokens   int
+	maxPause time.Duration
 	// ratios are the times to first events that were seen, over those predicted.
 	ratios []float64
 	// impossible counts decisions with a prediction or a load that cannot be.
@@ -135,7 +137,7 @@
 	p := &play{
 		rand: rand.New(rand.NewPCG(seed, seed)), engines: make(map[string]*engine.Model),
 		kinds: kinds, jobs: make(map[uint64]*played), results: make([]result, len(kinds)), burst: 1,
-		domains: domains, near: playNear, far: playFar, tokens: playTokens, failing: make(map[string]failure),
+		domains: domains, near: playNear, far: playFar, tokens: playTokens, maxPause: playPause, failing: make(map[string]failure),
 	}
 	var list []*members.Endpoint
 	for i, x := range slow {
@@ -162,6 +164,9 @@
 )
 
 func (p *play) run(length time.Duration) {
+	for _, s := range p.vms {
+		s.SetEventTokens(playService, p.tokens)
+	}
 	for ; p.now < length; p.now += playStep {
 		p.arrive()
 		p.advance()
@@ -255,7 +260,7 @@
 	relative := (float64(prompt) + 10*float64(output)) / (k.prompt + 10*k.output)
 	pl := &played{kind: i, vm: vm, credit: min(4, 0.3+0.7*relative), largest: float64(prompt) > 2.2*k.prompt, submitted: p.now, output: output}
 	pl.job = Job{
-		Handle: p.next, Service: playService, Tier: k.tier, Prompt: prompt, Events: p.size(float64(output)/float64(p.tokens), 0.7), MaxPause: playPause, Limit: p.now + k.limit,
+		Handle: p.next, Service: playService, Tier: k.tier, Prompt: prompt, Events: p.size(float64(output)/float64(p.tokens), 0.7), MaxPause: p.maxPause, Limit: p.now + k.limit,
 		Objective: p.now + k.objective, Abandon: p.now + max(playPatient, 4*k.objective),
 	}
 	p.jobs[p.next] = pl
@@ -330,7 +335,7 @@
 
 func (p *play) finish(h uint64, pl *played) {
 	k, r := p.kinds[pl.kind], &p.results[pl.kind]
-	if pl.first <= pl.job.Objective && pl.pause <= playPause {
+	if pl.first <= pl.job.Objective && pl.pause <= p.maxPause {
 		r.onTime++
 		r.earned += k.worth * pl.credit
 	} else {
--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -83,10 +83,7 @@
 		first += slotEvents * gap
 	}
 	c.first = seconds(first)
-	// While a prompt is read, each step of the running streams takes as long as a
-	// chunk of it.
-	chunk := min(c.load.PromptTokens+j.Prompt, assumedChunk*eventSteps)
-	pause := gap + read*float64(chunk)
+	pause := gap + read*float64(min(c.load.PromptTokens+j.Prompt, sv.readBesideEvent()))
 	whole := first + gap*float64(j.Events)
 	ends := j.Limit == 0 || wholeMargin*whole <= (j.Limit-now).Seconds()
 	c.onTime = ends && first <= onTimeShare*(j.Objective-now).Seconds() && (j.MaxPause == 0 || pause <= j.MaxPause.Seconds())
@@ -103,5 +100,11 @@
 	}
 }
 
-// eventSteps is how many steps of an engine make an event, as a usual number.
-const eventSteps = 6
+// usualEventTokens is how many tokens an event holds where the configuration does not say.
+const usualEventTokens = 6
+
+// readBesideEvent is the most that an engine reads of prompts while it makes one event of
+// the streams that it runs: a chunk beside each token.
+func (sv *service) readBesideEvent() int {
+	return assumedChunk * 6
+}
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -216,6 +216,9 @@
 	}
 	s.version = s.members.Version()
 	for _, sv := range s.table.Document.Services {
+		if sv.Engine != nil {
+			s.sched.SetEventTokens(sv.Name, sv.Engine.TokensPerEvent)
+		}
 		s.deliver(s.sched.SetEndpoints(s.now(), sv.Name, s.members.Usable(sv.Name), sv.Engine != nil))
 	}
 	for _, h := range s.sched.Restarted() {
