VMs tell their placer the paces that they see, as they see them

Cause: a placer sees no streams of others. It averaged what each of 49 VMs had made of an engine that each of them uses every ten seconds, told once a second, so an engine that turned slow was not known as such for many seconds.

Each note names the lesser of the last two times between events of the endpoints that the VM saw some of since its last note; the placer follows that; opinions of other placers count for half once its own view is a second old.

--- a/core/dispatch/bounds.go
+++ b/core/dispatch/bounds.go
@@ -44,10 +44,17 @@
 	u.Running = s.bounded(u.Running, mostRuns)
 	u.Waiting = s.bounded(u.Waiting, mostRuns)
 	u.PromptTokens = s.bounded(u.PromptTokens, mostTokens)
-	if u.Gap < 0 || u.Gap > longestTime {
-		s.impossible++
-		u.Gap = 0
+	u.Gap = s.boundedTime(u.Gap)
+	u.Fresh = s.boundedTime(u.Fresh)
+}
+
+// boundedTime is d, or nothing if it cannot be.
+func (s *Scheduler) boundedTime(d time.Duration) time.Duration {
+	if d >= 0 && d <= longestTime {
+		return d
 	}
+	s.impossible++
+	return 0
 }
 
 // addTokens adds numbers of tokens within their bounds.
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -78,6 +78,9 @@
 	// Gap is the time between two events of a stream when nothing disturbs; 0 if
 	// not known.
 	Gap time.Duration
+	// Fresh is the lesser of the last two times between events, if one was seen since
+	// the VM told last; 0 otherwise.
+	Fresh time.Duration
 	// Doubted says that the endpoint could not be reached, Gone that another
 	// incarnation has its address, Ejected that it fails more than others.
 	Doubted, Gone, Ejected bool
@@ -147,7 +150,13 @@
 	// time of an answer without a prompt, in seconds.
 	gap   floor
 	plain float64
-	turn  turn
+	// recent are the last two times between events seen here, in seconds; fresh says
+	// that one came since others were told. observed is when the pace was last learned
+	// from events, not from other VMs' opinion.
+	recent   [2]float64
+	fresh    bool
+	observed time.Duration
+	turn     turn
 	// lastFirst is when a run of this VM here last got its first event.
 	lastFirst time.Duration
 	health    health
@@ -293,7 +302,7 @@
 		// The last event of a stream may hold fewer tokens and come sooner, so a
 		// time between events counts only once another event has followed.
 		if r.gap > 0 {
-			sv.pace.observeEvents(r.ep, r.gap)
+			sv.pace.observeEvents(now, r.ep, r.gap)
 		}
 		r.gap = 0
 		if n == 1 && !r.several {
@@ -380,7 +389,8 @@
 			u := ep.placedUse(now, sv.pace.readOf(ep, 0))
 			u.Doubted, u.Gone = ep.health.doubted && ep.health.probes > 0, ep.health.gone
 			u.Ejected = ep.health.ejection.on
-			if u.Running+u.Waiting > 0 || paces && u.Gap > 0 || u.Doubted || u.Gone || u.Ejected {
+			u.Fresh = ep.takeFresh()
+			if u.Running+u.Waiting > 0 || paces && u.Gap > 0 || u.Fresh > 0 || u.Doubted || u.Gone || u.Ejected {
 				uses = append(uses, NamedUse{ep.name, u})
 			}
 		}
@@ -424,9 +434,7 @@
 		// A VM that asks another sends no requests on trial by itself.
 		u.Ejected = u.Ejected && places
 		ep.setOther(peerUse{u.Use, i, now})
-		if u.Gap > 0 {
-			ep.gap.hear(u.Gap.Seconds())
-		}
+		ep.hearPace(now, u.Use, places)
 		if u.Doubted && !s.off.Has(mechanism.PeerDoubts) {
 			ep.peerDoubts(now)
 		}
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -24,7 +24,10 @@
 )
 
 // observe takes in a value above 0; others are none.
-func (f *floor) observe(v float64) {
+func (f *floor) observe(v float64) { f.follow(v, floorUp) }
+
+// follow is that with a weight for higher values.
+func (f *floor) follow(v, up float64) {
 	if !(v > 0) || math.IsInf(v, 0) {
 		return
 	}
@@ -35,17 +38,17 @@
 	case v < f.value:
 		f.value += (max(v, f.value/floorJump) - f.value) * floorDown
 	default:
-		f.value += (min(v, floorJump*f.value) - f.value) * floorUp
+		f.value += (min(v, floorJump*f.value) - f.value) * up
 	}
 }
 
-// hear takes in what a peer observed, fully only if nothing was observed here.
-func (f *floor) hear(v float64) {
+// hear takes in what a peer observed with a weight, fully if nothing was observed here.
+func (f *floor) hear(v, weight float64) {
 	if f.seen == 0 {
 		f.value = v
 		return
 	}
-	f.value += (v - f.value) * hearWeight
+	f.value += (v - f.value) * weight
 }
 
 // get is the value, or def if there is none.
@@ -57,8 +60,16 @@
 }
 
 const (
-	// hearWeight is small, since this VM's own view is as good.
+	// hearWeight is small, since this VM's own view is as good; hearOld is that of a
+	// view older than paceOld.
 	hearWeight = 0.05
+	hearOld    = 0.5
+	paceOld    = time.Second
+	// toldUp is the weight of a higher pace that a VM of the cell saw itself. It is the
+	// lesser of two times between events, which a prompt that is read in between seldom
+	// touches both; some sixty come a second from a full engine, ten from one that has
+	// turned five times slower.
+	toldUp = 0.1
 	// gapWeight is the weight of an endpoint in the service's mean pace.
 	gapWeight = 0.02
 	// tellAfter is how many observations are worth telling others.
@@ -121,9 +132,43 @@
 	return v
 }
 
+// A VM that places for others sees no streams of theirs, and each of them sees an engine
+// only now and then: with 49 VMs before 40 engines every ten seconds. What each has made of
+// it is old then, and the mean of that did not tell a slow engine for many seconds. So VMs
+// tell their placer what they see as they see it, in the notes that they send anyway.
+
+// takeFresh is what is told of the pace seen since the last time.
+func (e *endpoint) takeFresh() time.Duration {
+	if !e.fresh || e.recent[0] == 0 {
+		return 0
+	}
+	e.fresh = false
+	return seconds(min(e.recent[0], e.recent[1]))
+}
+
+// hearPace takes in what another VM says of the endpoint's pace: of one that places its
+// opinion, of one that asks what it sees.
+func (e *endpoint) hearPace(now time.Duration, u Use, places bool) {
+	if u.Fresh > 0 && !places {
+		e.gap.follow(u.Fresh.Seconds(), toldUp)
+		e.observed = now
+		return
+	}
+	if u.Gap <= 0 || !places && e.gap.seen > 0 {
+		return
+	}
+	weight := hearWeight
+	if now-e.observed > paceOld {
+		weight = hearOld
+	}
+	e.gap.hear(u.Gap.Seconds(), weight)
+}
+
 // observeEvents takes in the time between events of one stream.
-func (p *pace) observeEvents(ep *endpoint, gap time.Duration) {
+func (p *pace) observeEvents(now time.Duration, ep *endpoint, gap time.Duration) {
 	ep.gap.observe(gap.Seconds())
+	ep.recent = [2]float64{ep.recent[1], gap.Seconds()}
+	ep.fresh, ep.observed = true, now
 	usual := orStart(p.gap, startGap)
 	p.gap = usual + (ep.gap.value-usual)*gapWeight
 }
--- a/core/dispatch/pace_test.go
+++ b/core/dispatch/pace_test.go
@@ -131,3 +131,90 @@
 		}
 	})
 }
+
+// cellOf is a VM that places for two others, which send their requests to one engine.
+type cellOf struct {
+	is      *is.I
+	placer  *Scheduler
+	members []*Scheduler
+	now     time.Duration
+	handle  uint64
+	// runs are the handles of each member's streams, next when each has its next event.
+	runs [][]uint64
+	next map[uint64]time.Duration
+	// predicted is the pace that the placer assumed last.
+	predicted time.Duration
+}
+
+func newCell(t *testing.T, vms int) *cellOf {
+	c := &cellOf{is: is.New(t), placer: New("placer", "a"), next: make(map[uint64]time.Duration), runs: make([][]uint64, vms)}
+	list := []*members.Endpoint{{ID: "x", Service: "v", Slots: 12, FailureDomain: "a"}}
+	c.placer.SetEndpoints(0, "v", list, true)
+	for i := range vms {
+		m := New(strconv.Itoa(i), "a")
+		m.SetEndpoints(0, "v", list, true)
+		c.members = append(c.members, m)
+	}
+	return c
+}
+
+// play lets two streams at a time run at each member for two seconds, with a time between
+// events, and notes go to the placer ten times a second.
+func (c *cellOf) play(length, gap time.Duration) {
+	for end := c.now + length; c.now < end; c.now += 5 * time.Millisecond {
+		for i, m := range c.members {
+			for len(c.runs[i]) < 2 {
+				c.begin(i, gap)
+			}
+			for _, h := range c.runs[i] {
+				if c.now >= c.next[h] {
+					m.Events(c.now, h, 1)
+					c.next[h] = c.now + gap
+				}
+			}
+			if c.now%(2*time.Second) == 0 {
+				for _, h := range c.runs[i] {
+					m.End(c.now, h, Answered)
+					c.placer.End(c.now, h, Answered)
+				}
+				c.runs[i] = nil
+			}
+			if c.now%(100*time.Millisecond) == 0 {
+				c.placer.PeerUses(c.now, strconv.Itoa(i), "a", m.Uses(c.now, c.now%time.Second == 0), false)
+			}
+		}
+	}
+}
+
+func (c *cellOf) begin(i int, gap time.Duration) {
+	c.handle++
+	j := Job{Handle: c.handle, Service: "v", Prompt: 700, Events: 10, Objective: c.now + 5*time.Second, Abandon: c.now + 9*time.Second, Remote: true}
+	out := c.placer.Submit(c.now, j)
+	c.is.Equal(len(out), 1)
+	c.predicted = out[0].Load.Gap
+	j.Remote = false
+	d, why := c.members[i].Adopt(c.now, j, NameOf(out[0].Endpoint.Key()), out[0].Predicted, 0)
+	c.is.True(d != nil)
+	c.is.Equal(why, Unusable(""))
+	c.runs[i] = append(c.runs[i], c.handle)
+	c.next[c.handle] = c.now + gap
+}
+
+// Symptom: of the answers that were late at the usual load half had a pause over what their
+// kind allows, at engines whose pace was known as a third of what it was. Sequence: an
+// engine turns five times slower; the VMs that send to it see it, the one that places
+// hears their opinions once a second, made from what each saw seconds ago. Cause: the placer
+// learned paces by averaging opinions. The load: three VMs with two streams each, 50 ms
+// between events, then 250 ms, then 50 ms again.
+func TestPlacerLearnsSlowEnginesSoon(t *testing.T) {
+	c := newCell(t, 3)
+	c.play(4*time.Second, 50*time.Millisecond)
+	usual := c.predicted
+	c.play(3*time.Second, 250*time.Millisecond)
+	slow := c.predicted
+	c.play(3*time.Second, 50*time.Millisecond)
+	t.Logf("usual %v, slow %v, usual again %v", usual, slow, c.predicted)
+	c.is.True(usual < 60*time.Millisecond)
+	c.is.True(slow > 150*time.Millisecond)
+	c.is.True(c.predicted < 75*time.Millisecond)
+}
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -218,7 +218,7 @@
 	for _, u := range s.sched.Uses(s.now(), paces) {
 		list = append(list, &schema.EndpointUse{
 			Endpoint: u.Name, Running: uint32(u.Running), Waiting: uint32(u.Waiting),
-			PromptTokens: uint32(u.PromptTokens), EventGapUs: uint32(u.Gap.Microseconds()), Doubted: u.Doubted, Gone: u.Gone, Ejected: u.Ejected,
+			PromptTokens: uint32(u.PromptTokens), EventGapUs: uint32(u.Gap.Microseconds()), FreshGapUs: uint32(u.Fresh.Microseconds()), Doubted: u.Doubted, Gone: u.Gone, Ejected: u.Ejected,
 		})
 	}
 	return list
@@ -229,7 +229,7 @@
 	for _, u := range n.Uses {
 		uses = append(uses, dispatch.NamedUse{Name: u.Endpoint, Use: dispatch.Use{
 			Running: int(u.Running), Waiting: int(u.Waiting), PromptTokens: int(u.PromptTokens),
-			Gap: time.Duration(u.EventGapUs) * time.Microsecond, Doubted: u.Doubted, Gone: u.Gone, Ejected: u.Ejected,
+			Gap: micros(uint64(u.EventGapUs)), Fresh: micros(uint64(u.FreshGapUs)), Doubted: u.Doubted, Gone: u.Gone, Ejected: u.Ejected,
 		}})
 	}
 	s.mu.Lock()
