Many changes of the registry are one line

49,339 endpoint_changed lines in the first moments of 295 VMs, one a VM an endpoint. More than four changes at once are one line with the ids of up to 64.

--- a/entry/registry.go
+++ b/entry/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -288,7 +289,19 @@
 	d.log.Warn().Str("endpoint", key).Err(err).Msg("endpoint_unreadable")
 }
 
+// Up to eachLogged changes that come together are logged by line; of more, one line names
+// up to mostNamed endpoints. When all VMs and endpoints start, each VM hears of each
+// endpoint: 49,339 lines of 295 VMs and 251 endpoints.
+const (
+	eachLogged = 4
+	mostNamed  = 64
+)
+
 func (d *Daemon) logEndpoints(changes []members.Change) {
+	if len(changes) > eachLogged {
+		d.logManyEndpoints(changes)
+		return
+	}
 	for _, c := range changes {
 		ev := d.log.Info().Str("endpoint", c.ID).Bool("removed", c.Endpoint == nil)
 		if c.Endpoint != nil {
@@ -297,3 +310,19 @@
 		ev.Msg("endpoint_changed")
 	}
 }
+
+func (d *Daemon) logManyEndpoints(changes []members.Change) {
+	var listed, leaving, removed []string
+	for _, c := range changes[:min(len(changes), mostNamed)] {
+		switch {
+		case c.Endpoint == nil:
+			removed = append(removed, c.ID)
+		case c.Endpoint.Leaving:
+			leaving = append(leaving, c.ID)
+		default:
+			listed = append(listed, c.ID)
+		}
+	}
+	d.log.Info().Int("changes", len(changes)).Str("listed", strings.Join(listed, ",")).
+		Str("leaving", strings.Join(leaving, ",")).Str("removed", strings.Join(removed, ",")).Msg("endpoints_changed")
+}
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -1,16 +1,20 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"github.com/chivefield/chivefield/core/allowance"
+	"github.com/chivefield/chivefield/core/members"
 	"github.com/chivefield/chivefield/logging"
 	"github.com/chivefield/chivefield/settings"
 )
@@ -170,3 +174,22 @@
 		is.Equal(len(d.peers.names()), 2+len(calls)-2)
 	}
 }
+
+// Symptom: 49,339 lines in the first moments of 295 VMs. Sequence: the endpoints register
+// one after the other; what the reader passes on names many; each VM logs each of them.
+func TestManyChangesAreOneLine(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	d := New(Options{Settings: testSettings(t, true), Log: zerolog.New(&out)})
+	var changes []members.Change
+	for i := range 100 {
+		changes = append(changes, members.Change{ID: fmt.Sprint("e", i)})
+	}
+	d.logEndpoints(changes[:eachLogged])
+	is.Equal(strings.Count(out.String(), "\n"), eachLogged)
+	out.Reset()
+	d.logEndpoints(changes)
+	is.Equal(strings.Count(out.String(), "\n"), 1)
+	is.True(strings.Contains(out.String(), `"changes":100`))
+	is.True(out.Len() < 1000)
+}
