--- a/entry/watch.go
+++ b/entry/watch.go
@@ -205,7 +205,7 @@
 		}
 		if records == nil {
 			var err error
-			records, err = d.listVMs(ctx)
+			records, _, err = d.opts.Store.Newest(ctx, FeedVMs)
 			d.noteStore(&dep, "vms", err)
 			if err != nil {
 				pause(ctx, retryEvery)
@@ -254,34 +254,6 @@
 	return err == nil && r.Key == d.set.Vm.Name && own.Address == d.set.Listen.Peers
 }
 
-// mostListedBytes is up to which size a list of VMs that was read from its beginning is
-// surely whole: the store ends an answer after twice as much.
-const mostListedBytes = 512 << 10
-
-// listVMs reads the list of all VMs. In the first start of a deployment the log still has
-// every record, and one read brings what takes a call for each fifty VMs otherwise.
-func (d *Daemon) listVMs(ctx context.Context) ([]Record, error) {
-	if d.set.Vm.FirstStart && d.now() < startTime {
-		records, _, err := d.opts.Store.Read(ctx, FeedVMs, 0, 0)
-		size := 0
-		for _, r := range records {
-			size += len(r.Key) + len(r.Value)
-		}
-		var trimmed *TrimmedError
-		switch {
-		case errors.As(err, &trimmed) || err == nil && size > mostListedBytes:
-		default:
-			return records, err
-		}
-	}
-	records, _, err := d.opts.Store.Newest(ctx, FeedVMs)
-	return records, err
-}
-
-// startTime is up to which uptime a deployment that starts for the first time reads the
-// list of VMs as a log.
-const startTime = 10 * time.Second
-
 func (d *Daemon) learnVMs(records []Record) {
 	var entries []string
 	for _, r := range records {
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -64,10 +64,6 @@
 	return nil, 0, nil
 }
 
-func (s *callLog) Read(ctx context.Context, f Feed, _ uint64, _ time.Duration) ([]Record, uint64, error) {
-	return s.Newest(ctx, f)
-}
-
 func (s *callLog) Announce(context.Context, string, []byte) error {
 	s.calls = append(s.calls, "write")
 	return nil
@@ -154,9 +150,9 @@
 	return s.callLog.Announce(ctx, name, value)
 }
 
-// Symptom: 8,000 calls more on a day on which 295 VMs were killed at once, a third of them
-// reads of the list of VMs. Sequence: a restarted process reads the list, writes its
-// record, reads the list again, six calls each time. Cause: the second reading is needed
+// Symptom: 8,000 calls more on a day on which 295 VMs were killed at once, some of them
+// needless reads of the list of VMs. Sequence: a restarted process reads the list, writes its
+// record, reads the list again. Cause: the second reading is needed
 // only for VMs that are new, which those that start beside them do not know. A VM whose own
 // record was in the first list reads once; one at a new address twice.
 func TestRestartedVMReadsTheListOnce(t *testing.T) {
