report compares predicted times to first events with those seen

By route and by endpoint, at the median and at nine tenths, with the number of predictions that cannot be; late streams are told apart by what made them late (late_by in the log).

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -280,10 +280,17 @@
 // logStream says how a whole stream went, and whether it kept its objective.
 func (c *caller) logStream(status int, s *stream) {
 	first := s.first.Sub(c.arrived)
+	lateBy := ""
+	switch {
+	case first > c.route.Objective:
+		lateBy = "first_event"
+	case s.pause > c.route.MaxPause:
+		lateBy = "pause"
+	}
 	c.d.count("streams")
 	c.d.observe("stream", time.Since(c.arrived))
 	c.d.log.Info().Str("request", c.call.ID).Int("status", status).Int("events", s.events).Dur("took", time.Since(c.arrived)).
-		Dur("first_event", first).Dur("longest_pause", s.pause).Bool("late", first > c.route.Objective || s.pause > c.route.MaxPause).
+		Dur("first_event", first).Dur("longest_pause", s.pause).Bool("late", lateBy != "").Str("late_by", lateBy).
 		Int("sent", c.sent).Msg("streamed")
 }
 
--- a/report/report.go
+++ b/report/report.go
@@ -84,7 +84,10 @@
 	Counts
 	// Waited is the mean time until an endpoint was picked.
 	Waited time.Duration `json:"waited_ns"`
-	placed int
+	// PausedLate counts late streams whose first event was on time.
+	PausedLate  int         `json:"paused_late"`
+	Predictions Predictions `json:"predictions"`
+	placed      int
 }
 
 // Endpoint is what one endpoint did.
@@ -95,7 +98,8 @@
 	// Ejections counts the VMs' ejections of it.
 	Ejections int `json:"ejections"`
 	// Gap is the time between two events that was last assumed.
-	Gap time.Duration `json:"gap_ns"`
+	Gap         time.Duration `json:"gap_ns"`
+	Predictions Predictions   `json:"predictions"`
 }
 
 // failed is the number of failures of all outcomes.
@@ -160,7 +164,7 @@
 func Read(r io.Reader, step time.Duration) (*Account, error) {
 	b := &builder{
 		step: step, steps: make(map[time.Time]*Step), routes: make(map[string]*Route),
-		endpoints: make(map[string]*Endpoint), routeOf: make(map[string]string),
+		endpoints: make(map[string]*Endpoint), routeOf: make(map[string]string), expected: make(map[string]prediction),
 	}
 	if err := explain.Scan(r, "", b.line); err != nil {
 		return nil, err
@@ -175,8 +179,10 @@
 	endpoints map[string]*Endpoint
 	// routeOf are the routes of requests that have an endpoint.
 	routeOf map[string]string
-	endings []ending
-	dropped int
+	// expected is what was expected of requests when they were placed.
+	expected map[string]prediction
+	endings  []ending
+	dropped  int
 }
 
 func (b *builder) at(t time.Time) *Step {
@@ -220,6 +226,12 @@
 		if l.Get("late") == "true" {
 			o = late
 		}
+		if l.Event == "streamed" {
+			b.compare(l)
+		}
+		if l.Get("late_by") == "pause" {
+			b.route(b.routeOf[l.Get("request")]).PausedLate++
+		}
 		b.end(l, l.At.Add(-milliseconds(l.Get("took"))), o, "")
 	case "refused":
 		b.routeOf[l.Get("request")] = l.Get("route")
@@ -250,6 +262,7 @@
 	r := b.route(name)
 	r.placed++
 	r.Waited += milliseconds(l.Get("waited"))
+	b.expect(l)
 	e := b.endpoint(l.Get("endpoint"))
 	e.Placed++
 	e.Gap = milliseconds(l.Get("gap"))
@@ -282,9 +295,11 @@
 	for _, name := range slices.Sorted(maps.Keys(b.routes)) {
 		r := b.routes[name]
 		r.Waited /= time.Duration(max(1, r.placed))
+		r.Predictions.settle()
 		a.Routes = append(a.Routes, *r)
 	}
 	for _, name := range slices.Sorted(maps.Keys(b.endpoints)) {
+		b.endpoints[name].Predictions.settle()
 		a.Endpoints = append(a.Endpoints, *b.endpoints[name])
 	}
 	slices.SortStableFunc(a.Endpoints, func(x, y Endpoint) int { return cmp.Compare(y.failed(), x.failed()) })
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -13,8 +13,8 @@
 // session is what the VMs logged in three seconds: a calm one; one in which an endpoint
 // resets requests; one in which a VM starts anew and an organisation meets its allowance.
 const session = `
-time=2026-08-12T08:41:00.100Z level=info event=placed request=r1 route=plan endpoint=e1 waited=4 gap=20 vm=a
-time=2026-08-12T08:41:00.900Z level=info event=streamed request=r1 took=800 late=false vm=a
+time=2026-08-12T08:41:00.100Z level=info event=placed request=r1 route=plan endpoint=e1 waited=4 predicted=200 gap=20 vm=a
+time=2026-08-12T08:41:00.900Z level=info event=streamed request=r1 took=800 first_event=304 late=false sent=1 vm=a
 collected by a tool: time=2026-08-12T08:41:00.200Z level=info event=placed request=r2 route=look endpoint=e2 waited=2 gap=0 vm=b
 time=2026-08-12T08:41:00.250Z level=info event=answered request=r2 took=50 late=false vm=b
 time=2026-08-12T08:41:01.100Z level=info event=placed request=r3 route=plan endpoint=e1 waited=10 gap=21 vm=a
@@ -76,3 +76,25 @@
 	is.Equal(len(a.Worst(3)), 0)
 	is.NoErr(a.Write(&bytes.Buffer{}, 3))
 }
+
+// Predictions are compared per route and endpoint: what was seen is counted from when the
+// request was placed; a stream that went on at another endpoint is left out.
+func TestPredictionsAreCompared(t *testing.T) {
+	is := is.New(t)
+	const logs = `
+time=2026-08-12T08:41:00.100Z level=info event=placed request=r1 route=plan endpoint=e1 predicted=100 waited=50
+time=2026-08-12T08:41:00.900Z level=info event=streamed request=r1 took=800 first_event=150 late=true late_by=pause sent=1
+time=2026-08-12T08:41:00.200Z level=info event=placed request=r2 route=plan endpoint=e1 predicted=-363 waited=0
+time=2026-08-12T08:41:00.900Z level=info event=streamed request=r2 took=700 first_event=900 late=true late_by=first_event sent=1
+time=2026-08-12T08:41:00.200Z level=info event=placed request=r3 route=plan endpoint=e2 predicted=100 waited=0
+time=2026-08-12T08:41:00.900Z level=info event=streamed request=r3 took=700 first_event=900 late=true late_by=first_event sent=2
+`
+	a, err := Read(strings.NewReader(logs), time.Second)
+	is.NoErr(err)
+	is.Equal(len(a.Routes), 1)
+	is.Equal(a.Routes[0].PausedLate, 1)
+	is.Equal(a.Routes[0].Predictions.Compared, 2)
+	is.Equal(a.Routes[0].Predictions.Impossible, 1)
+	is.Equal(a.Routes[0].Predictions.Median, 1.0)
+	is.Equal(a.Endpoints[1].Predictions.Compared, 0)
+}
--- a/report/write.go
+++ b/report/write.go
@@ -16,17 +16,17 @@
 // Write prints the account as tables, with the n worst steps.
 func (a *Account) Write(w io.Writer, worst int) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "route\tasked\ton time\tlate\trefused\tbroken\tleft\twaited")
+	fmt.Fprintln(t, "route\tasked\ton time\tlate\trefused\tbroken\tleft\twaited\tlate by a pause\tseen over predicted")
 	for _, r := range a.Routes {
-		fmt.Fprintf(t, "%s\t%s\t%s\n", nameOr(r.Name), r.cells(), r.Waited.Round(time.Millisecond))
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\n", nameOr(r.Name), r.cells(), r.Waited.Round(time.Millisecond), r.PausedLate, &r.Predictions)
 	}
 	fmt.Fprintln(t, "\nworst\tasked\ton time\tlate\trefused\tbroken\tleft\tlikely cause")
 	for _, s := range a.Worst(worst) {
 		fmt.Fprintf(t, "%s\t%s\t%s\n", s.From.Format("15:04:05.0"), s.cells(), s.Cause)
 	}
-	fmt.Fprintln(t, "\nendpoint\tplaced\tfailed\tejected\tgap")
+	fmt.Fprintln(t, "\nendpoint\tplaced\tfailed\tejected\tgap\tseen over predicted")
 	for _, e := range a.Endpoints[:min(mostEndpoints, len(a.Endpoints))] {
-		fmt.Fprintf(t, "%s\t%d\t%s\t%d\t%s\n", nameOr(e.Name), e.Placed, list(e.Failures), e.Ejections, e.Gap)
+		fmt.Fprintf(t, "%s\t%d\t%s\t%d\t%s\t%s\n", nameOr(e.Name), e.Placed, list(e.Failures), e.Ejections, e.Gap, &e.Predictions)
 	}
 	if a.Dropped > 0 {
 		fmt.Fprintf(t, "\n%d lines are missing from the logs\n", a.Dropped)
@@ -34,6 +34,18 @@
 	return t.Flush()
 }
 
+// String is the quantiles, such as "0.98, 1.52 (3 impossible)".
+func (p *Predictions) String() string {
+	if p.Compared == 0 {
+		return "-"
+	}
+	s := fmt.Sprintf("%.2f, %.2f", p.Median, p.NineTenths)
+	if p.Impossible > 0 {
+		s += fmt.Sprintf(" (%d impossible)", p.Impossible)
+	}
+	return s
+}
+
 func (c *Counts) cells() string {
 	return fmt.Sprintf("%d\t%d\t%d\t%s\t%d\t%d", c.Asked, c.OnTime, c.Late, list(c.Refused), c.Broken, c.Left)
 }
