A new process places for others at once where nobody does

A process now waits only where another VM places already; else it begins after 300 ms and says so to its whole failure domain at once.

--- a/core/cell/surplus.go
+++ b/core/cell/surplus.go
@@ -31,6 +31,12 @@
 	return before >= fleet.placers() && ranked[fleet.placers()-1].Members > 0
 }
 
+// Placed says whether a VM other than self, of those that may place for it, does so for
+// others already. willing are the VMs that are heard.
+func Placed(self VM, fleet Fleet, willing []VM) bool {
+	return slices.ContainsFunc(groupOf(self, fleet, willing), func(v VM) bool { return v.Address != self.Address && v.Members > 0 })
+}
+
 // Surplus decides when a placer steps down. The zero value has seen nothing.
 type Surplus struct {
 	// since is when it was first seen to be one too many, until when it offers no places.
--- a/entry/note_test.go
+++ b/entry/note_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"testing"
 	"time"
@@ -10,8 +9,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/chivefield/chivefield/core/allowance"
-	"github.com/chivefield/chivefield/core/routing"
-	"github.com/chivefield/chivefield/logging"
 	"github.com/chivefield/chivefield/schema"
 )
 
@@ -79,22 +76,13 @@
 // With the requests of all VMs in one map it takes 168 us on a busy machine, with a map for
 // each VM 1.3 us; ten notes a second of each come to 8% of a core and 0.1%.
 func BenchmarkReconcile(b *testing.B) {
-	set := testSettings(b, true)
-	d := New(Options{Settings: set, Log: logging.New(io.Discard)})
-	d.start = d.start.Add(-time.Minute)
-	d.table.Store(routing.NewTable(&routing.Document{}))
-	d.endpointsKnown.Store(true)
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	d.peers.conn = conn
+	d := startedAgo(b, time.Minute)
+	d.peers.mature.Store(true)
 	notes := make([]*schema.PeerNote, 49)
 	froms := make([]*net.UDPAddr, 49)
 	for i := range notes {
 		froms[i] = &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 20000 + i}
-		notes[i] = &schema.PeerNote{Address: froms[i].String(), Loads: true, Placer: set.Listen.Peers}
+		notes[i] = &schema.PeerNote{Address: froms[i].String(), Loads: true, Placer: d.set.Listen.Peers}
 		for k := range 12 {
 			h := uint64(i*100 + k)
 			d.remoteJobs.ask(&schema.PlaceAsk{Handle: h, Service: "v"}, froms[i])
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -57,18 +57,24 @@
 	}
 }
 
+// heartbeat is the i-th note without loads.
+func (p *peers) heartbeat(i uint64) *schema.PeerNote {
+	n := p.note()
+	n.Number = i + 1
+	n.Places, n.CpuShare = p.offers(), p.d.set.Limits.CpuShare
+	n.Registry = p.d.registry.position()
+	n.Members = uint32(len(p.d.remoteJobs.members()))
+	if placer := p.d.placing.followed(); placer != nil {
+		n.Placer = placer.addr.String()
+	}
+	return n
+}
+
 // tellOnce sends the i-th note: with loads to those who place requests, with what a
 // cell needs to the rest of it, and a heartbeat to some others.
 func (p *peers) tellOnce(i uint64) {
 	to := p.recipients(i)
-	heartbeat := p.note()
-	heartbeat.Number = i + 1
-	heartbeat.Places, heartbeat.CpuShare = p.offers(), p.d.set.Limits.CpuShare
-	heartbeat.Registry = p.d.registry.position()
-	heartbeat.Members = uint32(len(p.d.remoteJobs.members()))
-	if placer := p.d.placing.followed(); placer != nil {
-		heartbeat.Placer = placer.addr.String()
-	}
+	heartbeat := p.heartbeat(i)
 	p.writeAll(p.encode(heartbeat), to.Heartbeats)
 	state := proto.Clone(heartbeat).(*schema.PeerNote)
 	p.d.placing.describe(state)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -48,6 +48,8 @@
 	// placer; yields says that it has.
 	surplus cell.Surplus
 	yields  atomic.Bool
+	// mature says that this process has heard enough to place for others.
+	mature atomic.Bool
 	// follows says whether this VM follows the configuration in the store.
 	follows atomic.Bool
 
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -69,11 +69,14 @@
 	return chosen, p.addrs[chosen]
 }
 
-// reconsider finds out whether this VM steps down, since others place for its cell.
+// reconsider finds out whether this VM places for others yet, and whether it steps down,
+// since others place for its cell.
 func (p *peers) reconsider() {
 	now := p.d.now()
+	fleet := p.fleet()
+	p.ripen(now, fleet)
 	self, willing := p.willing(now)
-	yields := p.surplus.Yields(now, cell.IsSurplus(self, p.fleet(), willing))
+	yields := p.surplus.Yields(now, cell.IsSurplus(self, fleet, willing))
 	if yields && !p.yields.Load() {
 		p.d.count("placer_surplus")
 		p.d.log.Info().Int("members", self.Members).Int("willing", len(willing)).Msg("placer_steps_down")
@@ -81,6 +84,34 @@
 	p.yields.Store(yields)
 }
 
+// ripen lets a process place for others once it has heard enough of them, or as soon as it
+// is clear that nobody else does: after all VMs were killed at once nobody knew anything,
+// and all placed for themselves for two seconds, several at each free slot. All VMs of the
+// failure domain hear of it at once, or they would choose from those whose turn it was.
+func (p *peers) ripen(now time.Duration, fleet cell.Fleet) {
+	if p.mature.Load() || !p.d.ready() || now < willingAlone || now < willingAfter && p.cellPlaced(now, fleet) {
+		return
+	}
+	p.mature.Store(true)
+	b := p.encode(p.heartbeat(0))
+	p.mu.Lock()
+	var to []string
+	for a, pe := range p.addrs {
+		if pe.domain == p.d.set.Vm.FailureDomain {
+			to = append(to, a)
+		}
+	}
+	p.mu.Unlock()
+	p.writeAll(b, to)
+}
+
+// cellPlaced says whether another VM of those that may place for this one does so for
+// others already.
+func (p *peers) cellPlaced(now time.Duration, fleet cell.Fleet) bool {
+	self, willing := p.willing(now)
+	return cell.Placed(self, fleet, willing)
+}
+
 // offers says whether this VM places for others that do not ask it yet.
 func (p *peers) offers() bool { return p.d.remoteJobs.willing() && !p.yields.Load() }
 
--- a/entry/placing.go
+++ b/entry/placing.go
@@ -21,8 +21,11 @@
 	// avoidFor is how long a placer that did not answer is left alone.
 	avoidFor = time.Second
 	// willingAfter is how long a process hears others before it places for them:
-	// until then it knows neither their loads nor the endpoints' paces.
+	// until then it knows neither their loads nor the endpoints' paces. Where nobody else
+	// places, that is no better than what all others know: then it is willingAlone, three
+	// notes of those who place.
 	willingAfter = 2 * time.Second
+	willingAlone = 300 * time.Millisecond
 	// maxAvoided bounds the endpoints that a VM asks to be left out: the registry as
 	// this VM knows it may be a moment older than the placer's, or newer.
 	maxAvoided = 8
