--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -127,8 +127,6 @@
 	list      []*endpoint
 	queue     []*Job
 	pace      pace
-	// eventTokens is how many tokens an event of a stream holds.
-	eventTokens int
 	// scarce says that few endpoints have room.
 	scarce bool
 	// placed is how fast jobs were placed lately, served how fast those of each class
@@ -207,7 +205,7 @@
 func (s *Scheduler) service(name string) *service {
 	sv := s.services[name]
 	if sv == nil {
-		sv = &service{name: name, off: s.off, eventTokens: usualEventTokens, endpoints: make(map[string]*endpoint), served: make(map[class]*rate)}
+		sv = &service{name: name, off: s.off, pace: pace{eventTokens: usualEventTokens}, endpoints: make(map[string]*endpoint), served: make(map[class]*rate)}
 		s.services[name] = sv
 	}
 	return sv
@@ -215,7 +213,7 @@
 
 // SetEventTokens tells how many tokens an event of a service's streams holds.
 func (s *Scheduler) SetEventTokens(name string, tokens int) {
-	s.service(name).eventTokens = tokens
+	s.service(name).pace.eventTokens = tokens
 }
 
 // SetEndpoints replaces the usable endpoints of a service. engine says that
@@ -458,7 +456,7 @@
 	c.ep.turn.take()
 	sv.placed.count(now)
 	sv.classRate(class{j.Tier, j.late}).count(now)
-	sv.effort += (work(j) - sv.effort) * effortWeight
+	sv.effort += (sv.work(j) - sv.effort) * effortWeight
 	ep := c.ep.Endpoint
 	s.out = append(s.out, Decision{
 		Handle: j.Handle, Endpoint: &ep, Predicted: c.first, Candidates: len(sv.list), Waiting: len(sv.queue), Load: c.load,
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -121,11 +121,11 @@
 // Starting values until something was observed, in seconds. They decide only
 // about the first requests.
 const (
-	startGap   = 0.025
+	startToken = 0.0045
 	startPlain = 0.05
-	// startReadRatio is the time to read a token of a prompt, as a share of the time
-	// between two events.
-	startReadRatio = 0.001
+	// startReadToken is the time to read a token of a prompt, as a share of the time
+	// between two tokens of a stream.
+	startReadToken = 0.006
 )
 
 // assumedChunk is how many tokens of a prompt an engine reads between two steps
@@ -135,6 +135,8 @@
 
 // pace is what a service's endpoints usually take.
 type pace struct {
+	// eventTokens is how many tokens an event of a stream holds.
+	eventTokens int
 	// gap is the mean time between events over endpoints, in seconds.
 	gap float64
 	// readRatio is the time to read a token against the time between events, by
@@ -213,7 +215,7 @@
 	ep.gap.observe(gap.Seconds())
 	ep.recent = [2]float64{ep.recent[1], gap.Seconds()}
 	ep.fresh, ep.observed = true, now
-	usual := orStart(p.gap, startGap)
+	usual := orStart(p.gap, p.startGap())
 	p.gap = usual + (ep.gap.value-usual)*gapWeight
 }
 
@@ -258,9 +260,16 @@
 // startFirst is assumed of first events until some were seen: as long as any other.
 const startFirst = 1
 
+// startGap is the time between two events until some were seen, in seconds.
+func (p *pace) startGap() float64 { return startToken * float64(max(1, p.eventTokens)) }
+
+// startReadRatio is the time to read a token of a prompt until some were seen, as a share
+// of the time between two events.
+func (p *pace) startReadRatio() float64 { return startReadToken / float64(max(1, p.eventTokens)) }
+
 // gapOf is the expected time between events at an endpoint, in seconds.
 func (p *pace) gapOf(e *endpoint) float64 {
-	return clamp(e.gap.get(orStart(p.gap, startGap)), leastGap, mostGap)
+	return clamp(e.gap.get(orStart(p.gap, p.startGap())), leastGap, mostGap)
 }
 
 // promptSizes is the number of sizes of prompts, each four times the one before
@@ -281,7 +290,7 @@
 // ratioOf is the expected time to read a token of a prompt of some length, in times
 // between two events. Sizes that were not seen yet count as the next smaller.
 func (p *pace) ratioOf(prompt int) float64 {
-	ratio := startReadRatio
+	ratio := p.startReadRatio()
 	for size := range sizeOf(prompt) + 1 {
 		ratio = p.readRatio[size].get(ratio)
 	}
--- a/core/dispatch/rank.go
+++ b/core/dispatch/rank.go
@@ -25,11 +25,13 @@
 	switch {
 	case j.late:
 		return ranksOfTier*j.Tier + rankLate
-	case j.Tier > 0 && !sv.off.Has(mechanism.ShortFirst) && work(j) < shortShare*sv.effort:
+	case j.Tier > 0 && !sv.off.Has(mechanism.ShortFirst) && sv.work(j) < shortShare*sv.effort:
 		return ranksOfTier*(j.Tier-1) + rankBelow
 	}
 	return ranksOfTier * j.Tier
 }
 
 // work is what a job takes of an engine, in times between two events of a stream.
-func work(j *Job) float64 { return float64(j.Prompt)*startReadRatio + float64(j.Events) }
+func (sv *service) work(j *Job) float64 {
+	return float64(j.Prompt)*sv.pace.startReadRatio() + float64(j.Events)
+}
--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -106,5 +106,5 @@
 // readBesideEvent is the most that an engine reads of prompts while it makes one event of
 // the streams that it runs: a chunk beside each token.
 func (sv *service) readBesideEvent() int {
-	return assumedChunk * 6
+	return assumedChunk * max(sv.pace.eventTokens, 1)
 }
