An endpoint that returns gets one request first

What a connection cannot tell the first request does.

Ruled out: more attempts after such an answer: the route's number bounds to how many endpoints a request is sent. Taking a refused connection as the end of an incarnation: endpoints also reset connections beyond their number.

--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -344,3 +344,36 @@
 		is.Equal(probes[0].Key, "y")
 	}
 }
+
+// Symptom: 441 requests were turned away by endpoints that are not those they were meant
+// for, and 265 callers refused for it. Sequence: endpoints crash; connections are refused;
+// others start at the same addresses, take connections, and are taken for the ones before; all
+// their slots are filled before the first answer comes. Cause: a connection counted as a
+// sign of life of that incarnation. One request is sent, and more once something is heard.
+func TestEndpointThatReturnsGetsOneRequestFirst(t *testing.T) {
+	is := is.New(t)
+	s := New("self", "a")
+	s.SetEndpoints(0, "v", []*members.Endpoint{{ID: "x", Service: "v", Slots: 6, FailureDomain: "a"}}, true)
+	now, handle := time.Second, uint64(0)
+	submit := func() []Decision {
+		handle++
+		return s.Submit(now, Job{Handle: handle, Service: "v", Prompt: 700, Events: 5, Objective: now + 5*time.Second, Abandon: now + 9*time.Second})
+	}
+	is.Equal(len(submit()), 1)
+	s.End(now, handle, Unreachable)
+	for range 2 {
+		is.Equal(len(s.Probes(now)), 1)
+		s.ProbeEnded(now, "x", false)
+		now += time.Second
+	}
+	is.Equal(len(submit()), 0)
+	is.Equal(len(s.Probes(now)), 1)
+	s.ProbeEnded(now, "x", true)
+	first := s.Tick(now)
+	is.Equal(len(first), 1)
+	for range 3 {
+		is.Equal(len(submit()), 0)
+	}
+	s.Events(now, first[0].Handle, 1)
+	is.Equal(len(s.Tick(now)), 3)
+}
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -47,6 +47,11 @@
 	gone bool
 	// probing is set while a probe is under way.
 	probing bool
+	// unproven endpoints could not be reached and take connections again: nothing tells
+	// yet that the same incarnation does. When 60 engines of 240 crashed and others came
+	// up at their addresses two seconds later, 441 requests were sent to those, six and
+	// more each, and turned away. One at a time until something is heard.
+	unproven bool
 	// answered is when it last answered a request.
 	answered time.Duration
 	// failing is the share of requests that failed, inARow how many did without a success
@@ -60,7 +65,7 @@
 // heard notes a sign of life.
 func (h *health) heard(now time.Duration) {
 	h.lastHeard = now
-	h.doubted = false
+	h.doubted, h.unproven = false, false
 	h.probes = 0
 }
 
@@ -134,9 +139,13 @@
 
 // fit says whether the endpoint may get requests.
 func (e *endpoint) fit(now time.Duration) bool {
-	return e.reachable(now) && e.admits(now)
+	return e.reachable(now) && e.admits(now) && !e.awaitsProof()
 }
 
+// awaitsProof says that one request is under way that tells whether the endpoint is what
+// it was.
+func (e *endpoint) awaitsProof() bool { return e.health.unproven && len(e.own) > 0 }
+
 // reachable says whether the endpoint may get requests at least where no other is
 // better: one that fails some is better than none.
 func (e *endpoint) reachable(now time.Duration) bool {
@@ -186,7 +195,9 @@
 	}
 	e.health.probing = false
 	if ok {
+		unproven := e.health.unreachable() || e.health.unproven
 		e.health.heard(now)
+		e.health.unproven = unproven
 	}
 }
 
