Calls to a store that fails are repeated after pauses that grow

The pause doubles now, up to the time in which a VM that hears nothing looks for itself (1.2 s where a leaving endpoint must be known after 2 s), 0.6 s for a process that cannot serve yet.

Ruled out: leaving all retries to one VM: which one reaches a store that turns some away is not known.

--- a/entry/registry.go
+++ b/entry/registry.go
@@ -155,6 +155,7 @@
 func (d *Daemon) followEndpoints(ctx context.Context) error {
 	c := cursor{store: d.opts.Store, feed: FeedEndpoints}
 	var dep dependency
+	var again retry
 	read := time.NewTimer(0)
 	defer read.Stop()
 	for {
@@ -177,9 +178,10 @@
 			d.registryLostAt.Store(int64(d.now()))
 			d.registry.lose()
 			d.sched.update(func(_ time.Duration, m *members.Set) { m.Away() })
-			read.Reset(spread(retryEvery))
+			read.Reset(spread(again.failed(d.mostRetry())))
 			continue
 		}
+		again.succeeded()
 		d.registryLostAt.Store(0)
 		if whole {
 			from = c.next
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -32,8 +32,10 @@
 	// mostEvery and mostSilence bound them: endpoints that come are used as late as this.
 	mostEvery   = 1500 * time.Millisecond
 	mostSilence = 2600 * time.Millisecond
-	// retryEvery is the pause after a failed call to the store, with spread.
+	// retryEvery is the pause after a first failed call to the store, with spread.
 	retryEvery = 300 * time.Millisecond
+	// startRetry bounds the pause of a process that cannot serve yet.
+	startRetry = 2 * retryEvery
 	// announceEvery is how often the VM that reads for its failure domain reads the
 	// list of VMs, listEvery how often the others do, who hear of new VMs by notes.
 	announceEvery = 5 * time.Second
@@ -54,6 +56,30 @@
 // endpointsEvery is how often the registry is read.
 func (d *Daemon) endpointsEvery() time.Duration { return min(mostEvery, part(everyShare, d.set.Drain)) }
 
+// retry is the pause before a call to the store is repeated. It doubles with each failure in
+// a row: a store that turns all away, or is down, otherwise gets a call from each VM three
+// times a second for each feed. It stays within the time in
+// which VMs that hear nothing look for themselves, so that all have caught up soon after
+// the store's return.
+type retry struct{ pause time.Duration }
+
+// failed returns the next pause. most bounds it.
+func (r *retry) failed(most time.Duration) time.Duration {
+	r.pause = min(most, max(retryEvery, 2*r.pause))
+	return r.pause
+}
+
+// succeeded begins anew.
+func (r *retry) succeeded() { r.pause = 0 }
+
+// mostRetry bounds the pause between two failed calls.
+func (d *Daemon) mostRetry() time.Duration {
+	if !d.knowsAll() {
+		return startRetry
+	}
+	return d.relaySilence()
+}
+
 // spread is d, more or less by up to a quarter.
 func spread(d time.Duration) time.Duration { return d*3/4 + rand.N(d/2+1) }
 
@@ -132,6 +158,7 @@
 func (d *Daemon) followConfig(ctx context.Context) error {
 	c := cursor{store: d.opts.Store, feed: FeedConfig}
 	var dep dependency
+	var again retry
 	asked := false
 	for ctx.Err() == nil {
 		if asked && !d.peers.reads() && d.peers.configFollowed() {
@@ -144,9 +171,10 @@
 		d.noteStore(&dep, "config", err)
 		d.peers.setFollows(err == nil)
 		if err != nil {
-			pause(ctx, retryEvery)
+			pause(ctx, again.failed(d.mostRetry()))
 			continue
 		}
+		again.succeeded()
 		asked = true
 		for _, r := range records {
 			d.takeConfig(r)
@@ -211,6 +239,7 @@
 // or what all share would be divided by too few.
 func (d *Daemon) announce(ctx context.Context) error {
 	var dep dependency
+	var again retry
 	written := false
 	var records []Record
 	for ctx.Err() == nil {
@@ -218,7 +247,7 @@
 			before, err := d.writeRecord(ctx)
 			d.noteStore(&dep, "vms", err)
 			if err != nil {
-				pause(ctx, retryEvery)
+				pause(ctx, again.failed(d.mostRetry()))
 				continue
 			}
 			written, records = true, before
@@ -228,10 +257,11 @@
 			records, _, err = d.opts.Store.Newest(ctx, FeedVMs)
 			d.noteStore(&dep, "vms", err)
 			if err != nil {
-				pause(ctx, retryEvery)
+				pause(ctx, again.failed(d.mostRetry()))
 				continue
 			}
 		}
+		again.succeeded()
 		d.learnVMs(records)
 		records = nil
 		d.claim()
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -250,3 +250,29 @@
 		}
 	}
 }
+
+// Symptom: 10,055 calls on a day on which all of 295 VMs were killed once and the store
+// turned all away for 4.5 s. Sequence: the reader fails; nobody hears of the registry, so
+// all look for themselves; each is turned away and asks again after 0.3 s, for each feed.
+// Cause: the pause after a failed call did not grow. Of one feed, for the time that a store
+// is away, a VM makes few calls, and one soon after its return.
+func TestRetriesAgainstALostStoreThinOut(t *testing.T) {
+	is := is.New(t)
+	d := startedAgo(t, time.Minute)
+	d.set.Drain = 4 * time.Second
+	var r retry
+	calls, at := 0, time.Duration(0)
+	for at < 4500*time.Millisecond {
+		calls++
+		at += r.failed(d.mostRetry())
+	}
+	is.True(calls <= 5)
+	is.True(r.pause <= d.relaySilence())
+	r.succeeded()
+	is.Equal(r.failed(d.mostRetry()), retryEvery)
+	fresh := New(Options{Settings: d.set, Log: logging.New(io.Discard)})
+	for range 10 {
+		r.failed(fresh.mostRetry())
+	}
+	is.Equal(r.pause, startRetry)
+}
