--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -291,13 +291,12 @@
 	r.ep.health.heard(now)
 	switch {
 	case !r.started:
+		sv.pace.observeFirst(r, now-r.sent)
+		r.ep.lastFirst = now
 		if r.job.Remote {
-			sv.pace.observeFirst(r, now-r.sent)
-			r.ep.lastFirst, r.started = now, true
+			r.started = true
 			return
 		}
-		sv.pace.observeFirst(r, now-r.sent)
-		r.ep.lastFirst = now
 	default:
 		// The last event of a stream may hold fewer tokens and come sooner, so a
 		// time between events counts only once another event has followed.
--- a/core/dispatch/ejection.go
+++ b/core/dispatch/ejection.go
@@ -128,14 +128,14 @@
 	return !x.on || now >= x.next && x.running < 1<<x.passed
 }
 
-// admits says whether the endpoint may get a request as far as its failures go. The word
-// of other VMs holds while one of them repeats it.
+// admits says whether the endpoint may get a request as far as its failures go, and the
+// proof that it is what it was. The word of other VMs holds while one of them repeats it.
 func (e *endpoint) admits(now time.Duration) bool {
 	x := &e.health.ejection
 	if x.on && x.told && e.otherEjections(now) == 0 {
 		x.on = false
 	}
-	return x.allows(now)
+	return x.allows(now) && !e.awaitsProof()
 }
 
 // ended takes in the end of a trial.
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -139,7 +139,7 @@
 
 // fit says whether the endpoint may get requests.
 func (e *endpoint) fit(now time.Duration) bool {
-	return e.reachable(now) && e.admits(now) && !e.awaitsProof()
+	return e.reachable(now) && e.admits(now)
 }
 
 // awaitsProof says that one request is under way that tells whether the endpoint is what
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -152,7 +152,7 @@
 // read, short ones what the first event takes beside it; since each takes the other's part
 // off, and the long ones are six times as long or more, both become right whatever they
 // were. When the larger part by what was known told which of the two was learned, two
-// placers of six stayed at a third of the time to read for as long as they ran.
+// placers of six stayed at a tenth of the time to read long prompts for as long as they ran.
 func (p *pace) observePrompt(prompt int, tokens, took float64) {
 	size := sizeOf(prompt)
 	long := &p.readRatio[1]
@@ -172,12 +172,15 @@
 // startFirst is assumed of first events until some were seen: as long as any other.
 const startFirst = 1
 
+// perEvent is how many tokens an event holds, one at least.
+func (p *pace) perEvent() int { return max(1, p.eventTokens) }
+
 // startGap is the time between two events until some were seen, in seconds.
-func (p *pace) startGap() float64 { return startToken * float64(max(1, p.eventTokens)) }
+func (p *pace) startGap() float64 { return startToken * float64(p.perEvent()) }
 
 // startReadRatio is the time to read a token of a prompt until some were seen, as a share
 // of the time between two events.
-func (p *pace) startReadRatio() float64 { return startReadToken / float64(max(1, p.eventTokens)) }
+func (p *pace) startReadRatio() float64 { return startReadToken / float64(p.perEvent()) }
 
 // gapOf is the expected time between events at an endpoint, in seconds.
 func (p *pace) gapOf(e *endpoint) float64 {
@@ -211,3 +214,9 @@
 
 // readOf is that at an endpoint, in seconds; never 0.
 func (p *pace) readOf(e *endpoint, prompt int) float64 { return p.gapOf(e) * p.ratioOf(prompt) }
+
+// firstOf is the expected time to the first event of a prompt at an endpoint that reads
+// nothing else, in seconds.
+func (p *pace) firstOf(e *endpoint, prompt int) float64 {
+	return p.readOf(e, prompt)*float64(prompt) + p.firstShare()*p.gapOf(e)
+}
--- a/core/dispatch/pace_test.go
+++ b/core/dispatch/pace_test.go
@@ -224,21 +224,30 @@
 // kept whole by their engine, and their first event comes at once. Cause: the time to read
 // followed the lowest that was seen. The load: one prompt in seven is kept.
 func TestKeptPromptsDoNotTellTheTimeToRead(t *testing.T) {
+	learnsToRead(t, 2000, []int{300, 1500, 5000, 20000}, []int{1500, 5000, 20000}, func(i int, first, reading float64) float64 {
+		if i%7 == 6 {
+			return first
+		}
+		return first + reading
+	})
+}
+
+// learnsToRead checks that the time to read prompts is learned from n first events of
+// prompts in turns. took is how long the i-th takes, of what a first event and what reading
+// its prompt takes.
+func learnsToRead(t *testing.T, n int, prompts, checked []int, took func(i int, first, reading float64) float64) {
+	t.Helper()
 	is := is.New(t)
 	const gap, read = 0.05, 20e-6
 	e := &endpoint{gap: floor{value: gap, seen: 10}}
 	var p pace
-	for i := range 2000 {
-		prompt := []int{300, 1500, 5000, 20000}[i%4]
-		took := 0.3*gap + read*float64(prompt)
-		if i%7 == 6 {
-			took = 0.3 * gap
-		}
-		p.observeFirst(&run{job: &Job{Prompt: prompt}, ep: e}, seconds(took))
+	for i := range n {
+		prompt := prompts[i%len(prompts)]
+		p.observeFirst(&run{job: &Job{Prompt: prompt}, ep: e}, seconds(took(i, 0.3*gap, read*float64(prompt))))
 	}
-	for _, prompt := range []int{1500, 5000, 20000} {
+	for _, prompt := range checked {
 		got := p.readOf(e, prompt) / read
-		t.Logf("%d tokens: %.2f of the time to read", prompt, got)
+		t.Logf("%d tokens: %.2f of the time to read, first events %.2f", prompt, got, p.firstShare())
 		is.True(got > 0.8 && got < 1.2)
 	}
 	is.True(p.firstShare() > 0.2 && p.firstShare() < 0.4)
@@ -251,22 +260,10 @@
 // time, and tells nothing of reading. Cause: what an observation told followed from what had
 // been learned. The load: forty first events that seem too soon, then usual ones.
 func TestPredictionsRecoverFromABadStart(t *testing.T) {
-	is := is.New(t)
-	const gap, read = 0.05, 20e-6
-	e := &endpoint{gap: floor{value: gap, seen: 10}}
-	var p pace
-	for i := range 600 {
-		prompt := []int{300, 800, 1500, 5000}[i%4]
-		took := 0.3*gap + read*float64(prompt)
+	learnsToRead(t, 600, []int{300, 800, 1500, 5000}, []int{800, 5000, 20000}, func(i int, first, reading float64) float64 {
 		if i < 40 {
-			took /= 20
+			return (first + reading) / 20
 		}
-		p.observeFirst(&run{job: &Job{Prompt: prompt}, ep: e}, seconds(took))
-	}
-	for _, prompt := range []int{800, 5000, 20000} {
-		got := p.readOf(e, prompt) / read
-		t.Logf("%d tokens: %.2f of the time to read, first events %.2f", prompt, got, p.firstShare())
-		is.True(got > 0.8 && got < 1.2)
-	}
-	is.True(p.firstShare() > 0.2 && p.firstShare() < 0.4)
+		return first + reading
+	})
 }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -70,7 +70,7 @@
 func (s *Scheduler) reseat(now time.Duration, sv *service, seats []seat, e *endpoint) []seat {
 	i := slices.IndexFunc(seats, func(t seat) bool { return t.ep == e })
 	seats[i].load = e.load(now, sv.pace.readOf(e, 0), s.lastNote)
-	if e.admits(now) && !e.awaitsProof() && s.hasRoom(now, e, seats[i].load) {
+	if e.admits(now) && s.hasRoom(now, e, seats[i].load) {
 		return seats
 	}
 	return slices.Delete(seats, i, i+1)
@@ -125,7 +125,7 @@
 	if fastest == nil || !fastest.engine {
 		return 0
 	}
-	return seconds(sv.pace.readOf(fastest, j.Prompt)*float64(j.Prompt) + sv.pace.firstShare()*sv.pace.gapOf(fastest))
+	return seconds(sv.pace.firstOf(fastest, j.Prompt))
 }
 
 // refuseHopeless refuses jobs whose caller is about to leave or would have left by
--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -78,7 +78,7 @@
 func (sv *service) rateEngine(now time.Duration, j *Job, c *candidate) {
 	gap, read := sv.pace.gapOf(c.ep), sv.pace.readOf(c.ep, j.Prompt)
 	c.load.Gap = seconds(gap)
-	first := sv.pace.readOf(c.ep, 0)*float64(c.load.PromptTokens) + read*float64(j.Prompt) + sv.pace.firstShare()*gap
+	first := sv.pace.readOf(c.ep, 0)*float64(c.load.PromptTokens) + sv.pace.firstOf(c.ep, j.Prompt)
 	if c.load.Running+c.load.Waiting >= c.ep.Slots {
 		first += slotEvents * gap
 	}
@@ -106,5 +106,5 @@
 // readBesideEvent is the most that an engine reads of prompts while it makes one event of
 // the streams that it runs: a chunk beside each token.
 func (sv *service) readBesideEvent() int {
-	return assumedChunk * max(sv.pace.eventTokens, 1)
+	return assumedChunk * sv.pace.perEvent()
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -270,7 +270,7 @@
 // countImpossible counts quantities that callers or other VMs told and that cannot be.
 func (d *Daemon) countImpossible(n int) {
 	if n > 0 {
-		metrics.GetOrRegisterCounter("impossible_quantities", d.metrics).Inc(int64(n))
+		d.countMany("impossible_quantities", n)
 	}
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -13,8 +13,10 @@
 // reservoir is the number of samples that a histogram keeps.
 const reservoir = 256
 
-func (d *Daemon) count(name string) {
-	metrics.GetOrRegisterCounter(name, d.metrics).Inc(1)
+func (d *Daemon) count(name string) { d.countMany(name, 1) }
+
+func (d *Daemon) countMany(name string, n int) {
+	metrics.GetOrRegisterCounter(name, d.metrics).Inc(int64(n))
 }
 
 func (d *Daemon) observe(name string, took time.Duration) {
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -121,7 +121,7 @@
 	for a, pe := range p.addrs {
 		peers = append(peers, cell.Peer{
 			Address: a, Near: pe.domain == p.d.set.Vm.FailureDomain, Places: pe.placing(now),
-			Cell: pe == placer || placer == nil && slices.Contains(members, a), Successor: slices.Contains(next, a),
+			Cell: pe == placer || placer == nil && members[a], Successor: slices.Contains(next, a),
 		})
 	}
 	// Each VM begins elsewhere in the list, or one VM would hear all others at once
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -56,6 +56,8 @@
 	mu sync.Mutex
 	// addrs are all VMs ever heard of, by address, without this one.
 	addrs map[string]*peer
+	// known counts those of the own region and failure domain, and this VM.
+	known cell.Fleet
 	// complete says that the whole list of VMs was read, from the store or from a VM
 	// that had read it. Before that, shared amounts would be divided by too few.
 	complete bool
@@ -133,7 +135,7 @@
 
 func newPeers(d *Daemon) *peers {
 	return &peers{
-		d: d, inc: uint64(time.Now().UnixNano()), addrs: make(map[string]*peer), offset: turnOffset(d.set.Listen.Peers),
+		d: d, inc: uint64(time.Now().UnixNano()), addrs: make(map[string]*peer), known: cell.Fleet{Region: 1, Domain: 1}, offset: turnOffset(d.set.Listen.Peers),
 		relays: make(chan relay, relayBuffer), hints: make(chan configHint, hintBuffer),
 		client: &http.Client{Transport: &http.Transport{DialContext: d.opts.Dial, DisableKeepAlives: true}},
 	}
@@ -231,6 +233,7 @@
 	}
 	pe := &peer{addr: net.UDPAddrFromAddrPort(ap), domain: v.Domain, learned: p.d.now()}
 	p.addrs[v.Address] = pe
+	p.countKnown(v.Domain)
 	p.d.log.Info().Str("address", v.Address).Str("peer_domain", v.Domain).Int("vms", len(p.addrs)+1).Msg("peer_known")
 	return pe
 }
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"slices"
 	"time"
 
 	"github.com/chivefield/chivefield/core/cell"
@@ -55,14 +54,9 @@
 	if p.d.set.Off.Has(mechanism.Cells) {
 		return self.Address, nil
 	}
-	fleet := p.fleet()
-	if p.steppedDown.Load() {
-		willing = slices.DeleteFunc(willing, func(v cell.VM) bool { return v.Address == self.Address })
-		current = ""
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	chosen := cell.Placer(self, fleet, willing, current)
+	chosen := cell.Placer(self, p.known, willing, current)
 	if chosen == "" || chosen == self.Address {
 		return self.Address, nil
 	}
@@ -109,20 +103,20 @@
 
 // fleet is how many VMs are known, this one included.
 func (p *peers) fleet() cell.Fleet {
-	own := p.d.set.Vm.FailureDomain
-	region := p.d.set.Region(own)
-	f := cell.Fleet{Region: 1, Domain: 1}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, pe := range p.addrs {
-		if p.d.set.Region(pe.domain) == region {
-			f.Region++
-		}
-		if pe.domain == own {
-			f.Domain++
-		}
+	return p.known
+}
+
+// countKnown counts a VM that was learned of.
+func (p *peers) countKnown(domain string) {
+	own := p.d.set.Vm.FailureDomain
+	if p.d.set.Region(domain) == p.d.set.Region(own) {
+		p.known.Region++
+	}
+	if domain == own {
+		p.known.Domain++
 	}
-	return f
 }
 
 // willing are the VMs that would place requests, and this one as such.
@@ -131,7 +125,7 @@
 		Address: p.d.set.Listen.Peers, Domain: p.d.set.Vm.FailureDomain, Region: p.d.set.Region(p.d.set.Vm.FailureDomain),
 		Share: p.d.set.Limits.CpuShare, Members: len(p.d.remoteJobs.members()),
 	}
-	if p.d.remoteJobs.willing() {
+	if p.offers() {
 		willing = append(willing, self)
 	}
 	p.mu.Lock()
--- a/entry/remote_jobs.go
+++ b/entry/remote_jobs.go
@@ -229,10 +229,14 @@
 }
 
 // members are the VMs that ask this one.
-func (r *remoteJobs) members() []string {
+func (r *remoteJobs) members() map[string]bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Collect(maps.Keys(r.askers))
+	set := make(map[string]bool, len(r.askers))
+	for a := range r.askers {
+		set[a] = true
+	}
+	return set
 }
 
 // job is the request as this VM's scheduler sees it.
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -241,29 +241,15 @@
 	var dep dependency
 	var again retry
 	written := false
-	var records []Record
 	for ctx.Err() == nil {
-		if !written {
-			before, err := d.writeRecord(ctx)
-			d.noteStore(&dep, "vms", err)
-			if err != nil {
-				pause(ctx, again.failed(d.mostRetry()))
-				continue
-			}
-			written, records = true, before
-		}
-		if records == nil {
-			var err error
-			records, _, err = d.opts.Store.Newest(ctx, FeedVMs)
-			d.noteStore(&dep, "vms", err)
-			if err != nil {
-				pause(ctx, again.failed(d.mostRetry()))
-				continue
-			}
+		records, err := d.listVMs(ctx, &written)
+		d.noteStore(&dep, "vms", err)
+		if err != nil {
+			pause(ctx, again.failed(d.mostRetry()))
+			continue
 		}
 		again.succeeded()
 		d.learnVMs(records)
-		records = nil
 		d.claim()
 		if d.peers.reads() {
 			pause(ctx, announceEvery)
@@ -274,6 +260,22 @@
 	return nil
 }
 
+// listVMs returns the records of all VMs, once this VM's own is written.
+func (d *Daemon) listVMs(ctx context.Context, written *bool) ([]Record, error) {
+	if !*written {
+		before, err := d.writeRecord(ctx)
+		if err != nil {
+			return nil, err
+		}
+		*written = true
+		if before != nil {
+			return before, nil
+		}
+	}
+	records, _, err := d.opts.Store.Newest(ctx, FeedVMs)
+	return records, err
+}
+
 // writeRecord writes this VM's record, and finds out before whether the process may take
 // what is kept for restarts. It returns the list of VMs if what was read before is whole: a
 // VM that is in it was known to all that started since, so no two can miss each other.
