--- /dev/null
+++ b/core/suspect/doc.go
@@ -0,0 +1,2 @@
+// Package suspect tells apart the requests that end the endpoints that run them.
+package suspect
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -15,6 +15,7 @@
 	"github.com/chivefield/chivefield/core/allowance"
 	"github.com/chivefield/chivefield/core/dispatch"
 	"github.com/chivefield/chivefield/core/routing"
+	"github.com/chivefield/chivefield/core/suspect"
 )
 
 const (
@@ -47,6 +48,8 @@
 	org     *routing.Organisation
 	service string
 	body    []byte
+	// digest names the request however often its caller sends it.
+	digest  suspect.Digest
 	arrived time.Time
 	// limit is when the request gets its final answer at the latest.
 	limit time.Time
@@ -116,7 +119,20 @@
 	}
 	c.service = c.route.Pick(xxhash.Sum64String(c.call.ID))
 	c.setLimit()
-	return c.readBody(limits.MaxBodyBytes)
+	if bad := c.readBody(limits.MaxBodyBytes); bad != nil {
+		return bad
+	}
+	c.digest = c.identity().Digest()
+	return nil
+}
+
+// identity is what the caller repeats when it sends the request again.
+func (c *caller) identity() suspect.Identity {
+	i := suspect.Identity{Method: c.r.Method, Host: strings.ToLower(c.r.Host), Target: c.r.RequestURI, Body: c.body}
+	if c.org != nil {
+		i.Organisation = c.org.Name
+	}
+	return i
 }
 
 func (c *caller) setLimit() {
@@ -252,7 +268,7 @@
 	if c.route != nil {
 		route = c.route.Name
 	}
-	c.d.log.Info().Str("request", c.call.ID).Str("route", route).Int("status", bad.status).Str("reason", bad.reason).
+	c.d.log.Info().Str("request", c.call.ID).Stringer("digest", c.digest).Str("route", route).Int("status", bad.status).Str("reason", bad.reason).
 		Dur("retry_after", bad.after).Int("sent", c.sent).Dur("held", time.Since(c.arrived)).Msg("refused")
 	if c.org != nil && c.units > 0 && !c.ran {
 		c.d.peers.refund(allowance.Amount{Organisation: c.org.Name, Units: c.units})
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -61,7 +61,7 @@
 			return
 		}
 		c.tried = append(c.tried, dispatch.NameOf(dec.Endpoint.Key()))
-		c.d.log.Info().Str("request", c.call.ID).Str("endpoint", dec.Endpoint.ID).Stringer("outcome", last.outcome).
+		c.d.log.Info().Str("request", c.call.ID).Stringer("digest", c.digest).Str("endpoint", dec.Endpoint.ID).Stringer("outcome", last.outcome).
 			Int("sent", c.sent).Bool("ran", c.ran).Err(last.err).Msg("attempt_failed")
 		if ctx.Err() != nil {
 			c.giveUp(s)
