A ledger of requests that were at endpoints that ended

Pure part of the mend: what was cut off where, in generations, merged by taking the greater everywhere; three generations that ended three incarnations convict, an answer clears. Not used yet. Played in virtual time with notes of 8 records to 5 of the VMs each 0.1 s, 2 in 100 lost: at 3, 8, 66, 300 and 1,800 VMs and up to 40 sendings a second no run comes later than 1.5 s after the third end. Merging is searched in any order, with repeats and detours (rapid).

--- /dev/null
+++ b/core/suspect/fleet_test.go
@@ -0,0 +1,232 @@
+package suspect
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// fleet is VMs that tell each other what they know, in virtual time.
+type fleet struct {
+	rnd  *rand.Rand
+	vms  []*Ledger
+	now  time.Duration
+	next uint64
+	// cut keeps the first half of the VMs from the others.
+	cut bool
+	// running are copies of the request at endpoints.
+	running []copyRun
+	runs    []time.Duration
+	ends    []time.Duration
+	// innocents are neighbours that were cut with it.
+	innocents int
+}
+
+type copyRun struct {
+	vm         int
+	generation int
+	until      time.Duration
+}
+
+const (
+	// noteEvery, noteTo and hotMost are how VMs tell each other: each tenth of a second
+	// five others, of the eight that matter most.
+	noteEvery = 100 * time.Millisecond
+	noteTo    = 5
+	hotMost   = 8
+	// lost is the share of notes that are lost.
+	lost = 0.02
+	// neighbours are what else an endpoint runs.
+	neighbours = 11
+	// runsFor is how long an endpoint runs the request before it ends.
+	runsFor = 100 * time.Millisecond
+)
+
+func newFleet(seed uint64, n int) *fleet {
+	f := &fleet{rnd: rand.New(rand.NewPCG(seed, 1))}
+	for range n {
+		f.vms = append(f.vms, New())
+	}
+	return f
+}
+
+func (f *fleet) apart(a, b int) bool { return f.cut && (a < len(f.vms)/2) != (b < len(f.vms)/2) }
+
+// round lets each VM send one note.
+func (f *fleet) round() {
+	type told struct {
+		to int
+		r  []Record
+	}
+	var notes []told
+	for i, l := range f.vms {
+		hot := l.Hot(f.now, hotMost)
+		if len(hot) == 0 {
+			continue
+		}
+		for range noteTo {
+			if to := f.rnd.IntN(len(f.vms)); f.rnd.Float64() >= lost && !f.apart(i, to) {
+				notes = append(notes, told{to, hot})
+			}
+		}
+	}
+	f.now += noteEvery
+	for _, n := range notes {
+		for _, r := range n.r {
+			f.vms[n.to].Merge(f.now, r)
+		}
+	}
+}
+
+// send sends a copy of the request by way of a VM, if that one lets it pass.
+func (f *fleet) send(d Digest, vm int) {
+	if v := f.vms[vm].Look(d); !v.Convicted() {
+		f.runs = append(f.runs, f.now)
+		f.running = append(f.running, copyRun{vm, v.Generation, f.now + runsFor})
+	}
+}
+
+// end ends the endpoints of copies that have run for their time, with their neighbours.
+func (f *fleet) end(d Digest) {
+	kept := f.running[:0]
+	for _, c := range f.running {
+		if c.until > f.now {
+			kept = append(kept, c)
+			continue
+		}
+		f.next++
+		f.ends = append(f.ends, f.now)
+		f.vms[c.vm].Cut(f.now, d, f.next, c.generation)
+		f.vms[c.vm].Ended(f.now, f.next)
+		for range neighbours {
+			f.innocents++
+			l := f.vms[f.rnd.IntN(len(f.vms))]
+			l.Cut(f.now, digestOf(f.innocents), f.next, 0)
+			l.Ended(f.now, f.next)
+		}
+	}
+	f.running = kept
+}
+
+// play sends the request some times each round for a time.
+func (f *fleet) play(d Digest, perRound int, rounds int) {
+	for range rounds {
+		for range perRound {
+			f.send(d, f.rnd.IntN(len(f.vms)))
+		}
+		f.round()
+		f.end(d)
+	}
+}
+
+// late is how many runs came later than a time after the third endpoint had ended.
+func (f *fleet) late(window time.Duration) int {
+	if len(f.ends) < convictedAt {
+		return 0
+	}
+	n := 0
+	for _, r := range f.runs {
+		if r > f.ends[convictedAt-1]+window {
+			n++
+		}
+	}
+	return n
+}
+
+// Symptom: each VM let the request pass anew. Sequence: each sending arrives at another VM,
+// and endpoints end at one VM's sending each. Well inside the three seconds after the third
+// end no VM sends it any more, at any number of VMs and rates, though notes are lost.
+func TestAllVMsKnowInTime(t *testing.T) {
+	for n, seeds := range map[int]uint64{3: 20, 8: 20, 66: 4, 300: 1, 1800: 1} {
+		for _, perRound := range []int{1, 4} {
+			if n > 1000 && perRound == 1 {
+				continue
+			}
+			for seed := range seeds {
+				f := newFleet(seed, n)
+				d := digestOf(0)
+				f.play(d, perRound, 30)
+				if late := f.late(1500 * time.Millisecond); late != 0 {
+					t.Errorf("%d VMs, %d sendings a round, seed %d: %d runs later than 1.5 s after the third end; %d ended in all", n, perRound, seed, late, len(f.ends))
+				}
+				for i := 1; i <= f.innocents; i++ {
+					if v := f.vms[i%n].Look(digestOf(i)); v.Level > 1 {
+						t.Fatalf("%d VMs, seed %d: a neighbour counts %d", n, seed, v.Level)
+					}
+				}
+			}
+		}
+	}
+}
+
+// In a cut each side bounds itself by what it saw; what it learns afterwards lowers nothing.
+func TestEachSideOfACutBoundsItself(t *testing.T) {
+	for seed := range uint64(5) {
+		f := newFleet(seed, 8)
+		f.cut = true
+		d := digestOf(0)
+		f.play(d, 2, 40)
+		for i, l := range f.vms {
+			if !l.Look(d).Convicted() {
+				t.Fatalf("seed %d: VM %d still lets it pass", seed, i)
+			}
+		}
+		f.cut = false
+		before := len(f.runs)
+		f.play(d, 2, 40)
+		if len(f.runs) != before {
+			t.Errorf("seed %d: %d runs after the cut", seed, len(f.runs)-before)
+		}
+	}
+}
+
+// A VM that starts after all that is told in turn.
+func TestStartedVMIsTold(t *testing.T) {
+	f := newFleet(1, 8)
+	d := digestOf(0)
+	f.play(d, 2, 60)
+	fresh := New()
+	for _, r := range f.vms[3].Turn(f.now, hotMost) {
+		fresh.Merge(0, r)
+	}
+	for range 20 {
+		for _, r := range f.vms[3].Turn(f.now, hotMost) {
+			fresh.Merge(0, r)
+		}
+	}
+	if !fresh.Look(d).Convicted() {
+		t.Error("it still lets the request pass")
+	}
+}
+
+// BenchmarkNotes measures what the records of one note take: those of the ends of many
+// endpoints at once, and a look where 1,000 suspects are known.
+func BenchmarkNotes(b *testing.B) {
+	l := New()
+	for i := range maxEntries {
+		ends(l, 0, digestOf(i), uint64(i/12))
+	}
+	b.Run("hot", func(b *testing.B) {
+		for b.Loop() {
+			_ = l.Hot(0, hotMost)
+		}
+	})
+	b.Run("turn", func(b *testing.B) {
+		for b.Loop() {
+			_ = l.Turn(0, hotMost)
+		}
+	})
+	for _, n := range []int{0, maxEntries} {
+		b.Run("look/"+strconv.Itoa(n), func(b *testing.B) {
+			k := New()
+			if n > 0 {
+				k = l
+			}
+			d := digestOf(5)
+			for b.Loop() {
+				_ = k.Look(d)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/suspect/ledger.go
@@ -0,0 +1,390 @@
+package suspect
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// convictedAt is from how many generations on a request is not sent any more. One happens
+	// to each neighbour of such a request, two to some whose callers send again at once;
+	// the users allow three ends and few tries after them.
+	convictedAt = 3
+	// trialAt is from how many possible generations on a request is on trial, if one of them
+	// surely ended an endpoint: cut links alone put nobody on trial.
+	trialAt = 2
+	// maxEntries bounds the requests that are remembered, half a megabyte. One end of an
+	// endpoint adds a dozen; an attacker who sends ever other bodies that end endpoints
+	// needs as many ends as a dozenth of it to push out a suspect, and three times as many
+	// as all of it to push out one that is convicted.
+	maxEntries = 1024
+	// maxSightings bounds what is kept of one request; three convict it.
+	maxSightings = 8
+	// cutLife is how long a cut is kept of which nothing follows: the registry drops an
+	// incarnation that fell silent after three heartbeats of a second or so, and VMs read
+	// it each second or two.
+	cutLife = 10 * time.Second
+	// suspectLife is how long after the last sighting a suspect is remembered: jobs that run
+	// hourly come again within it.
+	suspectLife = time.Hour
+	// convictedLife is the same for convicted ones: daily jobs. After it an endpoint that was
+	// mended gets the request again, and if it was not, three have to end anew.
+	convictedLife = 24 * time.Hour
+	// hotFor is for how long what is new goes into each note. Notes leave ten times a second to
+	// five VMs and more, so each round multiplies those who know by about six: 1,800 VMs
+	// know after five rounds, half a second; the rest of the time is for notes that are lost.
+	hotFor = 1500 * time.Millisecond
+)
+
+// Change is a step of what is known against a request, for logs.
+type Change struct {
+	Digest Digest
+	Kind   Kind
+	Level  int
+	// Endpoints are the short names of the incarnations that ended.
+	Endpoints []uint64
+}
+
+// Kind says what kind of step a Change is.
+type Kind int
+
+// Kinds of changes.
+const (
+	// Suspected: one more generation has ended endpoints.
+	Suspected Kind = iota
+	// Convicted: it is not sent to endpoints any more.
+	Convicted
+	// Cleared: an answer speaks for it, or its endpoints live.
+	Cleared
+	// Forgotten: its time is over, or others took its place.
+	Forgotten
+)
+
+// Ledger is what one VM knows of such requests. It is not safe for concurrent use. Times are
+// those of the VM's process; none is compared with another VM's.
+type Ledger struct {
+	entries  map[Digest]*entry
+	released map[Digest]bool
+	// watched are the incarnations at which something was cut and which may have ended;
+	// they are worked out anew when something was learned.
+	watched map[uint64]bool
+	learned bool
+	changes []Change
+	// turn is where the next Turn begins.
+	turn Digest
+}
+
+// New returns a ledger that knows nothing.
+func New() *Ledger {
+	return &Ledger{entries: make(map[Digest]*entry), released: make(map[Digest]bool), watched: make(map[uint64]bool)}
+}
+
+// Len is how many requests are remembered.
+func (l *Ledger) Len() int { return len(l.entries) }
+
+// Release lets requests run whatever they did; others are no longer released.
+func (l *Ledger) Release(list []Digest) {
+	clear(l.released)
+	for _, d := range list {
+		l.released[d] = true
+	}
+}
+
+// Look returns what is known against a request. Each try asks before a byte of it leaves.
+func (l *Ledger) Look(d Digest) View {
+	v := View{}
+	if e := l.entries[d]; e != nil {
+		v = e.view()
+	}
+	v.Released = l.released[d]
+	return v
+}
+
+// Cut says that a copy of a request was cut off at an incarnation. generation is that of
+// Look when the copy was sent.
+func (l *Ledger) Cut(now time.Duration, d Digest, endpoint uint64, generation int) {
+	e := l.entry(now, d)
+	e.touched = now
+	l.see(now, d, e, Sighting{Endpoint: endpoint, Generation: generation + 1})
+}
+
+// Ended says that an incarnation has ended, though nobody had said that it would.
+func (l *Ledger) Ended(now time.Duration, endpoint uint64) { l.conclude(now, endpoint, Ended) }
+
+// Answered says that an incarnation began to answer a request that was sent at a time. What
+// was cut off there before has another cause.
+func (l *Ledger) Answered(now, sent time.Duration, endpoint uint64) {
+	if !l.Watched(endpoint) {
+		return
+	}
+	for d, e := range l.entries {
+		if s := e.sightings[endpoint]; s != nil && s.State != Alive && s.at < sent {
+			l.see(now, d, e, Sighting{Endpoint: endpoint, Generation: s.Generation, State: Alive})
+		}
+	}
+}
+
+// Leaving says that an incarnation has said that it leaves: what was cut off there before has
+// another cause, since it lived on.
+func (l *Ledger) Leaving(now time.Duration, endpoint uint64) { l.conclude(now, endpoint, Alive) }
+
+func (l *Ledger) conclude(now time.Duration, endpoint uint64, state State) {
+	if !l.Watched(endpoint) {
+		return
+	}
+	for d, e := range l.entries {
+		if s := e.sightings[endpoint]; s != nil {
+			l.see(now, d, e, Sighting{Endpoint: endpoint, Generation: s.Generation, State: state})
+		}
+	}
+}
+
+// Watched says whether something was cut off at an incarnation that may have ended.
+func (l *Ledger) Watched(endpoint uint64) bool {
+	if l.learned {
+		l.learned = false
+		l.watch()
+	}
+	return l.watched[endpoint]
+}
+
+// Success says that a request got a whole answer from an endpoint.
+func (l *Ledger) Success(now time.Duration, d Digest) {
+	e := l.entries[d]
+	if e == nil {
+		return
+	}
+	if top := e.view().Generation; top > e.cleared {
+		e.cleared, e.changed = top, now
+		l.tell(d, e)
+		l.learned = true
+	}
+}
+
+// Merge takes in what another VM, or the store, knows of a request, and reports whether
+// anything of it is new.
+func (l *Ledger) Merge(now time.Duration, r Record) bool {
+	if !plausible(r) {
+		return false
+	}
+	known := l.entries[r.Digest]
+	if known == nil && r.Quiet >= lifeOf(r) {
+		return false
+	}
+	e := known
+	if e == nil {
+		e = l.entry(now, r.Digest)
+		e.touched = now - r.Quiet
+	}
+	news := known == nil
+	e.touched = max(e.touched, now-r.Quiet)
+	if r.Cleared > e.cleared {
+		e.cleared, news = r.Cleared, true
+	}
+	for _, s := range r.Sightings {
+		if e.see(now, s) {
+			news = true
+		}
+	}
+	if !news {
+		return false
+	}
+	e.changed = now
+	l.tell(r.Digest, e)
+	l.learned = true
+	return true
+}
+
+// mostGeneration bounds what another VM may say: far more than can happen in a life.
+const mostGeneration = 1 << 20
+
+// plausible says whether a record can be true. A garbled one would convict, or clear for ever.
+func plausible(r Record) bool {
+	if r.Digest == (Digest{}) || r.Quiet < 0 || r.Cleared < 0 || r.Cleared > mostGeneration || len(r.Sightings) > maxSightings {
+		return false
+	}
+	return !slices.ContainsFunc(r.Sightings, func(s Sighting) bool {
+		return s.Generation < 1 || s.Generation > mostGeneration || s.State > Alive
+	})
+}
+
+// lifeOf is how long a record is worth keeping.
+func lifeOf(r Record) time.Duration {
+	e := entry{sightings: make(map[uint64]*sighting, len(r.Sightings)), cleared: r.Cleared}
+	for _, s := range r.Sightings {
+		e.sightings[s.Endpoint] = &sighting{Sighting: s}
+	}
+	return e.life()
+}
+
+func (e *entry) life() time.Duration {
+	switch v := e.view(); {
+	case v.Level >= convictedAt:
+		return convictedLife
+	case v.Level > 0:
+		return suspectLife
+	default:
+		return cutLife
+	}
+}
+
+// entry returns what is known of a request, from now on something.
+func (l *Ledger) entry(now time.Duration, d Digest) *entry {
+	e := l.entries[d]
+	if e == nil {
+		if len(l.entries) >= maxEntries {
+			l.forget(l.least())
+		}
+		e = &entry{sightings: make(map[uint64]*sighting), touched: now}
+		l.entries[d] = e
+	}
+	return e
+}
+
+// least is the request that is least worth remembering.
+func (l *Ledger) least() Digest {
+	var least Digest
+	var leastEntry *entry
+	for d, e := range l.entries {
+		if leastEntry == nil || lessWorth(e, leastEntry) {
+			least, leastEntry = d, e
+		}
+	}
+	return least
+}
+
+func lessWorth(a, b *entry) bool {
+	va, vb := a.view(), b.view()
+	return cmp.Or(cmp.Compare(va.Level, vb.Level), cmp.Compare(va.Possible, vb.Possible), cmp.Compare(a.touched, b.touched)) < 0
+}
+
+func (l *Ledger) see(now time.Duration, d Digest, e *entry, s Sighting) {
+	if e.see(now, s) {
+		e.changed = now
+		l.tell(d, e)
+		l.learned = true
+	}
+}
+
+// watch works out which incarnations are worth a look.
+func (l *Ledger) watch() {
+	clear(l.watched)
+	for _, e := range l.entries {
+		for name, s := range e.sightings {
+			if s.counts(e.cleared) {
+				l.watched[name] = true
+			}
+		}
+	}
+}
+
+// tell notes a change of level for logs.
+func (l *Ledger) tell(d Digest, e *entry) {
+	v := e.view()
+	if v.Level == e.told {
+		return
+	}
+	c := Change{Digest: d, Kind: Suspected, Level: v.Level}
+	switch {
+	case v.Level < e.told:
+		c.Kind = Cleared
+	case v.Level >= convictedAt:
+		c.Kind = Convicted
+	}
+	for name, s := range e.sightings {
+		if s.State == Ended && s.counts(e.cleared) {
+			c.Endpoints = append(c.Endpoints, name)
+		}
+	}
+	slices.Sort(c.Endpoints)
+	e.told = v.Level
+	l.changes = append(l.changes, c)
+}
+
+// Changes returns what changed since the last call.
+func (l *Ledger) Changes() []Change {
+	list := l.changes
+	l.changes = nil
+	return list
+}
+
+// Expire forgets what has been quiet for its time.
+func (l *Ledger) Expire(now time.Duration) {
+	for d, e := range l.entries {
+		for name, s := range e.sightings {
+			if s.State == Cut && now-s.at >= cutLife {
+				delete(e.sightings, name)
+			}
+		}
+		if now-e.touched >= e.life() {
+			l.forget(d)
+		}
+	}
+	l.learned = true
+}
+
+func (l *Ledger) forget(d Digest) {
+	if e := l.entries[d]; e.told > 0 {
+		l.changes = append(l.changes, Change{Digest: d, Kind: Forgotten, Level: e.told})
+	}
+	delete(l.entries, d)
+}
+
+// Hot returns up to n records of what was learned lately, those that matter most first: they
+// go into each note.
+func (l *Ledger) Hot(now time.Duration, n int) []Record {
+	type news struct {
+		d        Digest
+		possible int
+		changed  time.Duration
+	}
+	var hot []news
+	for d, e := range l.entries {
+		if now-e.changed < hotFor {
+			hot = append(hot, news{d, e.view().Possible, e.changed})
+		}
+	}
+	slices.SortFunc(hot, func(a, b news) int {
+		return cmp.Or(cmp.Compare(b.possible, a.possible), cmp.Compare(b.changed, a.changed), bytes.Compare(a.d[:], b.d[:]))
+	})
+	records := make([]Record, 0, n)
+	for _, h := range hot[:min(n, len(hot))] {
+		records = append(records, l.entries[h.d].record(now, h.d))
+	}
+	return records
+}
+
+// Turn returns up to n records, over many calls all of them in turn: VMs that missed a note or
+// have just started learn from it what the others know.
+func (l *Ledger) Turn(now time.Duration, n int) []Record {
+	all := make([]Digest, 0, len(l.entries))
+	for d, e := range l.entries {
+		if e.life() > cutLife {
+			all = append(all, d)
+		}
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	slices.SortFunc(all, func(a, b Digest) int { return bytes.Compare(a[:], b[:]) })
+	from, _ := slices.BinarySearchFunc(all, l.turn, func(a, b Digest) int { return bytes.Compare(a[:], b[:]) })
+	n = min(n, len(all))
+	records := make([]Record, 0, n)
+	for i := range n {
+		d := all[(from+i)%len(all)]
+		records = append(records, l.entries[d].record(now, d))
+	}
+	l.turn = all[(from+n)%len(all)]
+	return records
+}
+
+// Record returns what is known of a request; ok is false if nothing is.
+func (l *Ledger) Record(now time.Duration, d Digest) (r Record, ok bool) {
+	e := l.entries[d]
+	if e == nil {
+		return Record{}, false
+	}
+	return e.record(now, d), true
+}
--- /dev/null
+++ b/core/suspect/merge_test.go
@@ -0,0 +1,87 @@
+package suspect
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// genSteps are things that VMs see of one request, at few incarnations.
+func genRecord(t *rapid.T) Record {
+	n := rapid.IntRange(0, 5).Draw(t, "sightings")
+	r := Record{Digest: digestOf(1), Cleared: rapid.IntRange(0, 3).Draw(t, "cleared"), Quiet: time.Duration(rapid.IntRange(0, 5).Draw(t, "quiet")) * time.Second}
+	for range n {
+		r.Sightings = append(r.Sightings, Sighting{
+			Endpoint:   uint64(rapid.IntRange(1, 6).Draw(t, "endpoint")),
+			Generation: rapid.IntRange(1, 5).Draw(t, "generation"),
+			State:      State(rapid.IntRange(0, 2).Draw(t, "state")),
+		})
+	}
+	return r
+}
+
+func merged(list []Record) View {
+	l := New()
+	for _, r := range list {
+		l.Merge(10*time.Second, r)
+	}
+	return l.Look(digestOf(1))
+}
+
+// Order, repeats and detours of what VMs tell each other do not matter.
+func TestMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := rapid.SliceOfN(rapid.Custom(genRecord), 1, 6).Draw(t, "records")
+		want := merged(list)
+		shuffled := rapid.Permutation(append(append([]Record(nil), list...), list...)).Draw(t, "order")
+		if got := merged(shuffled); got != want {
+			t.Fatalf("in another order, with repeats: %+v, else %+v", got, want)
+		}
+		half := rapid.IntRange(0, len(list)).Draw(t, "half")
+		var detour []Record
+		for _, part := range [][]Record{list[:half], list[half:]} {
+			l := New()
+			for _, r := range part {
+				l.Merge(10*time.Second, r)
+			}
+			if r, ok := l.Record(10*time.Second, digestOf(1)); ok {
+				detour = append(detour, r)
+			}
+		}
+		if got := merged(detour); got != want {
+			t.Fatalf("by way of two VMs: %+v, else %+v", got, want)
+		}
+	})
+}
+
+// Hearing more never lowers what is known against a request, but for an answer: of the
+// request itself, or of an incarnation that was taken for ended.
+func TestMergingLowersNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New()
+		for _, r := range rapid.SliceOfN(rapid.Custom(genRecord), 0, 4).Draw(t, "known") {
+			l.Merge(10*time.Second, r)
+		}
+		before := l.Look(digestOf(1))
+		more := genRecord(t)
+		more.Cleared = 0
+		for i := range more.Sightings {
+			more.Sightings[i].State = min(more.Sightings[i].State, Ended)
+		}
+		// A cut of a later generation at an incarnation that ended cannot happen.
+		for i, s := range more.Sightings {
+			if r, ok := l.Record(10*time.Second, digestOf(1)); ok {
+				for _, k := range r.Sightings {
+					if k.Endpoint == s.Endpoint && k.State == Ended {
+						more.Sightings[i].State = Ended
+					}
+				}
+			}
+		}
+		l.Merge(10*time.Second, more)
+		if after := l.Look(digestOf(1)); after.Level < before.Level || after.Possible < before.Possible {
+			t.Fatalf("%+v after %+v", after, before)
+		}
+	})
+}
