A request under which three endpoints ended is not sent to endpoints any more

What callers saw: endpoints ended one after the other, 22 under one request, and the dozen requests of others that each ran broke off with it. Cause: each sending was a new request to every VM. What bounds tries holds within one sending and exempts endpoints that ended; nothing that one VM saw reached the next sending, at this VM or another. Now: a try that is cut off while the registry lists its incarnation is noted under the digest of what the caller repeats; a connection opened at once, another incarnation at the address, or the registry says whether the incarnation ended. VMs tell each other in the notes they send anyway, a process that starts is told first what matters most, convictions are kept in the store for a restart of all. The one place where bytes leave asks before each try; the VM that places asks too. Suspects run apart, and from the second end on one copy at a time where few others run. Why it holds: what is known is numbers that only grow, merged by the greater, so loss, order and repeats of notes do not matter, and a cut lowers nothing. Copies that ran side by side count once, an answer clears, so that a rack that loses power or a body that many share convicts nobody.

--- /dev/null
+++ b/core/dispatch/caution.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import "github.com/chivefield/chivefield/core/mechanism"
+
+// A request that was at an endpoint when it ended may have ended it, or may have been one of
+// its dozen neighbours. Placed as any other, the one that did it takes as many neighbours with
+// it the next time, of which some have come again from the first; after three ends more
+// than one request has been at all three.
+//
+// So suspects are kept from one another, and one that is on trial, since endpoints ended twice
+// in a row, runs one copy at a time, where few others run and no other that is on trial: what
+// ends with it then is its own doing.
+
+// Suspicion says how carefully a job is placed.
+type Suspicion int
+
+// Suspicions.
+const (
+	Unsuspected Suspicion = iota
+	// Suspected: it was at an endpoint that ended.
+	Suspected
+	// OnTrial: endpoints ended twice in a row with it.
+	OnTrial
+)
+
+// Costs, in seconds, among endpoints where an answer is on time; less than a late answer
+// costs, so that none of them makes an innocent request late.
+const (
+	// besideSuspect is what another suspect at an endpoint counts for a suspect.
+	besideSuspect = 1
+	// besideTrial is what a request on trial at an endpoint counts for any other: a few in a
+	// hundred requests of other callers broke off beside it.
+	besideTrial = 2
+	// trialNeighbour is what each request at an endpoint counts for one on trial.
+	trialNeighbour = 0.5
+)
+
+// caution is what the suspects at an endpoint, and those that a suspect would endanger there,
+// count for a job.
+func (s *Scheduler) caution(j *Job, e *endpoint, u Use) float64 {
+	cost := 0.0
+	if e.trials > 0 {
+		cost += besideTrial
+	}
+	if j.Suspicion >= Suspected && e.suspects > 0 {
+		cost += besideSuspect
+	}
+	if j.Suspicion == OnTrial {
+		cost += trialNeighbour * float64(u.Running+u.Waiting)
+	}
+	return cost
+}
+
+// mayTry says whether a job may run at an endpoint as far as trials go. A job that may not
+// anywhere waits.
+func (s *Scheduler) mayTry(j *Job, e *endpoint) bool {
+	return j.Suspicion != OnTrial || s.onTrial[j.Request] == 0 && e.trials == 0
+}
+
+// suspicion is how carefully a job is placed here.
+func (s *Scheduler) suspicion(j *Job) Suspicion {
+	if s.off.Has(mechanism.Trials) {
+		return Unsuspected
+	}
+	return j.Suspicion
+}
+
+// watch counts the suspects at endpoints as a run begins (n = 1) or ends (n = -1).
+func (s *Scheduler) watch(r *run, n int) {
+	if r.job.Suspicion >= Suspected {
+		r.ep.suspects += n
+	}
+	if r.job.Suspicion == OnTrial {
+		r.ep.trials += n
+		if s.onTrial[r.job.Request] += n; s.onTrial[r.job.Request] == 0 {
+			delete(s.onTrial, r.job.Request)
+		}
+	}
+}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 
 	"github.com/chivefield/chivefield/core/mechanism"
 	"github.com/chivefield/chivefield/core/members"
+	"github.com/chivefield/chivefield/core/suspect"
 )
 
 // Job is one request that needs an endpoint.
@@ -35,6 +36,9 @@
 	// VM's failure domain.
 	Remote bool
 	Domain string
+	// Request names what the caller repeats, Suspicion says how carefully it is placed.
+	Request   suspect.Digest
+	Suspicion Suspicion
 
 	arrived time.Duration
 	// late says that the objective cannot be met any more; rank orders the queue.
@@ -115,6 +119,8 @@
 	placers int
 	// impossible counts quantities that cannot be.
 	impossible int
+	// onTrial counts the runs of each request that is on trial.
+	onTrial map[suspect.Digest]int
 	// company is what is known of the VMs of the own failure domain, and of others.
 	company [2]company
 }
@@ -160,6 +166,8 @@
 	// lastFirst is when a run of this VM here last got its first event.
 	lastFirst time.Duration
 	health    health
+	// suspects and trials count the runs here of requests that may end it.
+	suspects, trials int
 }
 
 type peerUse struct {
@@ -195,7 +203,7 @@
 	return &Scheduler{
 		self: xxhash.Sum64String(vm), chooser: xxhash.Sum64String(vm), domain: domain,
 		services: make(map[string]*service), running: make(map[uint64]*run),
-		byName: make(map[uint64]*endpoint), vms: make(map[string]int),
+		byName: make(map[uint64]*endpoint), vms: make(map[string]int), onTrial: make(map[suspect.Digest]int),
 	}
 }
 
@@ -268,7 +276,7 @@
 func (s *Scheduler) Submit(now time.Duration, j Job) []Decision {
 	sv := s.service(j.Service)
 	s.checkJob(&j)
-	j.arrived = now
+	j.arrived, j.Suspicion = now, s.suspicion(&j)
 	sv.queue = append(sv.queue, &j)
 	s.place(now, sv)
 	return s.take()
@@ -350,6 +358,7 @@
 	}
 	delete(s.running, handle)
 	delete(r.ep.own, handle)
+	s.watch(r, -1)
 	if !r.adopted && (o == Answered || o == Left) {
 		// A slot that a failure gives back is no sign of room.
 		r.ep.turn.ended(now)
@@ -469,6 +478,7 @@
 		c.ep.health.ejection.running++
 	}
 	c.ep.own[j.Handle] = r
+	s.watch(r, 1)
 	s.running[j.Handle] = r
 	return r
 }
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -160,6 +160,14 @@
 	return !e.health.gone && !e.health.doubted
 }
 
+// Doubt says that nothing listens at an endpoint's address: it gets no requests until a probe
+// shows otherwise.
+func (s *Scheduler) Doubt(now time.Duration, key string) {
+	if e := s.byName[NameOf(key)]; e != nil {
+		e.health.doubt(now)
+	}
+}
+
 // OtherFit says whether a service has a fit endpoint that was not tried.
 func (s *Scheduler) OtherFit(now time.Duration, service string, tried []uint64) bool {
 	for _, e := range s.service(service).list {
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -79,7 +79,7 @@
 // best picks the seat with the least score that the job has not tried yet.
 func (s *Scheduler) best(now time.Duration, sv *service, j *Job, seats []seat) (best candidate) {
 	for _, t := range seats {
-		if slices.Contains(j.Tried, t.ep.name) || slices.Contains(j.Avoided, t.ep.name) {
+		if slices.Contains(j.Tried, t.ep.name) || slices.Contains(j.Avoided, t.ep.name) || !s.mayTry(j, t.ep) {
 			continue
 		}
 		c := s.rate(now, sv, j, t.ep, t.load)
--- a/core/dispatch/remote.go
+++ b/core/dispatch/remote.go
@@ -40,7 +40,7 @@
 		return nil, NotReached
 	}
 	s.checkJob(&j)
-	j.arrived = now
+	j.arrived, j.Suspicion = now, s.suspicion(&j)
 	r := s.begin(now, &j, candidate{ep: e, first: first, ahead: s.bounded(ahead, mostTokens)})
 	r.adopted = true
 	ep := e.Endpoint
--- a/core/mechanism/mechanism.go
+++ b/core/mechanism/mechanism.go
@@ -39,12 +39,14 @@
 	StartWait
 	// StallRetry: silent endpoints are waited for to the end.
 	StallRetry
+	// Trials: requests that may end endpoints are placed as all others.
+	Trials
 )
 
 // names are the mechanisms as settings name them, in order.
 var names = [...]string{
 	"turns", "stale_cost", "near_first", "scarce_slow_first", "short_first", "hopeless", "ejection",
-	"peer_doubts", "cells", "tier_reserve", "restart_allowance", "start_wait", "stall_retry",
+	"peer_doubts", "cells", "tier_reserve", "restart_allowance", "start_wait", "stall_retry", "trials",
 }
 
 // String is the mechanism's name in settings.
--- a/core/members/members.go
+++ b/core/members/members.go
@@ -59,7 +59,15 @@
 	version   uint64
 	// latest is the last start known of each id, also of those that are gone: a record
 	// of an earlier incarnation may come late, from a VM that lags.
-	latest map[string]int64
+	latest     map[string]int64
+	departures []Departure
+}
+
+// Departure is an incarnation that may not get requests any more.
+type Departure struct {
+	Key string
+	// Leaving says that it said so itself; else it is gone without a word.
+	Leaving bool
 }
 
 // mostLatest bounds the starts kept of ids that are gone: beyond it those are dropped,
@@ -113,6 +121,13 @@
 		// registry that lags could say so, and requests would be cut off.
 		e.Leaving = true
 	}
+	switch {
+	case old == nil:
+	case old.Key() != e.Key():
+		s.depart(old)
+	case e.Leaving && !old.Leaving:
+		s.departures = append(s.departures, Departure{Key: e.Key(), Leaving: true})
+	}
 	s.known[c.ID] = &entry{Endpoint: e}
 	s.remember(e)
 	s.changed()
@@ -177,14 +192,36 @@
 		}
 		return
 	}
+	s.depart(e)
 	delete(s.known, id)
 	s.changed()
 }
 
+// depart notes that an incarnation is gone. One that was leaving was noted then.
+func (s *Set) depart(e *entry) {
+	if !e.Leaving {
+		s.departures = append(s.departures, Departure{Key: e.Key()})
+	}
+}
+
+// Departures returns the incarnations that departed since the last call.
+func (s *Set) Departures() []Departure {
+	list := s.departures
+	s.departures = nil
+	return list
+}
+
+// Serving says whether the registry lists an incarnation that does not leave.
+func (s *Set) Serving(e *Endpoint) bool {
+	known := s.known[e.ID]
+	return known != nil && known.Key() == e.Key() && !known.Leaving
+}
+
 // Expire drops lapsed entries that did not come back in time.
 func (s *Set) Expire(now time.Duration) {
 	for id, e := range s.known {
 		if e.missing && !s.away && now >= e.expires && now >= s.returned+returnGrace {
+			s.depart(e)
 			delete(s.known, id)
 			s.changed()
 		}
--- a/core/suspect/digest.go
+++ b/core/suspect/digest.go
@@ -50,10 +50,6 @@
 	return hex.EncodeToString(d[:])
 }
 
-// Short is a number for the digest, for use among the requests of one deployment that wait
-// or run.
-func (d Digest) Short() uint64 { return binary.BigEndian.Uint64(d[:]) }
-
 // DigestError reports a text that is no digest.
 type DigestError struct{ Text string }
 
--- a/core/suspect/ledger.go
+++ b/core/suspect/ledger.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// convictedAt is from how many generations on a request is not sent any more. One happens
+	// ConvictedAt is from how many generations on a request is not sent any more. One happens
 	// to each neighbour of such a request, two to some whose callers send again at once;
 	// the users allow three ends and few tries after them.
-	convictedAt = 3
+	ConvictedAt = 3
 	// trialAt is from how many possible generations on a request is on trial, if one of them
 	// surely ended an endpoint: cut links alone put nobody on trial.
 	trialAt = 2
@@ -42,11 +42,15 @@
 type Change struct {
 	Digest Digest
 	Kind   Kind
-	Level  int
+	// Level is how many generations have ended endpoints now, Was how many had before.
+	Level, Was int
 	// Endpoints are the short names of the incarnations that ended.
 	Endpoints []uint64
 }
 
+// WasConvicted says that the request was convicted before and is not any more.
+func (c Change) WasConvicted() bool { return c.Was >= ConvictedAt && c.Level < ConvictedAt }
+
 // Kind says what kind of step a Change is.
 type Kind int
 
@@ -107,36 +111,52 @@
 func (l *Ledger) Cut(now time.Duration, d Digest, endpoint uint64, generation int) {
 	e := l.entry(now, d)
 	e.touched = now
-	l.see(now, d, e, Sighting{Endpoint: endpoint, Generation: generation + 1})
+	cut := Sighting{Endpoint: endpoint, Generation: generation + 1}
+	if s := e.sightings[endpoint]; s != nil && !s.counts(e.cleared) {
+		// It was heard after an earlier cut, which this is not.
+		cut.Generation = max(cut.Generation, s.Generation+1)
+	}
+	l.see(now, d, e, cut)
 }
 
 // Ended says that an incarnation has ended, though nobody had said that it would.
-func (l *Ledger) Ended(now time.Duration, endpoint uint64) { l.conclude(now, endpoint, Ended) }
+func (l *Ledger) Ended(now time.Duration, endpoint uint64) {
+	l.conclude(now, endpoint, func(s *sighting) Sighting {
+		return Sighting{Endpoint: endpoint, Generation: s.Generation, EndedAt: s.Generation}
+	})
+}
+
+// Leaving says that an incarnation has said that it leaves: what was cut off there before has
+// another cause, since it lived on.
+func (l *Ledger) Leaving(now time.Duration, endpoint uint64) {
+	l.conclude(now, endpoint, func(s *sighting) Sighting { return s.alive() })
+}
 
 // Answered says that an incarnation began to answer a request that was sent at a time. What
 // was cut off there before has another cause.
 func (l *Ledger) Answered(now, sent time.Duration, endpoint uint64) {
-	if !l.Watched(endpoint) {
-		return
-	}
-	for d, e := range l.entries {
-		if s := e.sightings[endpoint]; s != nil && s.State != Alive && s.at < sent {
-			l.see(now, d, e, Sighting{Endpoint: endpoint, Generation: s.Generation, State: Alive})
+	l.conclude(now, endpoint, func(s *sighting) Sighting {
+		if s.at >= sent {
+			return s.Sighting
 		}
-	}
+		return s.alive()
+	})
 }
 
-// Leaving says that an incarnation has said that it leaves: what was cut off there before has
-// another cause, since it lived on.
-func (l *Ledger) Leaving(now time.Duration, endpoint uint64) { l.conclude(now, endpoint, Alive) }
+// alive is the sighting once its incarnation was heard after the cut.
+func (s *sighting) alive() Sighting {
+	return Sighting{Endpoint: s.Endpoint, Generation: s.Generation, AliveAt: s.Generation}
+}
 
-func (l *Ledger) conclude(now time.Duration, endpoint uint64, state State) {
+// conclude takes in what follows from an incarnation's end, or life, for each request that was
+// cut off there.
+func (l *Ledger) conclude(now time.Duration, endpoint uint64, what func(*sighting) Sighting) {
 	if !l.Watched(endpoint) {
 		return
 	}
 	for d, e := range l.entries {
 		if s := e.sightings[endpoint]; s != nil {
-			l.see(now, d, e, Sighting{Endpoint: endpoint, Generation: s.Generation, State: state})
+			l.see(now, d, e, what(s))
 		}
 	}
 }
@@ -206,7 +226,7 @@
 		return false
 	}
 	return !slices.ContainsFunc(r.Sightings, func(s Sighting) bool {
-		return s.Generation < 1 || s.Generation > mostGeneration || s.State > Alive
+		return s.Generation < 1 || s.Generation > mostGeneration || s.EndedAt > s.Generation || s.AliveAt > s.Generation || s.EndedAt < 0 || s.AliveAt < 0
 	})
 }
 
@@ -221,7 +241,7 @@
 
 func (e *entry) life() time.Duration {
 	switch v := e.view(); {
-	case v.Level >= convictedAt:
+	case v.Level >= ConvictedAt:
 		return convictedLife
 	case v.Level > 0:
 		return suspectLife
@@ -286,15 +306,15 @@
 	if v.Level == e.told {
 		return
 	}
-	c := Change{Digest: d, Kind: Suspected, Level: v.Level}
+	c := Change{Digest: d, Kind: Suspected, Level: v.Level, Was: e.told}
 	switch {
 	case v.Level < e.told:
 		c.Kind = Cleared
-	case v.Level >= convictedAt:
+	case v.Level >= ConvictedAt:
 		c.Kind = Convicted
 	}
 	for name, s := range e.sightings {
-		if s.State == Ended && s.counts(e.cleared) {
+		if s.ended() && s.counts(e.cleared) {
 			c.Endpoints = append(c.Endpoints, name)
 		}
 	}
@@ -314,7 +334,7 @@
 func (l *Ledger) Expire(now time.Duration) {
 	for d, e := range l.entries {
 		for name, s := range e.sightings {
-			if s.State == Cut && now-s.at >= cutLife {
+			if !s.ended() && s.counts(e.cleared) && now-s.at >= cutLife {
 				delete(e.sightings, name)
 			}
 		}
@@ -327,7 +347,7 @@
 
 func (l *Ledger) forget(d Digest) {
 	if e := l.entries[d]; e.told > 0 {
-		l.changes = append(l.changes, Change{Digest: d, Kind: Forgotten, Level: e.told})
+		l.changes = append(l.changes, Change{Digest: d, Kind: Forgotten, Was: e.told})
 	}
 	delete(l.entries, d)
 }
@@ -356,6 +376,19 @@
 	return records
 }
 
+// Worst returns up to n records of the requests against which most is known.
+func (l *Ledger) Worst(now time.Duration, n int) []Record {
+	list := make([]Record, 0, n)
+	for level := ConvictedAt; level > 0; level-- {
+		for d, e := range l.entries {
+			if len(list) < n && min(e.view().Level, ConvictedAt) == level {
+				list = append(list, e.record(now, d))
+			}
+		}
+	}
+	return list
+}
+
 // Turn returns up to n records, over many calls all of them in turn: VMs that missed a note or
 // have just started learn from it what the others know.
 func (l *Ledger) Turn(now time.Duration, n int) []Record {
--- a/core/suspect/record.go
+++ b/core/suspect/record.go
@@ -6,37 +6,35 @@
 	"time"
 )
 
-// State is what is known of an incarnation at which a request was cut off. Later ones
-// replace earlier ones.
-type State uint8
-
-// States of an incarnation.
-const (
-	// Cut: the connection broke, or nothing came for too long.
-	Cut State = iota
-	// Ended: nothing listens at its address, another incarnation does, or the registry
-	// has dropped it without a word of its leaving.
-	Ended
-	// Alive: it answered a request that was sent after the cut. It outweighs Ended, which a
-	// VM can take for true whose own link refuses connections.
-	Alive
-)
-
-// Sighting is what is known of a request at one incarnation of an endpoint.
+// Sighting is what is known of a request at one incarnation of an endpoint. All three numbers
+// only grow, so merging two takes the greater of each.
 type Sighting struct {
 	// Endpoint is the short name of the incarnation.
 	Endpoint uint64
-	// Generation counts from 1.
+	// Generation is that of the last copy that was cut off there: its connection broke, or
+	// nothing came for too long. Generations count from 1.
 	Generation int
-	State      State
+	// EndedAt is the generation after whose cut the incarnation was found to have ended:
+	// nothing listens at its address, another incarnation does, or the registry has
+	// dropped it without a word of its leaving. 0 for never.
+	EndedAt int
+	// AliveAt is the generation after whose cut it was heard, or said that it leaves. It
+	// outweighs EndedAt, which a VM can take for true whose own link refuses connections.
+	AliveAt int
 }
 
 // counts says whether the sighting may still speak against the request.
-func (s Sighting) counts(cleared int) bool { return s.State != Alive && s.Generation > cleared }
+func (s Sighting) counts(cleared int) bool { return s.Generation > max(cleared, s.AliveAt) }
 
-// after says whether a sighting at the same incarnation is later than another.
-func (s Sighting) after(o Sighting) bool {
-	return cmp.Or(cmp.Compare(s.Generation, o.Generation), cmp.Compare(s.State, o.State)) > 0
+// ended says whether the incarnation has ended.
+func (s Sighting) ended() bool { return s.EndedAt > s.AliveAt }
+
+// merge is what two sightings at the same incarnation say together.
+func (s Sighting) merge(o Sighting) Sighting {
+	return Sighting{
+		Endpoint: s.Endpoint, Generation: max(s.Generation, o.Generation),
+		EndedAt: max(s.EndedAt, o.EndedAt), AliveAt: max(s.AliveAt, o.AliveAt),
+	}
 }
 
 // Record is what VMs tell each other of one request.
@@ -62,7 +60,7 @@
 }
 
 // Convicted says that the request is not sent to an endpoint any more.
-func (v View) Convicted() bool { return v.Level >= convictedAt && !v.Released }
+func (v View) Convicted() bool { return v.Level >= ConvictedAt && !v.Released }
 
 // OnTrial says that the request may run one copy at a time only, where few others do.
 func (v View) OnTrial() bool { return v.Level > 0 && v.Possible >= trialAt && !v.Released }
@@ -78,7 +76,7 @@
 	told int
 }
 
-// sighting is a Sighting with the time at which it was learned here.
+// sighting is a Sighting with the time at which its last cut was learned here.
 type sighting struct {
 	Sighting
 	at time.Duration
@@ -93,7 +91,7 @@
 		}
 		cut++
 		top = max(top, s.Generation)
-		if s.State == Ended {
+		if s.ended() {
 			ended++
 			topEnded = max(topEnded, s.Generation)
 		}
@@ -107,10 +105,18 @@
 // see takes in a sighting, and reports whether it says anything new.
 func (e *entry) see(now time.Duration, s Sighting) bool {
 	old := e.sightings[s.Endpoint]
-	if old != nil && !s.after(old.Sighting) {
-		return false
+	if old == nil {
+		e.sightings[s.Endpoint] = &sighting{Sighting: s, at: now}
+	} else {
+		both := old.merge(s)
+		if both == old.Sighting {
+			return false
+		}
+		if both.Generation > old.Generation {
+			old.at = now
+		}
+		old.Sighting = both
 	}
-	e.sightings[s.Endpoint] = &sighting{Sighting: s, at: now}
 	for len(e.sightings) > maxSightings {
 		delete(e.sightings, e.least())
 	}
@@ -119,15 +125,14 @@
 
 // least is the incarnation whose sighting says least.
 func (e *entry) least() uint64 {
-	list := e.list()
-	return slices.MinFunc(list, func(a, b Sighting) int {
-		switch {
-		case a.counts(e.cleared) && !b.counts(e.cleared):
+	return slices.MinFunc(e.list(), func(a, b Sighting) int {
+		switch ca, cb := a.counts(e.cleared), b.counts(e.cleared); {
+		case ca && !cb:
 			return 1
-		case b.counts(e.cleared) && !a.counts(e.cleared):
+		case cb && !ca:
 			return -1
 		}
-		return cmp.Or(cmp.Compare(a.Generation, b.Generation), cmp.Compare(a.State, b.State), cmp.Compare(a.Endpoint, b.Endpoint))
+		return cmp.Or(cmp.Compare(a.Generation, b.Generation), cmp.Compare(a.EndedAt, b.EndedAt), cmp.Compare(a.Endpoint, b.Endpoint))
 	}).Endpoint
 }
 
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -60,6 +61,8 @@
 	// ran says that an endpoint may have run it.
 	ran  bool
 	held int64
+	// stopped says that the request was found to end endpoints while it waited.
+	stopped atomic.Bool
 }
 
 // refusal is an answer of the system's own.
@@ -84,6 +87,11 @@
 	defer d.bodies.giveBack(c.held)
 	ctx, cancel := context.WithDeadline(r.Context(), c.limit)
 	defer cancel()
+	if !d.suspects.admit(c, cancel) {
+		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: reasonEndsEndpoints})
+		return
+	}
+	defer d.suspects.over(c)
 	if bad := c.spend(ctx); bad != nil {
 		c.refuse(*bad)
 		return
@@ -235,6 +243,7 @@
 		Handle: c.d.lastHandle.Add(1), Service: c.service, Tier: c.route.Tier,
 		Prompt: c.call.Prompt, Events: c.events(), Tried: c.tried,
 		Objective: arrived + c.route.Objective, Abandon: limit,
+		Request: c.digest, Suspicion: suspicionOf(c.d.suspects.look(c.digest)),
 	}
 	if c.org != nil {
 		j.Tier += c.org.Tier * routeTiers
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -81,6 +81,7 @@
 	sched      *scheduling
 	placing    *placing
 	remoteJobs *remoteJobs
+	suspects   *suspects
 	shares     *sharing
 	pool       *upstream.Pool
 	idle       *idleLimit
@@ -122,6 +123,8 @@
 	d.lastHandle.Store(rand.Uint64())
 	d.placing, d.remoteJobs = newPlacing(d), newRemoteJobs(d)
 	d.sched.remote = d.remoteJobs.decided
+	d.suspects = newSuspects(d)
+	d.sched.departed = d.suspects.departed
 	d.sched.follow(d.set.Listen.Peers, false)
 	d.shares = newSharing(d.set, d.now)
 	d.peers = newPeers(d)
@@ -173,6 +176,7 @@
 	group.Go(func() error { return d.fetchConfigs(work) })
 	group.Go(func() error { return d.followEndpoints(work) })
 	group.Go(func() error { return d.announce(work) })
+	group.Go(func() error { return d.suspects.keep(work) })
 	group.Go(func() error { return d.sched.tick(work) })
 	group.Go(func() error { return d.sweep(work) })
 	group.Go(func() error { return d.reload(work) })
@@ -293,6 +297,7 @@
 			return nil
 		case <-t.C:
 			d.pool.Sweep()
+			d.suspects.expire()
 		}
 	}
 }
@@ -336,7 +341,7 @@
 }
 
 // reload reads the settings anew on request. Only what may change while the
-// process runs is taken over; addresses stay.
+// process runs is taken over, which is the requests that are released; addresses stay.
 func (d *Daemon) reload(ctx context.Context) error {
 	for {
 		select {
@@ -347,10 +352,12 @@
 		if d.opts.Reload == nil {
 			continue
 		}
-		if _, err := d.opts.Reload(); err != nil {
+		set, err := d.opts.Reload()
+		if err != nil {
 			d.log.Error().Err(err).Msg("settings_refused")
 			continue
 		}
+		d.suspects.release(set.Released)
 		d.log.Info().Msg("settings_reloaded")
 	}
 }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -34,7 +34,11 @@
 	delivered bool
 	// again says that the repeat was already taken off the budget.
 	again bool
-	err   error
+	// cut says that the connection broke under the request, or fell silent.
+	cut bool
+	// stopped says that the request was not sent, since it ends endpoints.
+	stopped bool
+	err     error
 }
 
 // run tries endpoints until the caller has an answer.
@@ -60,6 +64,10 @@
 		if last.delivered {
 			return
 		}
+		if last.stopped {
+			c.end(s, reasonEndsEndpoints, 0)
+			return
+		}
 		c.tried = append(c.tried, dispatch.NameOf(dec.Endpoint.Key()))
 		c.d.log.Info().Str("request", c.call.ID).Stringer("digest", c.digest).Str("endpoint", dec.Endpoint.ID).Stringer("outcome", last.outcome).
 			Int("sent", c.sent).Bool("ran", c.ran).Err(last.err).Msg("attempt_failed")
@@ -110,6 +118,10 @@
 		c.d.log.Info().Str("request", c.call.ID).Dur("held", time.Since(c.arrived)).Msg("caller_left")
 		panic(http.ErrAbortHandler)
 	}
+	if c.stopped.Load() {
+		c.end(s, reasonEndsEndpoints, 0)
+		return
+	}
 	c.end(s, "time_over", shortWait)
 }
 
@@ -163,6 +175,12 @@
 // try sends the request to one endpoint and passes its answer on.
 func (c *caller) try(ctx context.Context, dec dispatch.Decision, s *stream) attempt {
 	ep := dec.Endpoint
+	// The one place where bytes of a caller's request leave for an endpoint, whichever VM
+	// chose it and however long that took.
+	view := c.d.suspects.look(c.digest)
+	if view.Convicted() {
+		return attempt{outcome: dispatch.Left, stopped: true}
+	}
 	lastID := c.call.LastEventID
 	if s != nil {
 		lastID = s.lastID
@@ -178,8 +196,9 @@
 	watch := c.watch(dec, cancel)
 	a := c.exchange(tctx, ctx, dec, req, s, watch)
 	if watch.over() && !a.delivered {
-		a.outcome, a.again = dispatch.Silent, true
+		a.outcome, a.again, a.cut = dispatch.Silent, true, true
 	}
+	c.d.suspects.tried(c, ep, view.Generation, a)
 	return a
 }
 
@@ -187,6 +206,7 @@
 // whole with the request.
 func (c *caller) exchange(ctx, whole context.Context, dec dispatch.Decision, req *upstream.Request, s *stream, watch *stall) attempt {
 	ep := dec.Endpoint
+	sent := c.d.now()
 	ans, err := c.d.pool.Do(ctx, ep.Key(), ep.Address, req, false)
 	var ex *upstream.ExchangeError
 	if errors.As(err, &ex) && ex.Stage == upstream.NotSent {
@@ -201,8 +221,9 @@
 		if whole.Err() != nil {
 			return attempt{outcome: dispatch.Left, err: err}
 		}
-		return attempt{outcome: dispatch.Broken, err: err}
+		return attempt{outcome: dispatch.Broken, cut: brokeOff(err), err: err}
 	}
+	c.d.suspects.answering(c, ep, sent, ans)
 	defer ans.Finish()
 	return c.pass(whole, dec.Handle, ans, s, watch)
 }
@@ -250,8 +271,9 @@
 		if ctx.Err() != nil {
 			return attempt{outcome: dispatch.Left, err: err}
 		}
-		return attempt{outcome: dispatch.Broken, err: err}
+		return attempt{outcome: dispatch.Broken, cut: brokeOff(err), err: err}
 	}
+	c.d.suspects.succeeded(c.digest, ans)
 	if ans.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() && c.sent < c.route.MaxEndpoints &&
 		time.Until(c.limit) > shortWait && c.d.shares.mayRepeat(c.service) {
 		return attempt{outcome: dispatch.Failed, again: true, err: &FailedAnswerError{Status: ans.StatusCode}}
@@ -358,13 +380,14 @@
 			}
 		}
 		if err == io.EOF {
+			s.c.d.suspects.succeeded(s.c.digest, ans)
 			return s.finish(ans.Response)
 		}
 		if err != nil {
 			if ctx.Err() != nil {
 				return attempt{outcome: dispatch.Left, err: err}
 			}
-			return attempt{outcome: dispatch.Broken, err: err}
+			return attempt{outcome: dispatch.Broken, cut: brokeOff(err), err: err}
 		}
 	}
 }
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -75,10 +75,11 @@
 func (p *peers) tellOnce(i uint64) {
 	to := p.recipients(i)
 	heartbeat := p.heartbeat(i)
+	whole := i%vmsEvery == 0
+	heartbeat.Suspects = p.d.suspects.news(whole)
 	p.writeAll(p.encode(heartbeat), to.Heartbeats)
 	state := proto.Clone(heartbeat).(*schema.PeerNote)
 	p.d.placing.describe(state)
-	whole := i%vmsEvery == 0
 	if whole {
 		state.Vms = p.names()
 		// Those who ask need the paces for when they place for themselves.
@@ -194,7 +195,10 @@
 		p.learnList(n.Vms)
 	}
 	p.share()
+	started := false
 	if pe != nil {
+		started = pe.incarnation != n.Incarnation
+		pe.incarnation = n.Incarnation
 		pe.hear(p.d.now())
 		pe.followsConfig, pe.storeLost = n.FollowsConfig, n.StoreLost
 		if placer := p.addrs[n.Placer]; placer != nil {
@@ -206,6 +210,10 @@
 		}
 	}
 	p.mu.Unlock()
+	p.d.suspects.told(n.Suspects)
+	if started {
+		p.tellSuspects(pe)
+	}
 	p.takeRelayed(n)
 	if n.Loads {
 		p.d.sched.peerUses(n)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -70,6 +70,8 @@
 	domain string
 	// learned is when this VM learned of it.
 	learned time.Duration
+	// incarnation is that of its process, 0 if it was never heard.
+	incarnation uint64
 	// heard is when a note came last, 0 for never.
 	heard time.Duration
 	// every is the usual time between two of its notes.
--- a/entry/placing.go
+++ b/entry/placing.go
@@ -289,7 +289,7 @@
 		Handle: j.Handle, Service: j.Service, Tier: int32(j.Tier), Prompt: uint32(j.Prompt), Events: uint32(j.Events),
 		ObjectiveUs: (j.Objective - now).Microseconds(), AbandonUs: (j.Abandon - now).Microseconds(),
 		MaxPauseUs: uint64(j.MaxPause.Microseconds()), Tried: j.Tried, Avoided: j.Avoided,
-		FailureDomain: p.d.set.Vm.FailureDomain,
+		FailureDomain: p.d.set.Vm.FailureDomain, Digest: j.Request[:], Suspicion: uint32(j.Suspicion),
 	}
 	if j.Limit > 0 {
 		m.LimitUs = (j.Limit - now).Microseconds()
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -25,6 +25,8 @@
 	probe func(dispatch.Probe)
 	// countImpossible counts quantities that cannot be.
 	countImpossible func(n int)
+	// departed takes the incarnations that may not get requests any more.
+	departed func([]members.Departure)
 	// noteEjection logs an ejection or its end.
 	noteEjection func(dispatch.EjectionChange)
 	table        *routing.Table
@@ -62,7 +64,9 @@
 			probes := s.sched.Probes(s.now())
 			changes := s.sched.Ejections()
 			impossible := s.sched.Impossible()
+			departures := s.members.Departures()
 			s.mu.Unlock()
+			s.departed(departures)
 			s.countImpossible(impossible)
 			for _, c := range changes {
 				s.noteEjection(c)
@@ -205,9 +209,25 @@
 // update changes the known endpoints.
 func (s *scheduling) update(change func(now time.Duration, m *members.Set)) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	change(s.now(), s.members)
 	s.syncEndpoints()
+	departures := s.members.Departures()
+	s.mu.Unlock()
+	s.departed(departures)
+}
+
+// serving says whether the registry lists an incarnation that does not leave.
+func (s *scheduling) serving(e *members.Endpoint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.Serving(e)
+}
+
+// doubt says that nothing listens at an endpoint's address.
+func (s *scheduling) doubt(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sched.Doubt(s.now(), key)
 }
 
 // syncEndpoints gives the scheduler the usable endpoints if they changed.
--- /dev/null
+++ b/entry/suspect_notes.go
@@ -0,0 +1,185 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chivefield/chivefield/core/suspect"
+	"github.com/chivefield/chivefield/schema"
+)
+
+const (
+	// hotSuspects bounds the records of what was learned lately in each note, and those in
+	// turn in each tenth: 0.5 KB.
+	hotSuspects = 8
+	// startSuspects bounds what a VM that has just started is told at once by each that hears
+	// of it, 4 KB.
+	startSuspects = 64
+	// suspectKey begins the keys of convicted requests in the store.
+	suspectKey = "suspect-"
+	// keepTries is how often a conviction is written to the store that fails: for half a
+	// minute. If it is lost, only a restart of all VMs at once forgets it.
+	keepTries = 16
+)
+
+func suspectOf(r suspect.Record) *schema.Suspect {
+	m := &schema.Suspect{Digest: r.Digest[:], Cleared: uint32(r.Cleared), QuietMs: uint64(r.Quiet.Milliseconds())}
+	for _, s := range r.Sightings {
+		m.Sightings = append(m.Sightings, &schema.Sighting{
+			Endpoint: s.Endpoint, Generation: uint32(s.Generation), EndedAt: uint32(s.EndedAt), AliveAt: uint32(s.AliveAt),
+		})
+	}
+	return m
+}
+
+// digestOf is the zero digest for bytes that are none.
+func digestOf(b []byte) suspect.Digest {
+	var d suspect.Digest
+	if len(b) == len(d) {
+		copy(d[:], b)
+	}
+	return d
+}
+
+// longestQuiet bounds what others say; longer would wrap.
+const longestQuiet = 365 * 24 * time.Hour
+
+func recordOf(m *schema.Suspect) suspect.Record {
+	quiet := min(m.QuietMs, uint64(longestQuiet.Milliseconds()))
+	r := suspect.Record{Digest: digestOf(m.Digest), Cleared: int(m.Cleared), Quiet: time.Duration(quiet) * time.Millisecond}
+	for _, s := range m.Sightings {
+		r.Sightings = append(r.Sightings, suspect.Sighting{
+			Endpoint: s.Endpoint, Generation: int(s.Generation), EndedAt: int(s.EndedAt), AliveAt: int(s.AliveAt),
+		})
+	}
+	return r
+}
+
+func suspectsOf(list []suspect.Record) []*schema.Suspect {
+	var told []*schema.Suspect
+	for _, r := range list {
+		told = append(told, suspectOf(r))
+	}
+	return told
+}
+
+// news is what a note tells: what was learned lately and, in some notes, of all in turn.
+func (s *suspects) news(inTurn bool) []*schema.Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.ledger.Hot(s.d.now(), hotSuspects)
+	if inTurn {
+		list = append(list, s.ledger.Turn(s.d.now(), hotSuspects)...)
+	}
+	return suspectsOf(list)
+}
+
+// told takes in what another VM knows.
+func (s *suspects) told(list []*schema.Suspect) {
+	if len(list) > 0 {
+		s.merge(list, learnedTold)
+	}
+}
+
+func (s *suspects) merge(list []*schema.Suspect, learned string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range list {
+		s.ledger.Merge(s.d.now(), recordOf(m))
+	}
+	s.note(learned)
+}
+
+// tellSuspects tells a process that was not heard before what matters most.
+func (p *peers) tellSuspects(pe *peer) {
+	p.d.suspects.mu.Lock()
+	list := p.d.suspects.ledger.Worst(p.d.now(), startSuspects)
+	p.d.suspects.mu.Unlock()
+	if len(list) == 0 {
+		return
+	}
+	n := p.note()
+	n.Suspects = suspectsOf(list)
+	p.send(n, pe.addr)
+}
+
+// isSuspect says whether a record of the store is a convicted request's.
+func isSuspect(r Record) bool { return strings.HasPrefix(r.Key, suspectKey) }
+
+// learn takes in the convictions of the store, once in a process's life: later ones are told by
+// notes, and a record says how long ago it was written by no clock that could be trusted.
+func (s *suspects) learn(records []Record) {
+	if s.read {
+		return
+	}
+	s.read = true
+	var list []*schema.Suspect
+	for _, r := range records {
+		if !isSuspect(r) || len(r.Value) == 0 {
+			continue
+		}
+		m := &schema.Suspect{}
+		if err := proto.Unmarshal(r.Value, m); err != nil {
+			s.d.log.Warn().Str("key", r.Key).Err(err).Msg("suspect_unreadable")
+			continue
+		}
+		list = append(list, m)
+	}
+	s.merge(list, learnedStore)
+}
+
+// keepLater has the store's record of a request written, or removed. The lock is held.
+func (s *suspects) keepLater(d suspect.Digest) {
+	select {
+	case s.unkept <- d:
+	default:
+		s.d.count("suspects_unkept")
+		s.d.log.Warn().Stringer("digest", d).Msg("suspect_unkept")
+	}
+}
+
+// keep writes convictions to the store, so that they outlast a restart of all VMs, until ctx
+// ends. One VM's word is enough; others may write the same.
+func (s *suspects) keep(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case d := <-s.unkept:
+			s.keepOne(ctx, d)
+		}
+	}
+}
+
+func (s *suspects) keepOne(ctx context.Context, d suspect.Digest) {
+	var again retry
+	for range keepTries {
+		value, err := s.kept(d)
+		if err == nil {
+			if err = s.d.opts.Store.Write(ctx, suspectKey+d.String(), value); err == nil {
+				return
+			}
+		}
+		s.d.count("store_errors")
+		s.d.log.Warn().Stringer("digest", d).Err(err).Msg("suspect_unkept")
+		if !pause(ctx, again.failed(s.d.mostRetry())) {
+			return
+		}
+	}
+}
+
+// kept is the record in the store of a request; nothing if it is not convicted any more.
+func (s *suspects) kept(d suspect.Digest) ([]byte, error) {
+	s.mu.Lock()
+	r, ok := s.ledger.Record(s.d.now(), d)
+	convicted := ok && s.ledger.Look(d).Level >= suspect.ConvictedAt
+	s.mu.Unlock()
+	if !convicted {
+		return nil, nil
+	}
+	r.Quiet = 0
+	return proto.Marshal(suspectOf(r))
+}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -293,7 +293,7 @@
 			known = before
 		}
 	}
-	if err := d.opts.Store.Announce(ctx, d.set.Vm.Name, []byte(self.String())); err != nil {
+	if err := d.opts.Store.Write(ctx, d.set.Vm.Name, []byte(self.String())); err != nil {
 		return nil, err
 	}
 	d.claimed = claims
@@ -307,9 +307,10 @@
 }
 
 func (d *Daemon) learnVMs(records []Record) {
+	d.suspects.learn(records)
 	var entries []string
 	for _, r := range records {
-		if len(r.Value) > 0 {
+		if len(r.Value) > 0 && !isSuspect(r) {
 			entries = append(entries, string(r.Value))
 		}
 	}
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -82,7 +82,8 @@
 	FeedConfig Feed = iota
 	// FeedEndpoints is the registry of endpoints.
 	FeedEndpoints
-	// FeedVMs holds the addresses of the system's own VMs.
+	// FeedVMs holds what the system's own VMs keep: their addresses, and the requests that
+	// ended endpoints.
 	FeedVMs
 )
 
@@ -99,8 +100,8 @@
 	// Read reads records from an offset on, waiting up to wait for the first. It
 	// returns the offset to read on from, or a TrimmedError.
 	Read(ctx context.Context, f Feed, from uint64, wait time.Duration) ([]Record, uint64, error)
-	// Announce writes this VM's record of FeedVMs.
-	Announce(ctx context.Context, name string, value []byte) error
+	// Write writes a record of FeedVMs; without a value the key is removed.
+	Write(ctx context.Context, key string, value []byte) error
 }
 
 // TrimmedError reports records that the store no longer keeps.
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -7,6 +7,7 @@
 
 	"github.com/chivefield/chivefield/config"
 	"github.com/chivefield/chivefield/core/mechanism"
+	"github.com/chivefield/chivefield/core/suspect"
 	"github.com/chivefield/chivefield/schema"
 	"github.com/chivefield/chivefield/tomlproto"
 )
@@ -28,8 +29,10 @@
 	InForce, Drain, Grace        time.Duration
 	RetryWindow, AllowanceWindow time.Duration
 	// Off are the mechanisms that are switched off.
-	Off     mechanism.Off
-	regions map[string]string
+	Off mechanism.Off
+	// Released are the requests that run though they ended endpoints.
+	Released []suspect.Digest
+	regions  map[string]string
 }
 
 // Region is the region of a failure domain; empty if the settings do not say.
@@ -66,6 +69,7 @@
 	section(&raw.Limits)
 	section(&raw.Bounds)
 	section(&raw.Experiments)
+	section(&raw.Suspects)
 	number(&raw.Limits.MemoryMb, defaultEntryMemory)
 	number(&raw.Limits.MaxDescriptors, defaultEntryDescriptors)
 	e := &Entry{
@@ -88,6 +92,14 @@
 		c.fault("experiments.off", err.Error())
 	}
 	e.Off = off
+	for i, text := range raw.Suspects.Released {
+		d, err := suspect.Parse(text)
+		if err != nil {
+			c.fault(fmt.Sprintf("suspects.released[%d]", i), err.Error())
+			continue
+		}
+		e.Released = append(e.Released, d)
+	}
 	if raw.Vm.Name == "" {
 		c.fault("vm.name", "is missing")
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -293,7 +293,7 @@
 func (a *Answer) Finish() {
 	live := a.stop()
 	c := a.conn
-	if !live || !a.whole || a.Close || !a.written() || a.unframed() || c.br.Buffered() > 0 {
+	if !live || !a.whole || a.Close || !a.written() || a.Unframed() || c.br.Buffered() > 0 {
 		_ = c.Close()
 		return
 	}
@@ -305,8 +305,8 @@
 	a.pool.put(c)
 }
 
-// unframed answers end with their connection.
-func (a *Answer) unframed() bool {
+// Unframed answers end with their connection: nothing tells whether they are whole.
+func (a *Answer) Unframed() bool {
 	return a.ContentLength < 0 && len(a.TransferEncoding) == 0
 }
 
