--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -284,7 +284,7 @@
 		for _, name := range c.Endpoints {
 			names = append(names, hashText(name))
 		}
-		s.d.log.Info().Stringer("digest", c.Digest).Int("level", c.Level).Str("endpoint_hashes", strings.Join(names, ",")).
+		s.d.log.Info().Stringer("digest", c.Digest).Int("ends", c.Level).Int("ends_before", c.Was).Str("endpoint_hashes", strings.Join(names, ",")).
 			Str("learned", learned).Msg(eventOf[c.Kind])
 	}
 }
