Trials, departures and releases by unit tests; explain takes a digest

Suspects run apart while there is room, one on trial alone; counts of runs come out even; what the registry drops is told once and with whether it said that it leaves; a released digest that is none is refused with its place. 'chivefield explain DIGEST' tells all sendings of a request and what was found out about it.

--- a/cmd/chivefield/explain.go
+++ b/cmd/chivefield/explain.go
@@ -4,12 +4,13 @@
 	"fmt"
 	"os"
 
+	"github.com/chivefield/chivefield/core/suspect"
 	"github.com/chivefield/chivefield/explain"
 )
 
 type explainCommand struct {
 	Args struct {
-		Request string   `positional-arg-name:"REQUEST" description:"the request's id" required:"yes"`
+		Request string   `positional-arg-name:"REQUEST" description:"the request's id, or the digest that all its sendings have" required:"yes"`
 		Logs    []string `positional-arg-name:"LOG" description:"log files of any number of VMs; standard input without any"`
 	} `positional-args:"yes"`
 }
@@ -28,7 +29,11 @@
 		return err
 	}
 	defer closeLogs()
-	lines, err := explain.Request(in, c.Args.Request)
+	about := explain.Request
+	if _, err := suspect.Parse(c.Args.Request); err == nil {
+		about = explain.Digest
+	}
+	lines, err := about(in, c.Args.Request)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/core/dispatch/caution_test.go
@@ -0,0 +1,108 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chivefield/chivefield/core/mechanism"
+	"github.com/chivefield/chivefield/core/members"
+	"github.com/chivefield/chivefield/core/suspect"
+)
+
+// engineSet is a scheduler with n engines of four slots.
+func engineSet(n int) *Scheduler {
+	s := New("vm", "a")
+	var list []*members.Endpoint
+	for i := range n {
+		list = append(list, &members.Endpoint{ID: fmt.Sprint("e", i), Service: "engine", FailureDomain: "a", Slots: 4})
+	}
+	s.SetEndpoints(0, "engine", list, true)
+	return s
+}
+
+func cautious(handle uint64, request byte, c Suspicion) Job {
+	return Job{
+		Handle: handle, Service: "engine", Prompt: 100, Events: 10, Objective: 10 * time.Second, Abandon: 20 * time.Second,
+		Request: suspect.Digest{request}, Suspicion: c,
+	}
+}
+
+// placed submits a job and returns the id of its endpoint; empty if it waits.
+func placed(s *Scheduler, j Job) string {
+	for _, d := range s.Submit(0, j) {
+		if d.Handle == j.Handle && d.Endpoint != nil {
+			return d.Endpoint.ID
+		}
+	}
+	return ""
+}
+
+// Symptom: after three ends more than one request had been at all three. Sequence: what ended
+// an endpoint comes again, and so do those that ran beside it; least load places them
+// together. Suspects run apart while there is room elsewhere.
+func TestSuspectsRunApart(t *testing.T) {
+	is := is.New(t)
+	s := engineSet(4)
+	got := make(map[string]int)
+	for i := range uint64(4) {
+		got[placed(s, cautious(i, byte(i), Suspected))]++
+	}
+	is.Equal(len(got), 4)
+	// There is no fifth engine: beside another is better than not at all.
+	is.True(placed(s, cautious(9, 9, Suspected)) != "")
+}
+
+// A request on trial runs one copy at a time, not where another is on trial, where few others
+// run, and others keep off. What waits for it is placed when it ends.
+func TestTrialsRunAlone(t *testing.T) {
+	is := is.New(t)
+	s := engineSet(6)
+	for i := range uint64(4) {
+		is.True(placed(s, cautious(i, 0, Unsuspected)) != "")
+	}
+	busy := make(map[string]int)
+	for _, r := range s.running {
+		busy[r.ep.ID]++
+	}
+	first := placed(s, cautious(10, 1, OnTrial))
+	for id, n := range busy {
+		is.True(busy[first] <= n || id == first)
+	}
+	is.Equal(placed(s, cautious(11, 1, OnTrial)), "")
+	second := placed(s, cautious(12, 2, OnTrial))
+	is.True(second != "" && second != first)
+	for i := range uint64(4) {
+		is.True(placed(s, cautious(20+i, 0, Unsuspected)) != first)
+	}
+	var next string
+	for _, d := range s.End(time.Second, 10, Broken) {
+		if d.Handle == 11 {
+			next = d.Endpoint.ID
+		}
+	}
+	is.True(next != "")
+	// Counts of what runs come out even.
+	for h := range s.running {
+		s.End(2*time.Second, h, Answered)
+	}
+	for _, e := range s.service("engine").list {
+		is.Equal(e.suspects, 0)
+		is.Equal(e.trials, 0)
+	}
+	is.Equal(len(s.onTrial), 0)
+}
+
+// Switched off, suspects are placed as all others.
+func TestTrialsSwitchedOff(t *testing.T) {
+	is := is.New(t)
+	s := New("vm", "a")
+	off, err := mechanism.Parse([]string{"trials"})
+	is.NoErr(err)
+	s.SwitchOff(off)
+	s.SetEndpoints(0, "engine", []*members.Endpoint{{ID: "e", Service: "engine", FailureDomain: "a", Slots: 4}}, true)
+	is.True(placed(s, cautious(1, 1, OnTrial)) != "")
+	is.True(placed(s, cautious(2, 1, OnTrial)) != "")
+}
--- a/core/members/members_test.go
+++ b/core/members/members_test.go
@@ -78,3 +78,33 @@
 	s.Apply(0, ep("a", false))
 	is.Equal(s.Version(), v)
 }
+
+// What departs is told once, with whether it said so itself: an endpoint that leaves as it was
+// told to has not ended with what it ran.
+func TestDepartures(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	at := func(id string, born int64, leaving bool) Change {
+		return Change{ID: id, Endpoint: &Endpoint{ID: id, Born: born, Service: "s", Leaving: leaving}}
+	}
+	s.Apply(0, at("crashes", 1, false))
+	s.Apply(0, at("restarts", 1, false))
+	s.Apply(0, at("leaves", 1, false))
+	is.Equal(len(s.Departures()), 0)
+	is.True(s.Serving(&Endpoint{ID: "leaves", Born: 1}))
+	s.Apply(0, Change{ID: "crashes"})
+	s.Apply(0, at("restarts", 2, false))
+	s.Apply(0, at("leaves", 1, true))
+	is.Equal(s.Departures(), []Departure{{Key: "crashes@1"}, {Key: "restarts@1"}, {Key: "leaves@1", Leaving: true}})
+	is.True(!s.Serving(&Endpoint{ID: "leaves", Born: 1}))
+	is.True(!s.Serving(&Endpoint{ID: "restarts", Born: 1}))
+	s.Apply(0, Change{ID: "leaves"})
+	is.Equal(len(s.Departures()), 0)
+	// While the registry is away nothing departs: entries lapse though their endpoints live.
+	s.Away()
+	s.Apply(0, Change{ID: "restarts"})
+	is.Equal(len(s.Departures()), 0)
+	s.Back(time.Second)
+	s.Expire(time.Second + returnGrace)
+	is.Equal(s.Departures(), []Departure{{Key: "restarts@2"}})
+}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -66,10 +66,17 @@
 // Request returns the lines about a request, from logs of any number of VMs, in
 // order of time. Words before a line's time, as tools that collect logs add them,
 // are passed over.
-func Request(r io.Reader, id string) ([]Line, error) {
+func Request(r io.Reader, id string) ([]Line, error) { return having(r, "request", id) }
+
+// Digest returns the lines about all sendings of the same request: those that failed or were
+// refused, and what was found out about it.
+func Digest(r io.Reader, digest string) ([]Line, error) { return having(r, "digest", digest) }
+
+// having returns the lines with a field of that value.
+func having(r io.Reader, key, value string) ([]Line, error) {
 	var lines []Line
-	err := Scan(r, "request="+id, func(l *Line) {
-		if l.Get("request") == id {
+	err := Scan(r, key+"="+value, func(l *Line) {
+		if l.Get(key) == value {
 			lines = append(lines, *l)
 		}
 	})
@@ -147,10 +154,17 @@
 	"body_broken":    "the request's body did not arrive whole",
 
 	"placer_passed_over": "the VM that places for this one could not be used",
+
+	"request_suspected": "an endpoint ended that ran it",
+	"request_convicted": "three endpoints in a row ended that ran it; it is refused from now on",
+	"request_cleared":   "an answer speaks for it, or the endpoints live",
+	"request_forgotten": "nothing was seen of it for its time",
 }
 
 // Write prints a story with times from its first line on.
 func Write(w io.Writer, lines []Line) error {
+	// Where all lines are about one sending, its id need not be repeated.
+	one := !slices.ContainsFunc(lines, func(l Line) bool { return l.Get("request") != lines[0].Get("request") })
 	for i, l := range lines {
 		var b strings.Builder
 		fmt.Fprintf(&b, "%+9.3fs", l.At.Sub(lines[0].At).Seconds())
@@ -165,7 +179,7 @@
 			b.WriteString(", " + m)
 		}
 		for _, f := range l.Fields {
-			if f.Key != "request" {
+			if f.Key != "request" || !one {
 				fmt.Fprintf(&b, "\n%14s = %s", f.Key, f.Value)
 			}
 		}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -34,3 +34,21 @@
 	is.NoErr(err)
 	is.Equal(len(lines), 0)
 }
+
+// All sendings of one request share a digest; their ids tell them apart.
+func TestStoryOfADigest(t *testing.T) {
+	is := is.New(t)
+	const digest = "0123456789abcdef0123456789abcdef"
+	text := `time=2026-12-02T10:00:02Z level=info event=refused digest=` + digest + ` reason=ends_endpoints request=r2 vm=vm-b
+time=2026-12-02T10:00:01Z level=info event=attempt_failed digest=` + digest + ` endpoint=e1 outcome=broken request=r1 vm=vm-a
+time=2026-12-02T10:00:01.5Z level=info event=request_convicted digest=` + digest + ` ends=3 learned=told vm=vm-b
+time=2026-12-02T10:00:01Z level=info event=attempt_failed digest=f123456789abcdef0123456789abcdef endpoint=e1 request=r3 vm=vm-a
+`
+	lines, err := Digest(strings.NewReader(text), digest)
+	is.NoErr(err)
+	is.Equal(len(lines), 3)
+	var out strings.Builder
+	is.NoErr(Write(&out, lines))
+	is.True(strings.Contains(out.String(), "request_convicted, three endpoints in a row ended that ran it"))
+	is.True(strings.Contains(out.String(), "request = r2"))
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -96,3 +96,22 @@
 	is.True(err != nil)
 	is.True(strings.Contains(err.Error(), "experiments.off"))
 }
+
+// Released requests are named by their digests; a wrong one is refused with its place.
+func TestReleasedRequests(t *testing.T) {
+	is := is.New(t)
+	text := func(digest string) []byte {
+		return fmt.Appendf(nil, `
+vm = { name = "v", failure_domain = "a" }
+listen = { callers = "127.0.0.1:1", ready = "127.0.0.1:2", peers = "127.0.0.1:3" }
+platform = { address = "127.0.0.1:4" }
+suspects = { released = [%q] }
+`, digest)
+	}
+	set, err := ParseEntry(text("0123456789abcdef0123456789abcdef"))
+	is.NoErr(err)
+	is.Equal(set.Released[0].String(), "0123456789abcdef0123456789abcdef")
+	_, err = ParseEntry(text("0123"))
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "suspects.released[0]"))
+}
