A VM whose own link refuses connections takes no endpoint for ended

Cause: a refused connection alone counted as an end. Ruled out: crashes (no endpoint of the two was dropped by the registry). Now connections must open to one of two others of the same failure domain; else the registry's word is awaited, 3 to 4 s later.

--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -178,6 +178,30 @@
 	return false
 }
 
+// mostControls bounds the endpoints that tell a VM's own link from an endpoint's end.
+const mostControls = 2
+
+// Controls returns endpoints to which connections should open while they do not to another: of
+// its failure domain if there are any, else of others.
+func (s *Scheduler) Controls(now time.Duration, key, failureDomain string) []Probe {
+	var near, far []Probe
+	for _, sv := range s.services {
+		for _, e := range sv.list {
+			switch p := (Probe{e.Key(), e.Address}); {
+			case p.Key == key || !e.sound(now):
+			case e.FailureDomain == failureDomain:
+				near = append(near, p)
+			default:
+				far = append(far, p)
+			}
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	return near[:min(mostControls, len(near))]
+}
+
 // Probe asks for a connection to be opened to an endpoint, to see whether it can
 // be reached. ProbeEnded must follow.
 type Probe struct{ Key, Address string }
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -223,6 +223,13 @@
 	return s.members.Serving(e)
 }
 
+// controls are endpoints to which connections should open while they do not to another.
+func (s *scheduling) controls(e *members.Endpoint) []dispatch.Probe {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sched.Controls(s.now(), e.Key(), e.FailureDomain)
+}
+
 // doubt says that nothing listens at an endpoint's address.
 func (s *scheduling) doubt(key string) {
 	s.mu.Lock()
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -32,9 +32,10 @@
 //   - A cut: the connection broke under a request, or was given up for silence, while the
 //     registry listed the incarnation and it had not said that it leaves. Answers that
 //     came and cannot be passed on are none.
-//   - An end: after a cut a connection is opened at once, and refused; or another incarnation
-//     answers there; or the registry drops the entry, three to four seconds later, or lists
-//     another start under the id. Until one of these is seen the cut counts for trials only.
+//   - An end: after a cut a connection is opened at once, and refused, while others of the
+//     failure domain take connections; or another incarnation answers there; or the
+//     registry drops the entry, three to four seconds later, or lists another start under
+//     the id. Until one of these is seen the cut counts for trials only.
 //   - An answer of the incarnation to anything that was sent after the cut says that it lives.
 type suspects struct {
 	d *Daemon
@@ -164,7 +165,7 @@
 	case a.outcome == dispatch.Replaced:
 		s.end(ep.Key(), howReplaced)
 	case a.outcome == dispatch.Unreachable && refusedConnection(a.err):
-		s.end(ep.Key(), howRefused)
+		s.examine(ep)
 	}
 }
 
@@ -182,28 +183,53 @@
 		s.ledger.Ended(now, name)
 	}
 	s.note(learnedSeen)
-	probe := !s.probing[name]
-	s.probing[name] = true
 	s.mu.Unlock()
-	if probe {
-		go s.probe(ep)
+	s.examine(ep)
+}
+
+// examine finds out whether an incarnation has ended under which something was cut off.
+func (s *suspects) examine(ep *members.Endpoint) {
+	name := dispatch.NameOf(ep.Key())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ended := s.ended[name]; ended || s.probing[name] || !s.ledger.Watched(name) {
+		return
 	}
+	s.probing[name] = true
+	go s.probe(ep)
 }
 
 // probe opens a connection to an endpoint under which one broke. Requests that wait for a
 // place need not find out one by one.
+//
+// A VM whose own link refuses connections would take every endpoint behind it for ended: a
+// stream that went on at a second one had two ends within 7 ms. So connections must open to
+// others of its failure domain; else the registry's word is awaited.
 func (s *suspects) probe(ep *members.Endpoint) {
-	err := s.d.pool.Open(ep.Key(), ep.Address)
-	s.d.count("probes")
+	err := s.open(ep.Key(), ep.Address)
+	ended := false
+	if refusedConnection(err) {
+		s.d.sched.doubt(ep.Key())
+		controls := s.d.sched.controls(ep)
+		ended = len(controls) == 0
+		for _, c := range controls {
+			ended = ended || s.open(c.Key, c.Address) == nil
+		}
+	}
 	s.mu.Lock()
 	delete(s.probing, dispatch.NameOf(ep.Key()))
 	s.mu.Unlock()
-	if refusedConnection(err) {
-		s.d.sched.doubt(ep.Key())
+	if ended {
 		s.end(ep.Key(), howRefused)
 	}
 }
 
+// open opens a connection and keeps it for the next request.
+func (s *suspects) open(key, address string) error {
+	s.d.count("probes")
+	return s.d.pool.Open(key, address)
+}
+
 // How an end was seen, in logs.
 const (
 	howRefused  = "connection_refused"
