--- a/core/suspect/ledger.go
+++ b/core/suspect/ledger.go
@@ -1,7 +1,6 @@
 package suspect
 
 import (
-	"bytes"
 	"cmp"
 	"slices"
 	"time"
@@ -41,38 +40,6 @@
 	trustFor = 10 * time.Second
 	// mostTrusted bounds the requests remembered for that, 0.2 MB.
 	mostTrusted = 2048
-	// hotFor is for how long what is new goes into each note. Notes leave ten times a second to
-	// five VMs and more, so each round multiplies those who know by about six: 1,800 VMs
-	// know after five rounds, half a second; the rest of the time is for notes that are lost.
-	hotFor = 1500 * time.Millisecond
-)
-
-// Change is a step of what is known against a request, for logs.
-type Change struct {
-	Digest Digest
-	Kind   Kind
-	// Level is how many generations have ended endpoints now, Was how many had before.
-	Level, Was int
-	// Endpoints are the short names of the incarnations that ended.
-	Endpoints []uint64
-}
-
-// WasConvicted says that the request was convicted before and is not any more.
-func (c Change) WasConvicted() bool { return c.Was >= ConvictedAt && c.Level < ConvictedAt }
-
-// Kind says what kind of step a Change is.
-type Kind int
-
-// Kinds of changes.
-const (
-	// Suspected: one more generation has ended endpoints.
-	Suspected Kind = iota
-	// Convicted: it is not sent to endpoints any more.
-	Convicted
-	// Cleared: an answer speaks for it, or its endpoints live.
-	Cleared
-	// Forgotten: its time is over, or others took its place.
-	Forgotten
 )
 
 // Ledger is what one VM knows of such requests. It is not safe for concurrent use. Times are
@@ -345,37 +312,6 @@
 	}
 }
 
-// tell notes a change of level for logs.
-func (l *Ledger) tell(d Digest, e *entry) {
-	v := e.view()
-	v.Level = min(v.Level, ConvictedAt)
-	if v.Level == e.told {
-		return
-	}
-	c := Change{Digest: d, Kind: Suspected, Level: v.Level, Was: e.told}
-	switch {
-	case v.Level < e.told:
-		c.Kind = Cleared
-	case v.Level >= ConvictedAt:
-		c.Kind = Convicted
-	}
-	for name, s := range e.sightings {
-		if s.ended() && s.counts(e.cleared) {
-			c.Endpoints = append(c.Endpoints, name)
-		}
-	}
-	slices.Sort(c.Endpoints)
-	e.told = v.Level
-	l.changes = append(l.changes, c)
-}
-
-// Changes returns what changed since the last call.
-func (l *Ledger) Changes() []Change {
-	list := l.changes
-	l.changes = nil
-	return list
-}
-
 // Expire forgets what has been quiet for its time.
 func (l *Ledger) Expire(now time.Duration) {
 	for d, e := range l.entries {
@@ -402,73 +338,3 @@
 	}
 	delete(l.entries, d)
 }
-
-// Hot returns up to n records of what was learned lately, those that matter most first: they
-// go into each note.
-func (l *Ledger) Hot(now time.Duration, n int) []Record {
-	type news struct {
-		d       Digest
-		view    View
-		changed time.Duration
-	}
-	var hot []news
-	for d, e := range l.entries {
-		if now-e.changed < hotFor {
-			hot = append(hot, news{d, e.view(), e.changed})
-		}
-	}
-	slices.SortFunc(hot, func(a, b news) int {
-		return cmp.Or(cmp.Compare(b.view.Level, a.view.Level), cmp.Compare(b.view.Possible, a.view.Possible), cmp.Compare(b.changed, a.changed), bytes.Compare(a.d[:], b.d[:]))
-	})
-	records := make([]Record, 0, n)
-	for _, h := range hot[:min(n, len(hot))] {
-		records = append(records, l.entries[h.d].record(now, h.d))
-	}
-	return records
-}
-
-// Worst returns up to n records of the requests against which most is known.
-func (l *Ledger) Worst(now time.Duration, n int) []Record {
-	list := make([]Record, 0, n)
-	for level := ConvictedAt; level > 0; level-- {
-		for d, e := range l.entries {
-			if len(list) < n && min(e.view().Level, ConvictedAt) == level {
-				list = append(list, e.record(now, d))
-			}
-		}
-	}
-	return list
-}
-
-// Turn returns up to n records, over many calls all of them in turn: VMs that missed a note or
-// have just started learn from it what the others know.
-func (l *Ledger) Turn(now time.Duration, n int) []Record {
-	all := make([]Digest, 0, len(l.entries))
-	for d, e := range l.entries {
-		if e.life() > cutLife {
-			all = append(all, d)
-		}
-	}
-	if len(all) == 0 {
-		return nil
-	}
-	slices.SortFunc(all, func(a, b Digest) int { return bytes.Compare(a[:], b[:]) })
-	from, _ := slices.BinarySearchFunc(all, l.turn, func(a, b Digest) int { return bytes.Compare(a[:], b[:]) })
-	n = min(n, len(all))
-	records := make([]Record, 0, n)
-	for i := range n {
-		d := all[(from+i)%len(all)]
-		records = append(records, l.entries[d].record(now, d))
-	}
-	l.turn = all[(from+n)%len(all)]
-	return records
-}
-
-// Record returns what is known of a request; ok is false if nothing is.
-func (l *Ledger) Record(now time.Duration, d Digest) (r Record, ok bool) {
-	e := l.entries[d]
-	if e == nil {
-		return Record{}, false
-	}
-	return e.record(now, d), true
-}
