A conviction outlasts the VM that saw it while the store is away

Cause, from the logs: the VM that saw the third end could not write it to the store, which was away, and was killed 0.6 s later; the others were told and wrote nothing; all were killed again 5 s later, and no process of that start learned it, from VMs or from the store. Now the VM that reads the store for its failure domain writes convictions that it was told, once, and looks each second, so that whoever reads next does it.

--- a/core/suspect/telling.go
+++ b/core/suspect/telling.go
@@ -73,6 +73,17 @@
 	return records
 }
 
+// Convicted returns the requests that are convicted, released ones included.
+func (l *Ledger) Convicted() []Digest {
+	var list []Digest
+	for d, e := range l.entries {
+		if e.told >= ConvictedAt {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
 // Record returns what is known of a request; ok is false if nothing is.
 func (l *Ledger) Record(now time.Duration, d Digest) (r Record, ok bool) {
 	e := l.entries[d]
--- a/entry/suspect_notes.go
+++ b/entry/suspect_notes.go
@@ -26,8 +26,8 @@
 	suspectsSettle = 5 * time.Millisecond
 	// suspectKey begins the keys of convicted requests in the store.
 	suspectKey = "suspect-"
-	// keepTries is how often a conviction is written to the store that fails: for half a
-	// minute. If it is lost, only a restart of all VMs at once forgets it.
+	// keepTries is how often in a row a conviction is written to the store that fails, which
+	// takes up to half a minute, before others get their turn.
 	keepTries = 16
 )
 
@@ -147,18 +147,54 @@
 	s.merge(list, learnedStore)
 }
 
+// noteKept has a conviction written to the store, or its end, by the VM that saw it. The lock
+// is held.
+func (s *suspects) noteKept(c suspect.Change, learned string) {
+	switch {
+	case c.WasConvicted():
+		delete(s.kept, c.Digest)
+		if learned == learnedSeen {
+			s.keepLater(c.Digest)
+		}
+	case c.Kind != suspect.Convicted:
+	case learned == learnedStore:
+		s.kept[c.Digest] = true
+	case learned == learnedSeen:
+		s.kept[c.Digest] = true
+		s.keepLater(c.Digest)
+	}
+}
+
+// keepConvicted has convictions written that this VM was told, if it reads the store for its
+// failure domain: the VM that saw one may be lost before the store takes it. When all VMs
+// were killed twice within 5 s, while the store was away, ten endpoints ended under one
+// request in place of three. The lock is held.
+func (s *suspects) keepConvicted() {
+	convicted := s.ledger.Convicted()
+	if len(convicted) == 0 || !s.d.peers.reads() {
+		return
+	}
+	for _, d := range convicted {
+		if !s.kept[d] {
+			s.kept[d] = true
+			s.keepLater(d)
+		}
+	}
+}
+
 // keepLater has the store's record of a request written, or removed. The lock is held.
 func (s *suspects) keepLater(d suspect.Digest) {
 	select {
 	case s.unkept <- d:
 	default:
+		delete(s.kept, d)
 		s.d.count("suspects_unkept")
 		s.d.log.Warn().Stringer("digest", d).Msg("suspect_unkept")
 	}
 }
 
 // keep writes convictions to the store, so that they outlast a restart of all VMs, until ctx
-// ends. One VM's word is enough; others may write the same.
+// ends.
 func (s *suspects) keep(ctx context.Context) error {
 	for {
 		select {
@@ -173,7 +209,7 @@
 func (s *suspects) keepOne(ctx context.Context, d suspect.Digest) {
 	var again retry
 	for range keepTries {
-		value, err := s.kept(d)
+		value, err := s.storeValue(d)
 		if err == nil {
 			if err = s.d.opts.Store.Write(ctx, suspectKey+d.String(), value); err == nil {
 				return
@@ -185,10 +221,13 @@
 			return
 		}
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.kept, d)
 }
 
-// kept is the record in the store of a request; nothing if it is not convicted any more.
-func (s *suspects) kept(d suspect.Digest) ([]byte, error) {
+// storeValue is the record in the store of a request; nothing if it is not convicted any more.
+func (s *suspects) storeValue(d suspect.Digest) ([]byte, error) {
 	s.mu.Lock()
 	r, ok := s.ledger.Record(s.d.now(), d)
 	convicted := ok && s.ledger.Look(d).Level >= suspect.ConvictedAt
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -54,6 +54,9 @@
 	read bool
 	// fresh says that something was seen here that others should hear at once.
 	fresh chan struct{}
+	// kept are the convictions that the store has, or will have, by this VM's doing or as it
+	// read there.
+	kept map[suspect.Digest]bool
 	// unkept are digests whose record in the store is to be written or removed.
 	unkept chan suspect.Digest
 }
@@ -64,7 +67,7 @@
 func newSuspects(d *Daemon) *suspects {
 	s := &suspects{
 		d: d, ledger: suspect.New(), waiting: make(map[suspect.Digest]map[*caller]context.CancelFunc),
-		probing: make(map[uint64]bool), ended: make(map[uint64]time.Duration), unkept: make(chan suspect.Digest, unkeptBuffer), fresh: make(chan struct{}, 1),
+		kept: make(map[suspect.Digest]bool), probing: make(map[uint64]bool), ended: make(map[uint64]time.Duration), unkept: make(chan suspect.Digest, unkeptBuffer), fresh: make(chan struct{}, 1),
 	}
 	s.ledger.Release(d.set.Released)
 	return s
@@ -283,6 +286,7 @@
 		}
 	}
 	s.note(learnedSeen)
+	s.keepConvicted()
 }
 
 // Where something was learned, in logs.
@@ -308,9 +312,7 @@
 			s.d.count("requests_convicted")
 			s.stop(c.Digest)
 		}
-		if learned == learnedSeen && (c.Kind == suspect.Convicted || c.WasConvicted()) {
-			s.keepLater(c.Digest)
-		}
+		s.noteKept(c, learned)
 		if c.Level <= 1 && !c.WasConvicted() && learned != learnedSeen {
 			// Each neighbour of each endpoint that ends, at each VM.
 			continue
