Second reading of the mend: one piece for what stood twice

An answer's headers were decoded once more, and the lock taken twice, for each answer of an endpoint: decoded once, handed on. The time of sending was taken twice in a try: once. The first cut at an incarnation was noted by two copies of the same lines, and the lists in which VMs tell a starting one reached into the ledger's lock: one piece each. endpoint_hash in lines is the decimal number that placer_passed_over writes, so that they join; it was hexadecimal in the lines that are new here. Nothing else changes, no test lost an assertion; tests of core/suspect, entry, core/dispatch and platform/whole pass. Processor time was not measured apart.

--- a/core/suspect/ledger.go
+++ b/core/suspect/ledger.go
@@ -99,12 +99,9 @@
 // nothing: it met an endpoint that had ended already. Where a relay stands before endpoints
 // their connections open even so, and break.
 func (l *Ledger) Cut(now, sent time.Duration, d Digest, endpoint uint64, generation int) {
-	if at, ok := l.brokeAt[endpoint]; ok && sent > at {
+	if sent > l.broke(now, endpoint) {
 		return
 	}
-	if _, ok := l.brokeAt[endpoint]; !ok {
-		l.brokeAt[endpoint] = now
-	}
 	if at, ok := l.trusted.Peek(d); ok && now-at < trustFor {
 		return
 	}
@@ -193,24 +190,22 @@
 	if !plausible(r) {
 		return false
 	}
-	known := l.entries[r.Digest]
-	if known == nil && r.Quiet >= lifeOf(r) {
+	news := l.entries[r.Digest] == nil
+	if news && r.Quiet >= lifeOf(r) {
 		return false
 	}
-	e := known
-	if e == nil {
-		e = l.entry(now, r.Digest)
-		e.touched = now - r.Quiet
-	}
-	news := known == nil
-	e.touched = max(e.touched, now-r.Quiet)
+	at := now - r.Quiet
+	e := l.entry(at, r.Digest)
+	e.touched = max(e.touched, at)
 	if r.Cleared > e.cleared {
 		e.cleared, news = r.Cleared, true
 	}
 	for _, s := range r.Sightings {
 		if e.see(now, s) {
 			news = true
-			l.broke(now, s)
+			if s.Generation > s.AliveAt {
+				l.broke(now, s.Endpoint)
+			}
 		}
 	}
 	if !news {
@@ -222,11 +217,15 @@
 	return true
 }
 
-// broke notes that another VM saw a cut at an incarnation.
-func (l *Ledger) broke(now time.Duration, s Sighting) {
-	if _, ok := l.brokeAt[s.Endpoint]; !ok && s.Generation > s.AliveAt {
-		l.brokeAt[s.Endpoint] = now
+// broke notes a cut at an incarnation, here or at another VM, and returns when the first was
+// since it was heard last.
+func (l *Ledger) broke(now time.Duration, endpoint uint64) time.Duration {
+	at, ok := l.brokeAt[endpoint]
+	if !ok {
+		at = now
+		l.brokeAt[endpoint] = at
 	}
+	return at
 }
 
 // mostGeneration bounds what another VM may say: far more than can happen in a life.
@@ -262,14 +261,15 @@
 	}
 }
 
-// entry returns what is known of a request, from now on something.
-func (l *Ledger) entry(now time.Duration, d Digest) *entry {
+// entry returns what is known of a request; if that is nothing, a new entry whose last
+// sighting was at a time.
+func (l *Ledger) entry(at time.Duration, d Digest) *entry {
 	e := l.entries[d]
 	if e == nil {
 		if len(l.entries) >= maxEntries {
 			l.forget(l.least())
 		}
-		e = &entry{sightings: make(map[uint64]*sighting), touched: now}
+		e = &entry{sightings: make(map[uint64]*sighting), touched: at}
 		l.entries[d] = e
 	}
 	return e
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -265,12 +265,17 @@
 // probe sees whether an endpoint can be reached. The connection is kept for the
 // next request.
 func (d *Daemon) probe(p dispatch.Probe) {
-	err := d.pool.Open(p.Key, p.Address)
-	d.count("probes")
+	err := d.openTo(p)
 	d.log.Info().Str("endpoint", p.Key).Str("address", p.Address).Err(err).Msg("endpoint_probed")
 	d.sched.probeEnded(p.Key, err == nil)
 }
 
+// openTo opens a connection to an endpoint and keeps it for the next request.
+func (d *Daemon) openTo(p dispatch.Probe) error {
+	d.count("probes")
+	return d.pool.Open(p.Key, p.Address)
+}
+
 // countImpossible counts quantities that callers or other VMs told and that cannot be.
 func (d *Daemon) countImpossible(n int) {
 	if n > 0 {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -195,7 +195,7 @@
 	c.d.sched.onRestart(dec.Handle, cancel)
 	watch := c.watch(dec, cancel)
 	sent := c.d.now()
-	a := c.exchange(tctx, ctx, dec, req, s, watch)
+	a := c.exchange(tctx, ctx, dec, req, sent, s, watch)
 	if watch.over() && !a.delivered {
 		a.outcome, a.again, a.cut = dispatch.Silent, true, true
 	}
@@ -203,11 +203,10 @@
 	return a
 }
 
-// exchange sends the request and passes the answer on. ctx ends with the attempt,
-// whole with the request.
-func (c *caller) exchange(ctx, whole context.Context, dec dispatch.Decision, req *upstream.Request, s *stream, watch *stall) attempt {
+// exchange sends the request, which is at sent, and passes the answer on. ctx ends with the
+// attempt, whole with the request.
+func (c *caller) exchange(ctx, whole context.Context, dec dispatch.Decision, req *upstream.Request, sent time.Duration, s *stream, watch *stall) attempt {
 	ep := dec.Endpoint
-	sent := c.d.now()
 	ans, err := c.d.pool.Do(ctx, ep.Key(), ep.Address, req, false)
 	var ex *upstream.ExchangeError
 	if errors.As(err, &ex) && ex.Stage == upstream.NotSent {
@@ -224,9 +223,10 @@
 		}
 		return attempt{outcome: dispatch.Broken, cut: brokeOff(err), err: err}
 	}
-	c.d.suspects.answering(c, ep, sent, ans)
 	defer ans.Finish()
-	return c.pass(whole, dec.Handle, ans, s, watch)
+	reply := c.d.codec.Reply(ans.Response)
+	c.d.suspects.answering(c, ep, sent, reply)
+	return c.pass(whole, dec.Handle, ans, reply, s, watch)
 }
 
 // mine says whether an answer belongs to this request. Answers without an id are
@@ -247,8 +247,7 @@
 }
 
 // pass judges an answer and passes it on if it is one.
-func (c *caller) pass(ctx context.Context, handle uint64, ans *upstream.Answer, s *stream, watch *stall) attempt {
-	reply := c.d.codec.Reply(ans.Response)
+func (c *caller) pass(ctx context.Context, handle uint64, ans *upstream.Answer, reply Reply, s *stream, watch *stall) attempt {
 	if reply.NotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(ans, maxAnswer))
 		if reply.Replaced {
--- a/entry/suspect_notes.go
+++ b/entry/suspect_notes.go
@@ -83,6 +83,13 @@
 	return suspectsOf(list)
 }
 
+// worst is what a process that has just started is told.
+func (s *suspects) worst() []*schema.Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return suspectsOf(s.ledger.Worst(s.d.now(), startSuspects))
+}
+
 // told takes in what another VM knows.
 func (s *suspects) told(list []*schema.Suspect) {
 	if len(list) > 0 {
@@ -111,14 +118,12 @@
 
 // tellSuspects tells a process that was not heard before what matters most.
 func (p *peers) tellSuspects(pe *peer) {
-	p.d.suspects.mu.Lock()
-	list := p.d.suspects.ledger.Worst(p.d.now(), startSuspects)
-	p.d.suspects.mu.Unlock()
+	list := p.d.suspects.worst()
 	if len(list) == 0 {
 		return
 	}
 	n := p.note()
-	n.Suspects = suspectsOf(list)
+	n.Suspects = list
 	p.send(n, pe.addr)
 }
 
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -116,6 +116,11 @@
 func (s *suspects) over(c *caller) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.forget(c)
+}
+
+// forget takes a request out of those that wait. The lock is held.
+func (s *suspects) forget(c *caller) {
 	delete(s.waiting[c.digest], c)
 	if len(s.waiting[c.digest]) == 0 {
 		delete(s.waiting, c.digest)
@@ -123,16 +128,15 @@
 }
 
 // answering says that an endpoint began to answer a request that was sent at a time.
-func (s *suspects) answering(c *caller, ep *members.Endpoint, sent time.Duration, ans *upstream.Answer) {
-	reply := s.d.codec.Reply(ans.Response)
+func (s *suspects) answering(c *caller, ep *members.Endpoint, sent time.Duration, reply Reply) {
 	if reply.Replaced {
 		return
 	}
-	if !reply.NotRun {
-		s.over(c)
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !reply.NotRun {
+		s.forget(c)
+	}
 	s.ledger.Answered(s.d.now(), sent, dispatch.NameOf(ep.Key()))
 	s.note(learnedSeen)
 }
@@ -209,14 +213,14 @@
 // stream that went on at a second one had two ends within 7 ms. So connections must open to
 // others of its failure domain; else the registry's word is awaited.
 func (s *suspects) probe(ep *members.Endpoint) {
-	err := s.open(ep.Key(), ep.Address)
+	err := s.d.openTo(dispatch.Probe{Key: ep.Key(), Address: ep.Address})
 	ended := false
 	if refusedConnection(err) {
 		s.d.sched.doubt(ep.Key())
 		controls := s.d.sched.controls(ep)
 		ended = len(controls) == 0
 		for _, c := range controls {
-			ended = ended || s.open(c.Key, c.Address) == nil
+			ended = ended || s.d.openTo(c) == nil
 		}
 	}
 	s.mu.Lock()
@@ -227,12 +231,6 @@
 	}
 }
 
-// open opens a connection and keeps it for the next request.
-func (s *suspects) open(key, address string) error {
-	s.d.count("probes")
-	return s.d.pool.Open(key, address)
-}
-
 // How an end was seen, in logs.
 const (
 	howRefused  = "connection_refused"
@@ -254,7 +252,7 @@
 	}
 	if !known {
 		s.d.count("endpoints_ended")
-		s.d.log.Info().Str("endpoint", key).Str("endpoint_hash", hashText(name)).Str("how", how).Msg("endpoint_ended")
+		s.d.log.Info().Str("endpoint", key).Uint64("endpoint_hash", name).Str("how", how).Msg("endpoint_ended")
 	}
 	s.ledger.Ended(now, name)
 	s.note(learnedSeen)
@@ -319,7 +317,7 @@
 		}
 		names := make([]string, 0, len(c.Endpoints))
 		for _, name := range c.Endpoints {
-			names = append(names, hashText(name))
+			names = append(names, strconv.FormatUint(name, 10))
 		}
 		s.d.log.Info().Stringer("digest", c.Digest).Int("ends", c.Level).Int("ends_before", c.Was).Str("endpoint_hashes", strings.Join(names, ",")).
 			Str("learned", learned).Msg(eventOf[c.Kind])
@@ -336,5 +334,3 @@
 		stop()
 	}
 }
-
-func hashText(name uint64) string { return strconv.FormatUint(name, 16) }
