Roll-outs of versions, the pure part: exposure, evidence, test, verdict

What callers would see without it: endpoints of another version take part as soon as they are listed, so a bad version gets its full part of the requests.

Exposure is bounded at each process by what it sent elsewhere itself, so the sum over VMs holds whatever they believe and however often they restart. Evidence is counters that only grow, merged by the greater. The test is a mixture of likelihood ratios over bad answers, begun anew eight times in an order's time, with the sickest endpoint left out.

--- /dev/null
+++ b/core/rollout/evidence.go
@@ -0,0 +1,191 @@
+package rollout
+
+import (
+	"maps"
+	"math"
+	"time"
+)
+
+// buckets of a Histogram: each is half a power of two wide, from firstBucket on.
+const (
+	buckets     = 26
+	firstBucket = time.Millisecond
+)
+
+// Histogram counts times, by buckets that each are about 1.4 times the one before.
+type Histogram [buckets]uint32
+
+// bucketOf is the bucket of a time.
+func bucketOf(d time.Duration) int {
+	if d <= firstBucket {
+		return 0
+	}
+	b := 2 * math.Log2(float64(d)/float64(firstBucket))
+	return min(buckets-1, int(b))
+}
+
+// Observe counts a time.
+func (h *Histogram) Observe(d time.Duration) { h[bucketOf(d)]++ }
+
+// Total is the number of times counted.
+func (h *Histogram) Total() int { return h.From(0) }
+
+// From is the number of times in a bucket and those above.
+func (h *Histogram) From(bucket int) int {
+	n := 0
+	for _, c := range h[min(bucket, buckets):] {
+		n += int(c)
+	}
+	return n
+}
+
+// Median is the bucket of the median.
+func (h *Histogram) Median() int {
+	half, n := (h.Total()+1)/2, 0
+	for b, c := range h {
+		if n += int(c); n >= half {
+			return b
+		}
+	}
+	return buckets - 1
+}
+
+func (h *Histogram) max(other *Histogram) {
+	for i := range h {
+		h[i] = max(h[i], other[i])
+	}
+}
+
+func (h *Histogram) add(other *Histogram) {
+	for i := range h {
+		h[i] += other[i]
+	}
+}
+
+func (h *Histogram) subtract(other *Histogram) {
+	for i := range h {
+		h[i] = less(h[i], other[i])
+	}
+}
+
+// less is the difference of two counts, of which the first should be the greater.
+func less(a, b uint32) uint32 { return a - min(a, b) }
+
+// Counts are answers of one group. They only grow.
+type Counts struct {
+	Answers, Failures uint32
+	// First are the times to the first event of a stream, Whole those to the end of an
+	// answer. Those of endpoints that had just started are left out.
+	First, Whole Histogram
+}
+
+// max takes the greater of each count: what another VM told later says more.
+func (c *Counts) max(other Counts) {
+	c.Answers, c.Failures = max(c.Answers, other.Answers), max(c.Failures, other.Failures)
+	c.First.max(&other.First)
+	c.Whole.max(&other.Whole)
+}
+
+func (c *Counts) add(other Counts) {
+	c.Answers += other.Answers
+	c.Failures += other.Failures
+	c.First.add(&other.First)
+	c.Whole.add(&other.Whole)
+}
+
+func (c *Counts) subtract(other Counts) {
+	c.Answers, c.Failures = less(c.Answers, other.Answers), less(c.Failures, other.Failures)
+	c.First.subtract(&other.First)
+	c.Whole.subtract(&other.Whole)
+}
+
+// Group names answers that are counted together: those of a route by the old version, or by
+// one endpoint of the new version, since one endpoint that fails does not make a bad version.
+type Group struct {
+	Route string
+	// Endpoint is the short name of one of the new version, 0 for the old version.
+	Endpoint uint64
+}
+
+// Evidence is what was seen, by group.
+type Evidence map[Group]Counts
+
+// Count adds an answer to its group.
+func (e Evidence) Count(g Group, add func(*Counts)) {
+	c := e[g]
+	add(&c)
+	e[g] = c
+}
+
+// Add adds what was seen elsewhere.
+func (e Evidence) Add(other Evidence) {
+	for g, c := range other {
+		e.Count(g, func(sum *Counts) { sum.add(c) })
+	}
+}
+
+// Since is what was added to earlier evidence.
+func (e Evidence) Since(earlier Evidence) Evidence {
+	added := make(Evidence, len(e))
+	for g, c := range e {
+		c.subtract(earlier[g])
+		added[g] = c
+	}
+	return added
+}
+
+// NewAnswers is the number of answers by the new version.
+func (e Evidence) NewAnswers() int {
+	n := 0
+	for g, c := range e {
+		if g.Endpoint != 0 {
+			n += int(c.Answers)
+		}
+	}
+	return n
+}
+
+// Longest is the longest time that an answer took at either version, up to a bucket.
+func (e Evidence) Longest() time.Duration {
+	most := 0
+	for _, c := range e {
+		for b := buckets - 1; b > most; b-- {
+			if c.Whole[b] > 0 {
+				most = b
+				break
+			}
+		}
+	}
+	return time.Duration(float64(firstBucket) * math.Exp2(float64(most+1)/2))
+}
+
+// Ledger is the evidence of several sources: of processes, or of the VMs of a failure domain.
+// A source that is gone keeps what it told.
+type Ledger struct {
+	sources map[string]Evidence
+}
+
+// NewLedger returns a ledger that knows nothing.
+func NewLedger() *Ledger { return &Ledger{sources: make(map[string]Evidence)} }
+
+// Merge takes in what a source says it has seen since it began, in any order and however
+// often.
+func (l *Ledger) Merge(source string, e Evidence) {
+	known := l.sources[source]
+	if known == nil {
+		l.sources[source] = maps.Clone(e)
+		return
+	}
+	for g, c := range e {
+		known.Count(g, func(have *Counts) { have.max(c) })
+	}
+}
+
+// Sum is the evidence of all sources together.
+func (l *Ledger) Sum() Evidence {
+	sum := make(Evidence)
+	for _, e := range l.sources {
+		sum.Add(e)
+	}
+	return sum
+}
--- /dev/null
+++ b/core/rollout/rollout_test.go
@@ -0,0 +1,385 @@
+package rollout
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// version is how a version answers in the model.
+type version struct {
+	// failures is the part of its answers that fail, slow that which takes factor times as long.
+	failures, slow, factor float64
+	// from is after what part of the order's time it is so; before it is like the old one.
+	from float64
+	// route is the only one on which it is so; empty for all.
+	route string
+}
+
+// model plays a service whose requests come at random and answers that take times spread as
+// engines' are, by a factor of two either way for one in ten.
+type model struct {
+	rng       *rand.Rand
+	order     Order
+	perSecond float64
+	share     float64
+	endpoints int
+	old       version
+	fresh     version
+}
+
+const (
+	modelStep   = 100 * time.Millisecond
+	modelSpread = 0.55
+	// modelAnswer is how long the longest answers take.
+	modelAnswer = time.Second
+	// What a bad version may get, and how many bad answers it may give before it must
+	// soon be stopped.
+	exposedShare, exposedSlack = 0.1, 50
+	manyBad                    = 50
+)
+
+var modelRoutes = []string{"long", "short", "plain"}
+
+// result is what became of a roll-out.
+type result struct {
+	phase Phase
+	at    time.Duration
+	// answers and bad are those of the new version until then, sinceMany is the time since
+	// it had given as many bad ones as a bad version may before it must soon be stopped.
+	answers, bad int
+	sinceMany    time.Duration
+	// exposed of all requests of the order's time reached the new version.
+	exposed, all int
+	finding      Finding
+}
+
+func (m *model) answer(e Evidence, v version, endpoint uint64, at float64) (bad bool) {
+	route := modelRoutes[m.rng.IntN(len(modelRoutes))]
+	took := 300 * time.Millisecond * time.Duration(1000*math.Exp(modelSpread*m.rng.NormFloat64())) / 1000
+	affected := at >= v.from && (v.route == "" || v.route == route)
+	failed := affected && m.rng.Float64() < v.failures
+	slow := affected && m.rng.Float64() < v.slow
+	if slow {
+		took = time.Duration(float64(took) * v.factor)
+	}
+	e.Count(Group{Route: route, Endpoint: endpoint}, func(c *Counts) {
+		c.Answers++
+		if failed {
+			c.Failures++
+			return
+		}
+		c.First.Observe(took / 3)
+		c.Whole.Observe(took)
+	})
+	return failed || slow
+}
+
+// play plays an order to its verdict, and beyond to the end of its time.
+func (m *model) play() result {
+	e := make(Evidence)
+	watch := NewWatch(m.order)
+	r := result{}
+	var moved time.Duration
+	for age := time.Duration(0); age < m.order.Duration+modelStep; age += modelStep {
+		share := m.shareAt(r.phase, age-moved)
+		for range int(m.perSecond * modelStep.Seconds()) {
+			r.all++
+			if m.rng.Float64() >= share {
+				m.answer(e, m.old, 0, 0)
+				continue
+			}
+			r.exposed++
+			if m.answer(e, m.fresh, 1+uint64(m.rng.IntN(m.endpoints)), float64(age)/float64(m.order.Duration)) && !r.phase.Final() {
+				r.bad++
+			}
+		}
+		if r.phase.Final() {
+			continue
+		}
+		if r.bad >= manyBad {
+			r.sinceMany += modelStep
+		}
+		r.at, r.finding, r.answers = age+modelStep, watch.Test(age, e, m.endpoints), r.exposed
+		next := m.order.Decide(r.phase, Known{
+			Age: age, Finding: r.finding, Answers: e.NewAnswers(), Longest: e.Longest(), NewListed: m.endpoints, OldListed: m.endpoints,
+			Drained: r.phase == Moving && age-moved >= m.order.Ramp()+modelAnswer,
+		})
+		if next == Moving && r.phase == Trying {
+			moved = age
+		}
+		r.phase = next
+	}
+	return r
+}
+
+// shareAt is the share of the requests that the new version gets.
+func (m *model) shareAt(p Phase, moving time.Duration) float64 {
+	switch p {
+	case Trying:
+		return m.share
+	case Moving:
+		return min(1, m.share+(1-m.share)*float64(moving)/float64(m.order.Ramp()))
+	case Completed:
+		return 1
+	}
+	return 0
+}
+
+func newModel(seed uint64, perSecond float64, fresh version) *model {
+	return &model{
+		rng: rand.New(rand.NewPCG(seed, seed)), order: Order{Service: "s", Version: "v2", Duration: 12 * time.Second},
+		perSecond: perSecond, share: TrialShare(0.1), endpoints: 4, old: version{failures: 0.01}, fresh: fresh,
+	}
+}
+
+// A version that is bad in any of the ways in which versions are bad is convicted. Once it has
+// given 50 bad answers it must be stopped within 5 s, of which one is left for telling all VMs.
+func TestBadVersionsAreConvicted(t *testing.T) {
+	const seeds, stopWithin = 40, 4 * time.Second
+	for _, c := range []struct {
+		name string
+		v    version
+		// within is the part of the seeds that must be rolled back in time.
+		within float64
+	}{
+		{"10% failures", version{failures: 0.1}, 0.9},
+		{"20% failures", version{failures: 0.2}, 1},
+		{"40% failures", version{failures: 0.4}, 1},
+		{"40% failures from half of the time on", version{failures: 0.4, from: 0.5}, 0.9},
+		{"40% failures on one route", version{failures: 0.4, route: "short"}, 1},
+		{"4 times slower", version{slow: 1, factor: 4}, 1},
+		{"8 times slower", version{slow: 1, factor: 8}, 1},
+		{"30% 8 times slower", version{slow: 0.3, factor: 8}, 0.9},
+		{"8 times slower on one route", version{slow: 1, factor: 8, route: "short"}, 1},
+		{"8 times slower from half of the time on", version{slow: 1, factor: 8, from: 0.5}, 0.9},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var took []time.Duration
+			var answers, bad []int
+			convicted := 0
+			for seed := range uint64(seeds) {
+				r := newModel(seed, 600, c.v).play()
+				if r.phase == RolledBack {
+					convicted++
+				}
+				if float64(r.exposed) > exposedShare*float64(r.all)+exposedSlack {
+					t.Errorf("seed %d: %v after %v: %d of %d requests reached the new version", seed, r.phase, r.at, r.exposed, r.all)
+				}
+				if r.sinceMany > stopWithin {
+					t.Errorf("seed %d: convicted %v after %d bad answers, at most %v", seed, r.sinceMany, manyBad, stopWithin)
+				}
+				took, answers, bad = append(took, r.at), append(answers, r.answers), append(bad, r.bad)
+			}
+			slices.Sort(took)
+			slices.Sort(answers)
+			slices.Sort(bad)
+			t.Logf("%d of %d rolled back; median and most: after %v, %v; %d, %d answers; %d, %d bad",
+				convicted, seeds, took[seeds/2], took[seeds-1], answers[seeds/2], answers[seeds-1], bad[seeds/2], bad[seeds-1])
+			if float64(convicted) < c.within*seeds {
+				t.Errorf("%d of %d rolled back", convicted, seeds)
+			}
+		})
+	}
+}
+
+// modelSeeds is how many roll-outs of good versions are played; 1,000 and more by hand.
+var modelSeeds = flag.Int("model-seeds", 100, "roll-outs of good versions to play")
+
+// A good version is taken for bad in less than one of a thousand roll-outs, also where a little
+// is slower since its caches are empty, and is completed in time.
+func TestGoodVersionsAreCompleted(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		v    version
+	}{
+		{"alike", version{failures: 0.01}},
+		{"a tenth takes half as long again", version{failures: 0.01, slow: 0.1, factor: 1.5}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			convicted, late := 0, 0
+			for seed := range uint64(*modelSeeds) {
+				r := newModel(seed, 60, c.v).play()
+				if r.phase == RolledBack {
+					convicted++
+				}
+				if r.phase == Moving || r.phase == Trying {
+					late++
+				}
+			}
+			t.Logf("of %d: %d convicted, %d late", *modelSeeds, convicted, late)
+			if most := *modelSeeds / 1000; convicted > most || late > most {
+				t.Errorf("of %d good versions %d were convicted and %d late, at most %d", *modelSeeds, convicted, late, most)
+			}
+		})
+	}
+}
+
+// One endpoint that is sick says nothing of its version, though it gives most of the bad
+// answers; one that every other shares does.
+func TestASickEndpointIsNoBadVersion(t *testing.T) {
+	is := is.New(t)
+	e := Evidence{
+		{Route: "r"}:              {Answers: 1000, Failures: 10},
+		{Route: "r", Endpoint: 1}: {Answers: 40, Failures: 40},
+		{Route: "r", Endpoint: 2}: {Answers: 40},
+		{Route: "r", Endpoint: 3}: {Answers: 40, Failures: 1},
+	}
+	is.True(!Test(e, 3).Bad())
+	e[Group{Route: "r", Endpoint: 2}] = Counts{Answers: 40, Failures: 20}
+	is.True(Test(e, 3).Bad())
+}
+
+// The bound on what a bad version gets holds at any moment, whatever the VMs believe, over
+// processes that are killed and start again, by the requests that each sent.
+func TestExposureIsBounded(t *testing.T) {
+	const share = 0.075
+	rapid.Check(t, func(t *rapid.T) {
+		gates := make([]Gate, rapid.IntRange(1, 12).Draw(t, "vms"))
+		sent, exposed := 0, 0
+		for range rapid.IntRange(1, 600).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(gates)-1).Draw(t, "vm")
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				gates[i] = Gate{}
+			case 1, 2:
+				if gates[i].Take() {
+					gates[i].GiveBack()
+				}
+			case 3, 4, 5:
+				if gates[i].Take() {
+					exposed++
+				}
+			default:
+				sent++
+				gates[i].Sent(share)
+			}
+			if float64(exposed) > share*float64(sent) {
+				t.Fatalf("%d exposed of %d", exposed, sent)
+			}
+		}
+	})
+}
+
+// What VMs tell merges to the same sum in any order, told twice or late, and never counts an
+// answer twice.
+func TestEvidenceMergesInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type told struct {
+			source string
+			e      Evidence
+		}
+		var all []told
+		want := make(Evidence)
+		for v := range rapid.IntRange(1, 4).Draw(t, "vms") {
+			seen := make(Evidence)
+			for range rapid.IntRange(1, 5).Draw(t, "notes") {
+				g := Group{Route: "r", Endpoint: rapid.Uint64Range(0, 2).Draw(t, "endpoint")}
+				n := rapid.Uint32Range(0, 9).Draw(t, "answers")
+				seen.Count(g, func(c *Counts) { c.Answers += n; c.First[int(n)%buckets] += n })
+				all = append(all, told{fmt.Sprint(v), Evidence{}})
+				all[len(all)-1].e.Add(seen)
+			}
+			want.Add(seen)
+		}
+		order := rapid.Permutation(append(all, all...)).Draw(t, "order")
+		l := NewLedger()
+		for _, m := range order {
+			l.Merge(m.source, m.e)
+		}
+		got := l.Sum()
+		for g, c := range want {
+			if got[g] != c {
+				t.Fatalf("%v: %+v, want %+v", g, got[g], c)
+			}
+		}
+	})
+}
+
+// A phase never goes back, and a verdict stays unless the store says that the move is done.
+func TestPhasesOnlyAdvance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := Order{Service: "s", Version: "v2", Duration: 10 * time.Second}
+		phase := Trying
+		for range 30 {
+			next := o.Decide(phase, Known{
+				Age:     time.Duration(rapid.Int64Range(0, int64(20*time.Second)).Draw(t, "age")),
+				Finding: Finding{Strength: rapid.Float64Range(-5, 20).Draw(t, "strength"), Doubt: rapid.Float64Range(0, 20).Draw(t, "doubt")},
+				Answers: rapid.IntRange(0, 100).Draw(t, "answers"), NewListed: rapid.IntRange(0, 2).Draw(t, "new"),
+				OldListed: rapid.IntRange(0, 2).Draw(t, "old"), Drained: rapid.Bool().Draw(t, "drained"), Held: rapid.Bool().Draw(t, "held"),
+			})
+			if next < phase || phase.Final() && next != phase {
+				t.Fatalf("%v after %v", next, phase)
+			}
+			if next == Completed && phase == Trying {
+				t.Fatal("completed without a move")
+			}
+			phase = next
+		}
+	})
+}
+
+func TestDecisions(t *testing.T) {
+	o := Order{Service: "s", Version: "v2", Duration: 10 * time.Second}
+	calm := Known{Age: 8 * time.Second, Answers: 100, Longest: time.Second, NewListed: 5, OldListed: 5}
+	with := func(change func(*Known)) Known {
+		k := calm
+		change(&k)
+		return k
+	}
+	for _, c := range []struct {
+		name  string
+		phase Phase
+		known Known
+		want  Phase
+	}{
+		{"tried until it is time to move", Trying, with(func(k *Known) { k.Age = 5 * time.Second }), Trying},
+		{"moved in time", Trying, calm, Moving},
+		{"not moved while an operator holds it", Trying, with(func(k *Known) { k.Held = true }), Trying},
+		{"few answers: tried longer", Trying, with(func(k *Known) { k.Answers = 3; k.Age = 6900 * time.Millisecond }), Trying},
+		{"few answers, time short: moved", Trying, with(func(k *Known) { k.Answers = 3; k.Age = 8500 * time.Millisecond }), Moving},
+		{"suspect: tried longer", Trying, with(func(k *Known) { k.Finding.Doubt = 3; k.Age = 7 * time.Second }), Trying},
+		{"suspect, time short: moved", Trying, with(func(k *Known) { k.Finding.Doubt = 3; k.Age = 8500 * time.Millisecond }), Moving},
+		{"not trusted: not moved", Trying, with(func(k *Known) { k.Finding.Doubt = 8; k.Age = 9 * time.Second }), Trying},
+		{"not trusted to the end: rolled back", Trying, with(func(k *Known) { k.Finding.Doubt = 8; k.Age = 10 * time.Second }), RolledBack},
+		{"no endpoint of the version: waits", Trying, with(func(k *Known) { k.NewListed = 0 }), Trying},
+		{"no endpoint of the version to the end: rolled back", Trying, with(func(k *Known) { k.NewListed = 0; k.Age = 11 * time.Second }), RolledBack},
+		{"only the new version is there: moved", Trying, with(func(k *Known) { k.OldListed = 0; k.Age = 2 * time.Second }), Moving},
+		{"bad while moving: rolled back", Moving, with(func(k *Known) { k.Finding.Strength = 12; k.Drained = true }), RolledBack},
+		{"requests still run at the old version", Moving, calm, Moving},
+		{"nothing runs there any more, but there is time", Moving, with(func(k *Known) { k.Drained = true }), Moving},
+		{"nothing runs there any more, and time is over", Moving, with(func(k *Known) { k.Drained = true; k.Age = 9 * time.Second }), Completed},
+		{"suspect while moving: not completed yet", Moving, with(func(k *Known) { k.Drained = true; k.Age = 9 * time.Second; k.Finding.Doubt = 5 }), Moving},
+		{"suspect while moving, time short: completed", Moving, with(func(k *Known) { k.Drained = true; k.Age = 9600 * time.Millisecond; k.Finding.Doubt = 5 }), Completed},
+		{"not trusted while moving, time short: rolled back", Moving, with(func(k *Known) { k.Drained = true; k.Age = 9600 * time.Millisecond; k.Finding.Doubt = 8 }), RolledBack},
+		{"no old endpoint is left to wait for", Moving, with(func(k *Known) { k.Drained = true; k.OldListed = 0 }), Completed},
+		{"a verdict stays", RolledBack, with(func(k *Known) { k.Drained = true }), RolledBack},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(o.Decide(c.phase, c.known), c.want)
+		})
+	}
+}
+
+func TestTrialEndpoints(t *testing.T) {
+	is := is.New(t)
+	o := Order{Service: "s", Version: "v2"}
+	keys := make([]string, 112)
+	for i := range keys {
+		keys[i] = fmt.Sprint("e", i)
+	}
+	picked := o.TrialEndpoints(keys, 112, TrialShare(0.1))
+	is.Equal(len(picked), 8) // each gets about as many requests as one of the old version
+	slices.Reverse(keys)
+	is.Equal(o.TrialEndpoints(keys, 112, TrialShare(0.1)), picked) // in whatever order they are listed
+	is.Equal(len(o.TrialEndpoints(keys[:5], 9, TrialShare(0.1))), 2)
+	is.Equal(len(o.TrialEndpoints(keys[:1], 9, TrialShare(0.1))), 1)
+}
