Platform: orders and statuses of roll-outs, positions with eras, writes at an offset

Records bear where they lie: the store's era and the offset. A write can be bound to the end of the feed, so that the first verdict stands.

--- a/core/members/members.go
+++ b/core/members/members.go
@@ -19,10 +19,14 @@
 	Service       string
 	Address       string
 	FailureDomain string
-	Slots         int
-	Leaving       bool
+	// Version is that of the software it runs.
+	Version string
+	Slots   int
+	Leaving bool
 	// SlowStart is how much longer the endpoint stays slow after its start.
 	SlowStart time.Duration
+	// Trial says that it gets only requests that are chosen to try its version.
+	Trial bool
 }
 
 // Key names the incarnation: what is known of one, connections included, says nothing
@@ -80,6 +84,8 @@
 	// expires unless they come back.
 	missing bool
 	expires time.Duration
+	// warmAt is when the incarnation is no longer slow after its start.
+	warmAt time.Duration
 }
 
 // New returns an empty set.
@@ -128,7 +134,11 @@
 	case e.Leaving && !old.Leaving:
 		s.departures = append(s.departures, Departure{Key: e.Key(), Leaving: true})
 	}
-	s.known[c.ID] = &entry{Endpoint: e}
+	warmAt := now + e.SlowStart
+	if old != nil && old.Key() == e.Key() {
+		warmAt = old.warmAt
+	}
+	s.known[c.ID] = &entry{Endpoint: e, warmAt: warmAt}
 	s.remember(e)
 	s.changed()
 }
@@ -217,6 +227,12 @@
 	return known != nil && known.Key() == e.Key() && !known.Leaving
 }
 
+// Cold says whether an incarnation is still slow after its start.
+func (s *Set) Cold(now time.Duration, e *Endpoint) bool {
+	known := s.known[e.ID]
+	return known != nil && known.Key() == e.Key() && now < known.warmAt
+}
+
 // Expire drops lapsed entries that did not come back in time.
 func (s *Set) Expire(now time.Duration) {
 	for id, e := range s.known {
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chivefield/chivefield/core/members"
+	"github.com/chivefield/chivefield/core/rollout"
 	"github.com/chivefield/chivefield/core/routing"
 )
 
@@ -71,6 +72,20 @@
 	// Config returns nil without an error for a record that holds none.
 	Config(r Record) (*routing.Document, error)
 	Endpoint(r Record) (members.Change, error)
+	// Order returns nil without an error for a record that holds no order to move a service to
+	// another version.
+	Order(r Record) (*rollout.Order, error)
+	// RolloutStatus returns nil without an error for a record of FeedVMs that does not say how
+	// far an order is.
+	RolloutStatus(r Record) (*RolloutStatus, error)
+	// StatusRecord is the record of FeedVMs that says how far an order is.
+	StatusRecord(s RolloutStatus) (Record, error)
+}
+
+// RolloutStatus says how far the move of a service to a version is.
+type RolloutStatus struct {
+	Service, Version string
+	Phase            rollout.Phase
 }
 
 // Feed is one of the platform's sources of records.
@@ -91,6 +106,24 @@
 type Record struct {
 	Key   string
 	Value []byte
+	At    Position
+}
+
+// Position is a place in a feed.
+type Position struct {
+	// Era rises by one each time the store comes back from a copy of itself; offsets given
+	// out since that copy are given out again then.
+	Era uint64
+	// Offset counts the records of the feed.
+	Offset uint64
+}
+
+// Before says whether a position is older than another.
+func (p Position) Before(other Position) bool {
+	if p.Era != other.Era {
+		return p.Era < other.Era
+	}
+	return p.Offset < other.Offset
 }
 
 // Store is the platform's store.
@@ -102,6 +135,17 @@
 	Read(ctx context.Context, f Feed, from uint64, wait time.Duration) ([]Record, uint64, error)
 	// Write writes a record of FeedVMs; without a value the key is removed.
 	Write(ctx context.Context, key string, value []byte) error
+	// WriteAt writes a record of FeedVMs if the feed still ends at an offset; else it returns a
+	// ConflictError.
+	WriteAt(ctx context.Context, r Record, offset uint64) error
+}
+
+// ConflictError reports a write that was not made, since others were since.
+type ConflictError struct{ Offset uint64 }
+
+// Error describes the failure.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("the feed does not end at offset %d any more", e.Offset)
 }
 
 // TrimmedError reports records that the store no longer keeps.
