Entry VMs move services to other versions: trial, judges, verdict

What callers saw on the stand-ins before: half of the requests went to a version that failed 40% of them, for as long as it was listed; the operator was never told anything.

Cause: nothing read orders. Now a VM chooses by count which of its requests try the new version, as long as the share holds; one VM of each failure domain judges, one of these moves requests and writes the status, by a write that fails if another verdict came. Who does not know how far an order is uses the old version.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -39,6 +39,8 @@
 	// Request names what the caller repeats, Suspicion says how carefully it is placed.
 	Request   suspect.Digest
 	Suspicion Suspicion
+	// Trial says that the request is to try a new version of the service.
+	Trial bool
 
 	arrived time.Duration
 	// late says that the objective cannot be met any more; rank orders the queue.
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -37,7 +37,7 @@
 	for _, j := range sv.queue {
 		c := s.best(now, sv, j, seats)
 		// A request that can still be on time elsewhere waits for room there.
-		if c.ep == nil || !c.onTime && !j.late {
+		if c.ep == nil || !c.onTime && !j.late && !tries(j, c.ep) {
 			kept = append(kept, j)
 			continue
 		}
@@ -52,7 +52,7 @@
 func (s *Scheduler) seats(now time.Duration, sv *service) []seat {
 	var seats []seat
 	may := (*endpoint).fit
-	if !slices.ContainsFunc(sv.list, func(e *endpoint) bool { return e.sound(now) && !e.health.ejection.on }) {
+	if !slices.ContainsFunc(sv.list, func(e *endpoint) bool { return !e.Trial && e.sound(now) && !e.health.ejection.on }) {
 		may = (*endpoint).reachable
 	}
 	for _, e := range sv.list {
@@ -79,7 +79,7 @@
 // best picks the seat with the least score that the job has not tried yet.
 func (s *Scheduler) best(now time.Duration, sv *service, j *Job, seats []seat) (best candidate) {
 	for _, t := range seats {
-		if slices.Contains(j.Tried, t.ep.name) || slices.Contains(j.Avoided, t.ep.name) || !s.mayTry(j, t.ep) {
+		if slices.Contains(j.Tried, t.ep.name) || slices.Contains(j.Avoided, t.ep.name) || !s.mayTry(j, t.ep) || !admitsVersion(j, t.ep) {
 			continue
 		}
 		c := s.rate(now, sv, j, t.ep, t.load)
@@ -155,7 +155,9 @@
 
 // untried says whether an endpoint is left that the job has not tried.
 func (sv *service) untried(j *Job) bool {
-	return slices.ContainsFunc(sv.list, func(e *endpoint) bool { return !slices.Contains(j.Tried, e.name) })
+	return slices.ContainsFunc(sv.list, func(e *endpoint) bool {
+		return admitsVersion(j, e) && !slices.Contains(j.Tried, e.name)
+	})
 }
 
 // returnAfter is when a refused caller should return, on average. A time that grew with the
--- a/core/dispatch/remote.go
+++ b/core/dispatch/remote.go
@@ -23,6 +23,8 @@
 	Gone Unusable = "gone"
 	// NotReached: a probe from here failed.
 	NotReached Unusable = "not_reached"
+	// HeldBack: its version gets only requests that are chosen to try it.
+	HeldBack Unusable = "held_back"
 )
 
 // Adopt notes that another VM placed a job at the endpoint of that name, with the
@@ -36,6 +38,8 @@
 		return nil, NotListed
 	case e.health.gone:
 		return nil, Gone
+	case !admitsVersion(&j, e):
+		return nil, HeldBack
 	case e.health.unreachable():
 		return nil, NotReached
 	}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -58,6 +58,11 @@
 	// sent counts the endpoints that may have read the request.
 	sent  int
 	tried []uint64
+	// avoided are endpoints whose version may not get the request, trial says that it tries
+	// a new version, visit is the attempt under way.
+	avoided []uint64
+	trial   bool
+	visit   *visit
 	// ran says that an endpoint may have run it.
 	ran  bool
 	held int64
@@ -241,7 +246,7 @@
 	limit := now + time.Until(c.limit)
 	j := dispatch.Job{
 		Handle: c.d.lastHandle.Add(1), Service: c.service, Tier: c.route.Tier,
-		Prompt: c.call.Prompt, Events: c.events(), Tried: c.tried,
+		Prompt: c.call.Prompt, Events: c.events(), Tried: c.tried, Avoided: c.avoided,
 		Objective: arrived + c.route.Objective, Abandon: limit,
 		Request: c.digest, Suspicion: suspicionOf(c.d.suspects.look(c.digest)),
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -82,6 +82,7 @@
 	placing    *placing
 	remoteJobs *remoteJobs
 	suspects   *suspects
+	rollouts   *rollouts
 	shares     *sharing
 	pool       *upstream.Pool
 	idle       *idleLimit
@@ -124,6 +125,8 @@
 	d.placing, d.remoteJobs = newPlacing(d), newRemoteJobs(d)
 	d.sched.remote = d.remoteJobs.decided
 	d.suspects = newSuspects(d)
+	d.rollouts = newRollouts(d)
+	d.sched.usable = d.rollouts.usable
 	d.sched.departed = d.suspects.departed
 	d.sched.follow(d.set.Listen.Peers, false)
 	d.shares = newSharing(d.set, d.now)
@@ -177,6 +180,8 @@
 	group.Go(func() error { return d.followEndpoints(work) })
 	group.Go(func() error { return d.announce(work) })
 	group.Go(func() error { return d.suspects.keep(work) })
+	group.Go(func() error { return d.rollouts.keep(work) })
+	group.Go(func() error { return d.rollouts.follow(work) })
 	group.Go(func() error { return d.sched.tick(work) })
 	group.Go(func() error { return d.sweep(work) })
 	group.Go(func() error { return d.reload(work) })
@@ -231,7 +236,7 @@
 
 // noteInformed lets requests go on that wait for what a process must know.
 func (d *Daemon) noteInformed() {
-	if d.knowsAll() {
+	if d.knowsAll() && d.rollouts.allKnown() {
 		d.informedOnce.Do(func() { close(d.informed) })
 	}
 }
@@ -346,7 +351,8 @@
 }
 
 // reload reads the settings anew on request. Only what may change while the
-// process runs is taken over, which is the requests that are released; addresses stay.
+// process runs is taken over, which is the requests that are released and the services that are
+// not moved; addresses stay.
 func (d *Daemon) reload(ctx context.Context) error {
 	for {
 		select {
@@ -363,6 +369,7 @@
 			continue
 		}
 		d.suspects.release(set.Released)
+		d.rollouts.hold(set.Rollouts.Held)
 		d.log.Info().Msg("settings_reloaded")
 	}
 }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -36,9 +36,10 @@
 	again bool
 	// cut says that the connection broke under the request, or fell silent.
 	cut bool
-	// stopped says that the request was not sent, since it ends endpoints.
-	stopped bool
-	err     error
+	// stopped says that the request was not sent, since it ends endpoints, heldBack that it was
+	// not, since the endpoint's version may not get it.
+	stopped, heldBack bool
+	err               error
 }
 
 // run tries endpoints until the caller has an answer.
@@ -46,7 +47,13 @@
 	var last attempt
 	var s *stream
 	for try := 0; ; try++ {
-		dec, ok := c.d.placing.place(ctx, c.call.ID, c.jobFor(s))
+		j := c.jobFor(s)
+		j.Trial = c.d.rollouts.reserve(c.service)
+		dec, ok := c.d.placing.place(ctx, c.call.ID, j)
+		c.trial = j.Trial && dec.Endpoint != nil && dec.Endpoint.Trial
+		if j.Trial && !c.trial {
+			c.d.rollouts.giveBack(c.service)
+		}
 		if !ok {
 			c.giveUp(s)
 			return
@@ -68,6 +75,10 @@
 			c.end(s, reasonEndsEndpoints, 0)
 			return
 		}
+		if last.heldBack && try < maxAttempts {
+			c.avoided = append(c.avoided, dispatch.NameOf(dec.Endpoint.Key()))
+			continue
+		}
 		c.tried = append(c.tried, dispatch.NameOf(dec.Endpoint.Key()))
 		c.d.log.Info().Str("request", c.call.ID).Stringer("digest", c.digest).Str("endpoint", dec.Endpoint.ID).Stringer("outcome", last.outcome).
 			Int("sent", c.sent).Bool("ran", c.ran).Err(last.err).Msg("attempt_failed")
@@ -190,6 +201,12 @@
 		Body: c.body, HasBody: c.r.ContentLength != 0 || c.r.Header.Get("Content-Length") != "",
 		Mine: func(resp *http.Response) bool { return c.mine(resp) },
 	}
+	visit, ok := c.d.rollouts.begin(c, ep, c.trial)
+	if !ok {
+		return attempt{outcome: dispatch.Left, heldBack: true}
+	}
+	c.visit = visit
+	before := c.sent
 	tctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.d.sched.onRestart(dec.Handle, cancel)
@@ -200,6 +217,7 @@
 		a.outcome, a.again, a.cut = dispatch.Silent, true, true
 	}
 	c.d.suspects.tried(c, ep, sent, view.Generation, a)
+	visit.end(a, c.sent > before, before > 0)
 	return a
 }
 
@@ -278,6 +296,7 @@
 		time.Until(c.limit) > shortWait && c.d.shares.mayRepeat(c.service) {
 		return attempt{outcome: dispatch.Failed, again: true, err: &FailedAnswerError{Status: ans.StatusCode}}
 	}
+	c.visit.event()
 	c.d.placing.events(handle, 1)
 	c.write(ans.Response, body)
 	if ans.StatusCode >= http.StatusInternalServerError {
@@ -373,6 +392,7 @@
 			}
 			if len(whole) > 0 {
 				watch.sign()
+				s.c.visit.event()
 				s.c.d.placing.events(handle, s.split.Count)
 				if werr := s.send(ans.Response, whole); werr != nil {
 					return attempt{outcome: dispatch.Left, err: werr, delivered: true}
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -57,6 +57,7 @@
 		p.d.remoteJobs.sweep()
 		p.reconsider()
 		p.d.placing.choose()
+		p.d.rollouts.step()
 		p.tellOnce(i)
 	}
 }
@@ -68,6 +69,7 @@
 	n.Places, n.CpuShare = p.offers(), p.d.set.Limits.CpuShare
 	n.Registry = p.d.registry.position()
 	n.Members = uint32(len(p.d.remoteJobs.members()))
+	n.Rollouts = p.d.rollouts.describe()
 	if placer := p.d.placing.followed(); placer != nil {
 		n.Placer = placer.addr.String()
 	}
@@ -215,8 +217,10 @@
 	}
 	p.mu.Unlock()
 	p.d.suspects.told(n.Suspects)
+	p.d.rollouts.told(n.Rollouts)
+	p.d.rollouts.takeReports(n)
 	if started {
-		p.tellSuspects(pe)
+		p.tellStarted(pe)
 	}
 	p.takeRelayed(n)
 	if n.Loads {
--- a/entry/placing.go
+++ b/entry/placing.go
@@ -67,7 +67,7 @@
 
 // place finds an endpoint for a job of a caller's request; ok is false if ctx ended first.
 func (p *placing) place(ctx context.Context, request string, j dispatch.Job) (dec dispatch.Decision, ok bool) {
-	j.Avoided = p.d.sched.unreachable(j.Service)
+	j.Avoided = append(j.Avoided, p.d.sched.unreachable(j.Service)...)
 	for to := p.current(); to != nil; to = p.current() {
 		start := p.d.now()
 		dec, ok, alone := p.ask(ctx, to, j)
@@ -76,7 +76,7 @@
 		}
 		p.d.log.Info().Str("request", request).Str("placer", to.addr.String()).Str("reason", alone).
 			Uint64("endpoint_hash", dec.Name).Dur("asked_for", p.d.now()-start).Msg("placer_passed_over")
-		if dec.Name != 0 && len(j.Avoided) < maxAvoided {
+		if dec.Name != 0 && len(j.Avoided) < maxAvoided && alone != string(dispatch.HeldBack) {
 			// Asked anew, as another request: what is left of this one may be on its way.
 			j.Avoided = append(j.Avoided, dec.Name)
 			j.Handle = p.d.lastHandle.Add(1)
@@ -184,6 +184,9 @@
 // adopt takes over what the placer decided, unless this VM knows that the endpoint
 // may not be used.
 func (p *placing) adopt(to *peer, j dispatch.Job, m *schema.PlaceDecision) (dispatch.Decision, dispatch.Unusable) {
+	// While requests move, which go to the new version is the placer's to say: it may be some ms
+	// ahead of this VM, whose own list still holds the new endpoints back.
+	j.Trial = j.Trial || p.d.rollouts.moving(j.Service)
 	dec, why := p.d.sched.adopt(j, m.Endpoint, micros(m.PredictedUs), int(m.PromptTokens))
 	if dec == nil {
 		p.leave(to, j.Handle)
@@ -289,7 +292,7 @@
 		Handle: j.Handle, Service: j.Service, Tier: int32(j.Tier), Prompt: uint32(j.Prompt), Events: uint32(j.Events),
 		ObjectiveUs: (j.Objective - now).Microseconds(), AbandonUs: (j.Abandon - now).Microseconds(),
 		MaxPauseUs: uint64(j.MaxPause.Microseconds()), Tried: j.Tried, Avoided: j.Avoided,
-		FailureDomain: p.d.set.Vm.FailureDomain, Digest: j.Request[:], Suspicion: uint32(j.Suspicion),
+		FailureDomain: p.d.set.Vm.FailureDomain, Digest: j.Request[:], Suspicion: uint32(j.Suspicion), Trial: j.Trial,
 	}
 	if j.Limit > 0 {
 		m.LimitUs = (j.Limit - now).Microseconds()
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -205,7 +205,7 @@
 }
 
 // fetchConfig asks a VM for the configuration that it serves by.
-func (p *peers) fetchConfig(ctx context.Context, h configHint) (*Record, error) {
+func (p *peers) fetchConfig(ctx context.Context, h configHint) (*Record, []*schema.Rollout, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var have uint64
@@ -215,9 +215,9 @@
 	client := schema.NewRelayProtobufClient("http://"+h.address, p.client)
 	reply, err := client.Config(ctx, &schema.ConfigRequest{NewerThan: have})
 	if err != nil || reply.Record == nil {
-		return nil, err
+		return nil, reply.GetRollouts(), err
 	}
-	return &Record{Key: reply.Record.Key, Value: reply.Record.Value}, nil
+	return &Record{Key: reply.Record.Key, Value: reply.Record.Value}, reply.Rollouts, nil
 }
 
 // relayServer answers other VMs.
@@ -231,5 +231,5 @@
 	if t == nil || rec == nil || t.Document.Version <= r.NewerThan {
 		return &schema.ConfigReply{}, nil
 	}
-	return &schema.ConfigReply{Record: &schema.StoreRecord{Key: rec.Key, Value: rec.Value}}, nil
+	return &schema.ConfigReply{Record: &schema.StoreRecord{Key: rec.Key, Value: rec.Value}, Rollouts: s.d.rollouts.describe()}, nil
 }
--- a/entry/remote_jobs.go
+++ b/entry/remote_jobs.go
@@ -253,7 +253,7 @@
 		Handle: m.Handle, Service: m.Service, Tier: int(m.Tier), Prompt: int(m.Prompt), Events: int(m.Events),
 		Objective: now + time.Duration(m.ObjectiveUs)*time.Microsecond, Abandon: now + time.Duration(m.AbandonUs)*time.Microsecond,
 		MaxPause: micros(m.MaxPauseUs), Tried: m.Tried, Avoided: m.Avoided, Remote: true, Domain: m.FailureDomain,
-		Request: digestOf(m.Digest), Suspicion: dispatch.Suspicion(min(m.Suspicion, uint32(dispatch.OnTrial))),
+		Request: digestOf(m.Digest), Suspicion: dispatch.Suspicion(min(m.Suspicion, uint32(dispatch.OnTrial))), Trial: m.Trial,
 	}
 	if m.LimitUs != 0 {
 		j.Limit = now + time.Duration(m.LimitUs)*time.Microsecond
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -30,6 +30,8 @@
 	// noteEjection logs an ejection or its end.
 	noteEjection func(dispatch.EjectionChange)
 	table        *routing.Table
+	// usable are those of a service's endpoints that may get requests.
+	usable func(now time.Duration, service string, list []*members.Endpoint) []*members.Endpoint
 	// remote takes decisions on requests of other VMs.
 	remote  func(dispatch.Decision) bool
 	waiters map[uint64]chan dispatch.Decision
@@ -237,6 +239,21 @@
 	s.sched.Doubt(s.now(), key)
 }
 
+// resync takes over a change of what endpoints may be used for.
+func (s *scheduling) resync() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version = 0
+	s.syncEndpoints()
+}
+
+// cold says whether an endpoint is still slow after its start.
+func (s *scheduling) cold(e *members.Endpoint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.Cold(s.now(), e)
+}
+
 // syncEndpoints gives the scheduler the usable endpoints if they changed.
 func (s *scheduling) syncEndpoints() {
 	if s.table == nil || s.version == s.members.Version() && s.version != 0 {
@@ -247,7 +264,8 @@
 		if sv.Engine != nil {
 			s.sched.SetEventTokens(sv.Name, sv.Engine.TokensPerEvent)
 		}
-		s.deliver(s.sched.SetEndpoints(s.now(), sv.Name, s.members.Usable(sv.Name), sv.Engine != nil))
+		usable := s.usable(s.now(), sv.Name, s.members.Usable(sv.Name))
+		s.deliver(s.sched.SetEndpoints(s.now(), sv.Name, usable, sv.Engine != nil))
 	}
 	for _, h := range s.sched.Restarted() {
 		if cancel := s.attempts[h]; cancel != nil {
--- a/entry/suspect_notes.go
+++ b/entry/suspect_notes.go
@@ -116,15 +116,14 @@
 	p.writeAll(p.encode(n), slices.Concat(to.Loads, to.State, to.Heartbeats))
 }
 
-// tellSuspects tells a process that was not heard before what matters most.
-func (p *peers) tellSuspects(pe *peer) {
-	list := p.d.suspects.worst()
-	if len(list) == 0 {
-		return
-	}
+// tellStarted tells a process that was not heard before what it must not learn late: which
+// requests end endpoints, and which versions get few requests.
+func (p *peers) tellStarted(pe *peer) {
 	n := p.note()
-	n.Suspects = list
-	p.send(n, pe.addr)
+	n.Suspects, n.Rollouts = p.d.suspects.worst(), p.d.rollouts.describe()
+	if len(n.Suspects)+len(n.Rollouts) > 0 {
+		p.send(n, pe.addr)
+	}
 }
 
 // isSuspect says whether a record of the store is a convicted request's.
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -258,6 +258,14 @@
 	s.note(learnedSeen)
 }
 
+// hasEnded says whether an incarnation is known to have ended.
+func (s *suspects) hasEnded(ep *members.Endpoint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ended := s.ended[dispatch.NameOf(ep.Key())]
+	return ended
+}
+
 // departed takes in what the registry says.
 func (s *suspects) departed(list []members.Departure) {
 	for _, dep := range list {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -176,6 +176,8 @@
 		}
 		again.succeeded()
 		asked = true
+		// Orders first: a service that moves must not use its new endpoints before.
+		d.rollouts.takeRecords(records)
 		for _, r := range records {
 			d.takeConfig(r)
 		}
@@ -196,11 +198,12 @@
 			if t := d.table.Load(); t != nil && t.Document.Version >= h.version {
 				continue
 			}
-			r, err := d.peers.fetchConfig(ctx, h)
+			r, orders, err := d.peers.fetchConfig(ctx, h)
 			if err != nil {
 				d.log.Warn().Str("from", h.address).Uint64("version", h.version).Err(err).Msg("config_fetch_failed")
 				continue
 			}
+			d.rollouts.told(orders)
 			if r != nil {
 				d.takeConfig(*r)
 			}
@@ -308,9 +311,11 @@
 
 func (d *Daemon) learnVMs(records []Record) {
 	d.suspects.learn(records)
+	d.rollouts.learn(records)
+	d.noteInformed()
 	var entries []string
 	for _, r := range records {
-		if len(r.Value) > 0 && !isSuspect(r) {
+		if len(r.Value) > 0 && !isSuspect(r) && !d.isStatus(r) {
 			entries = append(entries, string(r.Value))
 		}
 	}
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -136,6 +136,11 @@
 	is.Equal(readers, 1)
 }
 
+// noStatuses is a codec that finds no statuses of roll-outs among the records of VMs.
+type noStatuses struct{ Codec }
+
+func (noStatuses) RolloutStatus(Record) (*RolloutStatus, error) { return nil, nil }
+
 // restartStore has the record that this VM's process before wrote, beside another's.
 type restartStore struct {
 	callLog
@@ -166,7 +171,7 @@
 		set := testSettings(t, false)
 		ctx, stop := context.WithCancel(context.Background())
 		s := &restartStore{callLog{stop: stop}, own}
-		d := New(Options{Settings: set, Log: logging.New(io.Discard), Store: s})
+		d := New(Options{Settings: set, Log: logging.New(io.Discard), Store: s, Codec: noStatuses{}})
 		is.NoErr(d.announce(ctx))
 		is.Equal(s.calls, calls)
 		is.Equal(len(d.peers.names()), 2+len(calls)-2)
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -19,6 +19,7 @@
 	defaultInForce          = 3 * time.Second
 	defaultDrain            = 3 * time.Second
 	defaultGrace            = 8 * time.Second
+	defaultExposure         = 0.1
 	defaultWindow           = 10 * time.Second
 	minGrace                = 2 * time.Second
 )
@@ -70,6 +71,8 @@
 	section(&raw.Bounds)
 	section(&raw.Experiments)
 	section(&raw.Suspects)
+	section(&raw.Rollouts)
+	number(&raw.Bounds.ExposureShare, defaultExposure)
 	number(&raw.Limits.MemoryMb, defaultEntryMemory)
 	number(&raw.Limits.MaxDescriptors, defaultEntryDescriptors)
 	e := &Entry{
@@ -113,6 +116,9 @@
 	c.notNegative("bounds.retry_slack", raw.Bounds.RetrySlack)
 	c.notNegative("bounds.allowance_over", raw.Bounds.AllowanceOver)
 	c.notNegative("bounds.allowance_slack", raw.Bounds.AllowanceSlack)
+	if raw.Bounds.ExposureShare < 0 || raw.Bounds.ExposureShare > 1 {
+		c.fault("bounds.exposure_share", "must be from 0 to 1")
+	}
 	c.address("listen.callers", raw.Listen.Callers)
 	c.address("listen.ready", raw.Listen.Ready)
 	c.address("listen.peers", raw.Listen.Peers)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -133,7 +133,7 @@
 	}
 }
 
-func number(p *uint32, def uint32) {
+func number[T uint32 | float64](p *T, def T) {
 	if *p == 0 {
 		*p = def
 	}
