Registry that comes back from a copy: who left stays out, who lives stays in use

Cause: what the registry lists was taken for newer than what is known. Departed incarnations are remembered; one is used again when it writes itself, not because a copy still lists it (for 10 s: the registry drops what is silent for three heartbeats). What a copy lacks stays for 2.5 s, as after an outage.

go test ./core/members: the two new tests fail without Restore (they do not compile; with Restore doing nothing the first has gone and lacks new).

--- a/core/members/members.go
+++ b/core/members/members.go
@@ -65,6 +65,12 @@
 	// of an earlier incarnation may come late, from a VM that lags.
 	latest     map[string]int64
 	departures []Departure
+	// departed are the keys of incarnations that are gone, by id. A registry that comes back
+	// from a copy lists them again, as they were some seconds ago.
+	departed map[string]string
+	// copied is when it last did.
+	copied    time.Duration
+	wasCopied bool
 }
 
 // Departure is an incarnation that may not get requests any more.
@@ -74,6 +80,10 @@
 	Leaving bool
 }
 
+// ghostsFor is how long after the registry came back from a copy incarnations that are gone may
+// still be listed: it drops what is silent for three heartbeats.
+const ghostsFor = 10 * time.Second
+
 // mostLatest bounds the starts kept of ids that are gone: beyond it those are dropped,
 // which are long past any late record.
 const mostLatest = 4096
@@ -89,7 +99,9 @@
 }
 
 // New returns an empty set.
-func New() *Set { return &Set{known: make(map[string]*entry), latest: make(map[string]int64)} }
+func New() *Set {
+	return &Set{known: make(map[string]*entry), latest: make(map[string]int64), departed: make(map[string]string)}
+}
 
 // Version grows whenever the usable endpoints change.
 func (s *Set) Version() uint64 { return s.version }
@@ -104,8 +116,13 @@
 	}
 }
 
-// Apply takes in one record of the registry.
+// Apply takes in one record of the registry that was written since the last.
 func (s *Set) Apply(now time.Duration, c Change) {
+	delete(s.departed, c.ID)
+	s.apply(now, c)
+}
+
+func (s *Set) apply(now time.Duration, c Change) {
 	if c.Unreadable {
 		s.drop(c.ID)
 		return
@@ -169,6 +186,27 @@
 	s.changed()
 }
 
+// Restore says that the registry came back from a copy of itself that is some seconds old. What
+// was known outlasts it: an incarnation that left stays out though it is listed again, and one
+// that lives is used though it is missing, until it has had time to be listed again, as after an
+// outage. What is there follows by Replace or ApplyCopied.
+func (s *Set) Restore(now time.Duration) {
+	s.away, s.everAway, s.returned = false, true, now
+	s.copied, s.wasCopied = now, true
+}
+
+// isGhost says whether a record is of an incarnation that is gone, as a copy still lists it.
+func (s *Set) isGhost(now time.Duration, c Change) bool {
+	return c.Endpoint != nil && s.wasCopied && now < s.copied+ghostsFor && s.departed[c.ID] == c.Endpoint.Key()
+}
+
+// ApplyCopied takes in a record that may be as old as the copy from which the registry came back.
+func (s *Set) ApplyCopied(now time.Duration, c Change) {
+	if !s.isGhost(now, c) {
+		s.apply(now, c)
+	}
+}
+
 // Replace takes in the whole registry: what is not in list was removed.
 func (s *Set) Replace(now time.Duration, list []Change) {
 	present := make(map[string]bool, len(list))
@@ -176,7 +214,7 @@
 		if c.Endpoint != nil {
 			present[c.ID] = true
 		}
-		s.Apply(now, c)
+		s.ApplyCopied(now, c)
 	}
 	for id := range s.known {
 		if !present[id] {
@@ -209,6 +247,10 @@
 
 // depart notes that an incarnation is gone. One that was leaving was noted then.
 func (s *Set) depart(e *entry) {
+	s.departed[e.ID] = e.Key()
+	if len(s.departed) > mostLatest {
+		clear(s.departed)
+	}
 	if !e.Leaving {
 		s.departures = append(s.departures, Departure{Key: e.Key()})
 	}
--- a/core/members/members_test.go
+++ b/core/members/members_test.go
@@ -108,3 +108,43 @@
 	s.Expire(time.Second + returnGrace)
 	is.Equal(s.Departures(), []Departure{{Key: "restarts@2"}})
 }
+
+// Symptom: requests went to endpoints that had left, and none to others that lived, after the
+// registry came back from a copy of some seconds before. Sequence: one endpoint announces that it
+// leaves, one is gone, one is new; the copy lists the first two as ready and not the third.
+// Cause: what the registry said was taken for newer than what was known.
+func TestRegistryComesBackFromACopy(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	s.Replace(0, []Change{ep("leaving", false), ep("gone", false), ep("stays", false)})
+	s.Apply(0, ep("leaving", true))
+	s.Apply(0, Change{ID: "gone"})
+	s.Apply(0, ep("new", false))
+	at := time.Minute
+	s.Restore(at)
+	s.Replace(at, []Change{ep("leaving", false), ep("gone", false), ep("stays", false)})
+	is.Equal(ids(s), []string{"new", "stays"})
+	s.Expire(at + 2*time.Second)
+	is.Equal(ids(s), []string{"new", "stays"})
+	// Another whole list of that time says nothing new of those that are gone.
+	s.Replace(at+time.Second, []Change{ep("gone", false), ep("stays", false), ep("new", false)})
+	is.Equal(ids(s), []string{"new", "stays"})
+	// What an endpoint writes itself since then holds.
+	s.Apply(at+time.Second, ep("gone", false))
+	is.Equal(ids(s), []string{"gone", "new", "stays"})
+}
+
+// One that is still missing some seconds after a copy is gone, and one that is listed long after
+// it is not the copy's.
+func TestWhatACopyLacksIsGoneAfterAWhile(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	s.Replace(0, []Change{ep("a", false), ep("b", false)})
+	s.Restore(time.Minute)
+	s.Replace(time.Minute, []Change{ep("a", false)})
+	is.Equal(ids(s), []string{"a", "b"})
+	s.Expire(time.Minute + 3*time.Second)
+	is.Equal(ids(s), []string{"a"})
+	s.Replace(2*time.Minute, []Change{ep("a", false), ep("b", false)})
+	is.Equal(ids(s), []string{"a", "b"})
+}
