The store comes back from a copy: eras in every position, records written again

Cause: offsets were compared without the era in which they were given out, and several pieces rested on the store losing nothing. Now each feed notices the era of each answer and reads all again; one VM of each failure domain passes on what differs, so that not all read in the same second; what the VMs had written is written again in one call of one VM for its failure domain. What is kept for restarts is taken only by a record of the same era, and a list of VMs divides allowances only if each failure domain has marked it as whole.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,12 +83,15 @@
 	remoteJobs *remoteJobs
 	suspects   *suspects
 	rollouts   *rollouts
-	shares     *sharing
-	pool       *upstream.Pool
-	idle       *idleLimit
-	bodies     *memoryBudget
-	metrics    metrics.Registry
-	peers      *peers
+	eras       *eras
+	// startedAt is when the process started, by the VM's clock.
+	startedAt time.Time
+	shares    *sharing
+	pool      *upstream.Pool
+	idle      *idleLimit
+	bodies    *memoryBudget
+	metrics   metrics.Registry
+	peers     *peers
 }
 
 const (
@@ -115,7 +118,7 @@
 	}
 	d := &Daemon{
 		opts: opts, set: opts.Settings, log: opts.Log, codec: opts.Codec, start: time.Now(),
-		metrics: metrics.NewRegistry(), idle: newIdleLimit(), unreadable: make(map[string]string), informed: make(chan struct{}),
+		metrics: metrics.NewRegistry(), eras: newEras(), startedAt: time.Now(), idle: newIdleLimit(), unreadable: make(map[string]string), informed: make(chan struct{}),
 	}
 	d.pool = upstream.NewPool(opts.Dial, maxIdlePerEndpoint)
 	d.bodies = newMemoryBudget(int64(float64(d.set.Limits.MemoryMb) * bodyShare * (1 << 20)))
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -45,7 +45,7 @@
 // NoSourceError reports that no VM could tell the registry of endpoints as of an offset.
 type NoSourceError struct {
 	Address string
-	Offset  uint64
+	At      Position
 }
 
 // Error describes the failure.
@@ -53,7 +53,7 @@
 	if e.Address != "" {
 		return "VM " + e.Address + " does not tell the registry"
 	}
-	return fmt.Sprintf("no VM knows the registry up to offset %d", e.Offset)
+	return fmt.Sprintf("no VM knows the registry up to offset %d of era %d", e.At.Offset, e.At.Era)
 }
 
 // VMRecordError reports a record of a VM that cannot be understood.
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -67,7 +67,8 @@
 	n := p.note()
 	n.Number = i + 1
 	n.Places, n.CpuShare = p.offers(), p.d.set.Limits.CpuShare
-	n.Registry = p.d.registry.position()
+	at := p.d.registry.position()
+	n.Registry, n.RegistryEra = at.Offset, at.Era
 	n.Members = uint32(len(p.d.remoteJobs.members()))
 	n.Rollouts = p.d.rollouts.describe()
 	if placer := p.d.placing.followed(); placer != nil {
@@ -204,7 +205,7 @@
 	started := false
 	if pe != nil {
 		started = pe.incarnation != n.Incarnation
-		pe.incarnation = n.Incarnation
+		pe.incarnation, pe.name = n.Incarnation, n.Vm
 		pe.hear(p.d.now())
 		pe.followsConfig, pe.storeLost = n.FollowsConfig, n.StoreLost
 		if placer := p.addrs[n.Placer]; placer != nil {
@@ -212,10 +213,13 @@
 		}
 		if n.Number > 0 {
 			pe.places, pe.share, pe.asks, pe.members = n.Places, n.CpuShare, n.Placer != "", int(n.Members)
-			pe.registry = n.Registry
+			pe.registry = Position{Era: n.RegistryEra, Offset: n.Registry}
 		}
 	}
 	p.mu.Unlock()
+	if n.Registry > 0 {
+		p.d.noteEra(n.RegistryEra)
+	}
 	p.d.suspects.told(n.Suspects)
 	p.d.rollouts.told(n.Rollouts)
 	p.d.rollouts.takeReports(n)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -66,7 +68,9 @@
 }
 
 type peer struct {
-	addr   *net.UDPAddr
+	addr *net.UDPAddr
+	// name is empty if it was never told.
+	name   string
 	domain string
 	// learned is when this VM learned of it.
 	learned time.Duration
@@ -85,7 +89,7 @@
 	members int
 	// named is when a VM last said that this one places its requests, 0 for never.
 	named    time.Duration
-	registry uint64
+	registry Position
 	// avoidUntil is until when it is not asked for places.
 	avoidUntil time.Duration
 	// silent says that it was this VM's placer and fell silent.
@@ -160,28 +164,55 @@
 	allowance.VM
 	// started is by the VM's clock; zero if the record does not say.
 	started time.Time
+	// era is the store's when the record was written.
+	era uint64
 }
 
-// String is the record as it is written: the entry and Unix milliseconds.
+// String is the record as it is written: the entry, Unix milliseconds and the era, if there was
+// another before.
 func (r vmRecord) String() string {
-	return entryOf(r.VM) + " " + strconv.FormatInt(r.started.UnixMilli(), 10)
+	var started int64
+	if !r.started.IsZero() {
+		started = r.started.UnixMilli()
+	}
+	s := entryOf(r.VM) + " " + strconv.FormatInt(started, 10)
+	if r.era > 0 {
+		s += " " + strconv.FormatUint(r.era, 10)
+	}
+	return s
 }
 
+// Fields of a record of a VM, in order.
+const (
+	fieldAddress = iota
+	fieldDomain
+	fieldStarted
+	fieldEra
+)
+
 // parseVMRecord reads an entry of a list of VMs or a record of the store.
 func parseVMRecord(s string) (vmRecord, error) {
 	fields := strings.Fields(s)
-	if len(fields) < 2 {
+	if len(fields) <= fieldDomain {
 		return vmRecord{}, &VMRecordError{Record: s}
 	}
-	r := vmRecord{VM: allowance.VM{Address: fields[0], Domain: fields[1]}}
-	if len(fields) == 2 {
-		return r, nil
+	r := vmRecord{VM: allowance.VM{Address: fields[fieldAddress], Domain: fields[fieldDomain]}}
+	if len(fields) > fieldStarted {
+		ms, err := strconv.ParseInt(fields[fieldStarted], 10, 64)
+		if err != nil {
+			return vmRecord{}, &VMRecordError{Record: s}
+		}
+		if ms != 0 {
+			r.started = time.UnixMilli(ms)
+		}
 	}
-	ms, err := strconv.ParseInt(fields[2], 10, 64)
-	if err != nil {
-		return vmRecord{}, &VMRecordError{Record: s}
+	if len(fields) > fieldEra {
+		era, err := strconv.ParseUint(fields[fieldEra], 10, 64)
+		if err != nil {
+			return vmRecord{}, &VMRecordError{Record: s}
+		}
+		r.era = era
 	}
-	r.started = time.UnixMilli(ms)
 	return r, nil
 }
 
@@ -192,7 +223,28 @@
 	p.learnList(entries)
 }
 
+// learnNamed takes in the list of VMs by name as the store has it; complete says that none is
+// missing there.
+func (p *peers) learnNamed(records map[string]string, complete bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.learnEntries(slices.Collect(maps.Values(records)))
+	p.complete = p.complete || complete
+	p.share()
+	for name, value := range records {
+		if r, err := parseVMRecord(value); err == nil && p.addrs[r.Address] != nil {
+			p.addrs[r.Address].name = name
+		}
+	}
+}
+
 func (p *peers) learnList(entries []string) {
+	p.learnEntries(entries)
+	p.complete = true
+	p.share()
+}
+
+func (p *peers) learnEntries(entries []string) {
 	for _, e := range entries {
 		r, err := parseVMRecord(e)
 		if err != nil {
@@ -201,8 +253,6 @@
 		}
 		p.learn(r.VM)
 	}
-	p.complete = true
-	p.share()
 }
 
 // share tells the parts that divide amounts among all VMs who they are, if one came.
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"bytes"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -16,8 +18,8 @@
 type registry struct {
 	mu      sync.Mutex
 	records map[string]Record
-	// next is the offset to read on from; known says that the records are whole.
-	next  uint64
+	// next is where to read on; known says that the records are whole.
+	next  Position
 	known bool
 	// serving counts VMs that are being served.
 	serving int
@@ -32,7 +34,7 @@
 )
 
 // take takes in records; whole says that they are all.
-func (g *registry) take(records []Record, whole bool, next uint64) {
+func (g *registry) take(records []Record, whole bool, next Position) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if whole {
@@ -59,12 +61,12 @@
 	g.known = false
 }
 
-// position is the offset up to which this VM knows the registry; 0 if it does not.
-func (g *registry) position() uint64 {
+// position is up to where this VM knows the registry; zero if it does not.
+func (g *registry) position() Position {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.known {
-		return 0
+		return Position{}
 	}
 	return g.next
 }
@@ -77,7 +79,7 @@
 		return nil
 	}
 	g.serving++
-	reply := &schema.EndpointsReply{Known: true, Next: g.next}
+	reply := &schema.EndpointsReply{Known: true, Next: g.next.Offset, Era: g.next.Era}
 	for _, r := range g.records {
 		reply.Records = append(reply.Records, &schema.StoreRecord{Key: r.Key, Value: r.Value})
 	}
@@ -104,44 +106,44 @@
 // servingTime is how long one answer is taken to be on its way.
 const servingTime = 50 * time.Millisecond
 
-// fetchEndpoints gets the whole registry, as of an offset or later, from a VM that
-// knows it, the one that spoke of the offset among them.
-func (p *peers) fetchEndpoints(ctx context.Context, offset uint64, speaker string) ([]Record, uint64, error) {
-	err := error(&NoSourceError{Offset: offset})
-	for _, address := range p.sourcesOf(offset, speaker) {
+// fetchEndpoints gets the whole registry, as of a position or later, from a VM that
+// knows it, the one that spoke of the position among them.
+func (p *peers) fetchEndpoints(ctx context.Context, at Position, speaker string) ([]Record, Position, error) {
+	err := error(&NoSourceError{At: at})
+	for _, address := range p.sourcesOf(at, speaker) {
 		records, next, ferr := p.fetchEndpointsFrom(ctx, address)
-		if ferr == nil && next >= offset {
+		if ferr == nil && !next.Before(at) {
 			return records, next, nil
 		}
 		if ferr != nil {
 			err = ferr
 		}
 	}
-	return nil, 0, err
+	return nil, Position{}, err
 }
 
-func (p *peers) fetchEndpointsFrom(ctx context.Context, address string) ([]Record, uint64, error) {
+func (p *peers) fetchEndpointsFrom(ctx context.Context, address string) ([]Record, Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	reply, err := schema.NewRelayProtobufClient("http://"+address, p.client).Endpoints(ctx, &schema.EndpointsRequest{})
 	if err != nil {
-		return nil, 0, err
+		return nil, Position{}, err
 	}
 	if !reply.Known {
-		return nil, 0, &NoSourceError{Address: address}
+		return nil, Position{}, &NoSourceError{Address: address}
 	}
-	return relayed(reply.Records), reply.Next, nil
+	return relayed(reply.Records), Position{Era: reply.Era, Offset: reply.Next}, nil
 }
 
-// sourcesOf are VMs of the own failure domain that know the registry up to an offset,
+// sourcesOf are VMs of the own failure domain that know the registry up to a position,
 // in any order.
-func (p *peers) sourcesOf(offset uint64, speaker string) []string {
+func (p *peers) sourcesOf(at Position, speaker string) []string {
 	now := p.d.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := []string{speaker}
 	for a, pe := range p.addrs {
-		if a != speaker && pe.domain == p.d.set.Vm.FailureDomain && pe.heardLately(now) && pe.registry >= offset {
+		if a != speaker && pe.domain == p.d.set.Vm.FailureDomain && pe.heardLately(now) && !pe.registry.Before(at) {
 			list = append(list, a)
 		}
 	}
@@ -171,8 +173,8 @@
 			continue
 		case <-read.C:
 		}
-		from := c.next
-		records, whole, err := c.read(ctx, 0)
+		before := c.next
+		got, err := c.read(ctx, 0)
 		d.noteStore(&dep, "endpoints", err)
 		if err != nil {
 			d.registryLostAt.Store(int64(d.now()))
@@ -183,13 +185,13 @@
 		}
 		again.succeeded()
 		d.registryLostAt.Store(0)
-		if whole {
-			from = c.next
-			d.log.Info().Uint64("offset", c.next).Int("endpoints", len(records)).Msg("registry_read")
+		if got.whole {
+			d.log.Info().Uint64("era", c.next.Era).Uint64("offset", c.next.Offset).Bool("copied", got.copied).
+				Int("endpoints", len(got.records)).Msg("registry_read")
 		}
-		changed := d.takeEndpoints(records, whole, c.next)
+		parts := d.takeReading(got, before, c.next)
 		if d.peers.reads() {
-			d.peers.relay(partsOf(from, c.next, records, changed))
+			d.peers.relay(parts)
 			read.Reset(spread(d.endpointsEvery()))
 		} else {
 			read.Reset(spread(d.relaySilence()))
@@ -197,6 +199,55 @@
 	}
 }
 
+// takeReading takes in what was read of the registry from one position to another, and returns
+// what is to be passed on.
+func (d *Daemon) takeReading(got reading, before, next Position) []*schema.EndpointRelay {
+	d.noteEra(next.Era)
+	var copied *schema.EndpointRelay
+	if got.copied {
+		copied = d.registry.difference(got.records, before, next)
+	}
+	changed := d.takeEndpoints(got, next)
+	switch {
+	case copied != nil:
+		return []*schema.EndpointRelay{copied}
+	case got.whole:
+		before = next
+	}
+	return partsOf(before.Offset, next, got.records, changed)
+}
+
+// difference is what a registry that came back from a copy says else than what was known, for the
+// VMs that knew the same: the whole of it would be read by all of them in the same second. If it is
+// too long for a note they are told the position alone, and look for themselves.
+func (g *registry) difference(records []Record, before, next Position) *schema.EndpointRelay {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	part := &schema.EndpointRelay{From: next.Offset, Next: next.Offset, Era: next.Era}
+	if !g.known || g.next != before {
+		return part
+	}
+	missing := maps.Clone(g.records)
+	size := 0
+	for _, r := range records {
+		if known, ok := missing[r.Key]; !ok || !bytes.Equal(known.Value, r.Value) {
+			part.Records = append(part.Records, &schema.StoreRecord{Key: r.Key, Value: r.Value})
+			size += len(r.Key) + len(r.Value)
+		}
+		delete(missing, r.Key)
+	}
+	for key := range missing {
+		part.Records = append(part.Records, &schema.StoreRecord{Key: key})
+		size += len(key)
+	}
+	if size > relayBytes {
+		part.Records = nil
+		return part
+	}
+	part.Before = &schema.StorePosition{Era: before.Era, Offset: before.Offset}
+	return part
+}
+
 // storeLostFor is how long a VM that could not read the registry leaves the reading for
 // its failure domain to others.
 const storeLostFor = 5 * time.Second
@@ -211,24 +262,37 @@
 // on from the store, which is little; if it cannot, it gets everything from a VM that has
 // not missed it. It reports false if the store should be read.
 func (d *Daemon) takeRelay(ctx context.Context, c *cursor, r relay) bool {
-	if c.known && r.From <= c.next {
-		if r.Next >= c.next {
-			c.next = r.Next
-			d.takeEndpoints(relayed(r.Records), false, c.next)
+	next := Position{Era: r.Era, Offset: r.Next}
+	switch {
+	case r.Era < c.next.Era:
+		// The sender has not heard yet that the store came back from a copy.
+		return true
+	case c.known && r.Era == c.next.Era && r.From <= c.next.Offset:
+		if !next.Before(c.next) {
+			c.next = next
+			d.takeEndpoints(reading{records: relayed(r.Records)}, next)
 		}
 		return true
+	case c.known && r.Before != nil && c.next == (Position{Era: r.Before.Era, Offset: r.Before.Offset}):
+		c.next = next
+		d.noteEra(next.Era)
+		d.takeEndpoints(reading{records: relayed(r.Records), copied: true}, next)
+		d.log.Info().Uint64("era", next.Era).Uint64("offset", next.Offset).Int("changes", len(r.Records)).Msg("registry_copy_told")
+		return true
 	}
 	if !d.registryLost(d.now()) {
 		return false
 	}
-	records, next, err := d.peers.fetchEndpoints(ctx, r.Next, r.from)
+	records, fetched, err := d.peers.fetchEndpoints(ctx, next, r.from)
 	if err != nil {
-		d.log.Info().Str("from", r.from).Uint64("offset", r.Next).Err(err).Msg("registry_fetch_failed")
+		d.log.Info().Str("from", r.from).Uint64("era", next.Era).Uint64("offset", r.Next).Err(err).Msg("registry_fetch_failed")
 		return c.known
 	}
-	c.next, c.known = next, true
-	d.takeEndpoints(records, true, next)
-	d.log.Info().Uint64("offset", next).Int("endpoints", len(records)).Msg("registry_fetched")
+	copied := c.began && fetched.Era > c.next.Era
+	c.next, c.known, c.began = fetched, true, true
+	d.noteEra(fetched.Era)
+	d.takeEndpoints(reading{records: records, whole: true, copied: copied}, fetched)
+	d.log.Info().Uint64("era", fetched.Era).Uint64("offset", fetched.Offset).Int("endpoints", len(records)).Msg("registry_fetched")
 	return true
 }
 
@@ -240,12 +304,12 @@
 	return records
 }
 
-// takeEndpoints takes records of the registry in, and returns which of them changed
+// takeEndpoints takes in what was read of the registry, and returns which of the records changed
 // something, by index.
-func (d *Daemon) takeEndpoints(records []Record, whole bool, next uint64) (changed []int) {
-	d.registry.take(records, whole, next)
-	changes := make([]members.Change, 0, len(records))
-	for _, r := range records {
+func (d *Daemon) takeEndpoints(got reading, next Position) (changed []int) {
+	d.registry.take(got.records, got.whole, next)
+	changes := make([]members.Change, 0, len(got.records))
+	for _, r := range got.records {
 		c, err := d.codec.Endpoint(r)
 		d.logUnreadable(r.Key, err)
 		changes = append(changes, c)
@@ -253,13 +317,20 @@
 	var told []members.Change
 	d.sched.update(func(now time.Duration, m *members.Set) {
 		m.Back(now)
-		if whole {
+		if got.copied {
+			m.Restore(now)
+		}
+		if got.whole {
 			m.Replace(now, changes)
 			return
 		}
+		apply := m.Apply
+		if got.copied {
+			apply = m.ApplyCopied
+		}
 		for i, c := range changes {
 			before := m.Version()
-			m.Apply(now, c)
+			apply(now, c)
 			if m.Version() != before || c.Endpoint == nil {
 				changed, told = append(changed, i), append(told, c)
 			}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -121,7 +121,7 @@
 	if err := w.Close(); err != nil {
 		return nil, err
 	}
-	return &schema.EndpointRelay{From: part.From, Next: part.Next, Packed: out.Bytes()}, nil
+	return &schema.EndpointRelay{From: part.From, Next: part.Next, Era: part.Era, Before: part.Before, Packed: out.Bytes()}, nil
 }
 
 // unpack puts a packed part's records back.
@@ -145,22 +145,22 @@
 // covers a span of offsets, so that a VM that misses one knows from the next; without
 // records the only part says that the span was read. The i-th record is that at offset
 // from+i; changed are the indexes of those to pass on.
-func partsOf(from, next uint64, records []Record, changed []int) []*schema.EndpointRelay {
-	part := &schema.EndpointRelay{From: from}
+func partsOf(from uint64, next Position, records []Record, changed []int) []*schema.EndpointRelay {
+	part := &schema.EndpointRelay{From: from, Era: next.Era}
 	parts := []*schema.EndpointRelay{part}
 	size := 0
 	for _, i := range changed {
 		r := records[i]
 		if size > 0 && size+len(r.Key)+len(r.Value) > relayBytes {
 			part.Next = from + uint64(i)
-			part = &schema.EndpointRelay{From: part.Next}
+			part = &schema.EndpointRelay{From: part.Next, Era: next.Era}
 			parts = append(parts, part)
 			size = 0
 		}
 		size += len(r.Key) + len(r.Value)
 		part.Records = append(part.Records, &schema.StoreRecord{Key: r.Key, Value: r.Value})
 	}
-	part.Next = next
+	part.Next = next.Offset
 	return parts
 }
 
--- a/entry/rollout_status.go
+++ b/entry/rollout_status.go
@@ -143,6 +143,15 @@
 	r.d.sched.resync()
 }
 
+// rewrite has statuses written again that the store may have lost.
+func (r *rollouts) rewrite() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.byService {
+		m.writing = false
+	}
+}
+
 // adoptStatus takes over a verdict on an order that the store has. The lock is held.
 func (r *rollouts) adoptStatus(m *movement) {
 	s, ok := r.statuses[m.order.Service]
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -62,6 +62,8 @@
 	// wanted is the phase that the store is to have, if writing is set, or has.
 	wanted  rollout.Phase
 	writing bool
+	// superseded are the versions of earlier orders for the service.
+	superseded []string
 }
 
 const (
@@ -117,12 +119,16 @@
 			m.at = at
 		}
 		m.since = min(m.since, since)
-	case m != nil && at.Before(m.at):
+	case m != nil && (at.Before(m.at) || m.comesBack(o, at)):
 		r.mu.Unlock()
 		return
 	default:
 		changed = true
+		before := m
 		m = &movement{order: o, at: at, since: since, evidence: make(rollout.Evidence), known: r.statusesRead}
+		if before != nil {
+			m.superseded = append(before.superseded, before.order.Version)
+		}
 		r.byService[o.Service] = m
 		r.d.log.Info().Str("service", o.Service).Str("version", o.Version).Dur("within", o.Duration).
 			Uint64("era", at.Era).Uint64("offset", at.Offset).Bool("told", phase != nil).Msg("rollout_ordered")
@@ -140,6 +146,12 @@
 	}
 }
 
+// comesBack says whether an order that was replaced by this one comes back from a copy of the store
+// in which the later one is missing. The operator writes that again.
+func (m *movement) comesBack(o rollout.Order, at Position) bool {
+	return at.Era > m.at.Era && slices.Contains(m.superseded, o.Version)
+}
+
 // allKnown says whether it is known how far each order is.
 func (r *rollouts) allKnown() bool {
 	r.mu.Lock()
--- a/entry/suspect_notes.go
+++ b/entry/suspect_notes.go
@@ -186,6 +186,14 @@
 	}
 }
 
+// rewrite has convictions written again that the store may have lost.
+func (s *suspects) rewrite() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.kept)
+	s.keepConvicted()
+}
+
 // keepLater has the store's record of a request written, or removed. The lock is held.
 func (s *suspects) keepLater(d suspect.Digest) {
 	select {
@@ -215,7 +223,7 @@
 	for range keepTries {
 		value, err := s.storeValue(d)
 		if err == nil {
-			if err = s.d.opts.Store.Write(ctx, suspectKey+d.String(), value); err == nil {
+			if err = s.d.opts.Store.Write(ctx, Record{Key: suspectKey + d.String(), Value: value}); err == nil {
 				return
 			}
 		}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/chivefield/chivefield/core/allowance"
 	"github.com/chivefield/chivefield/core/routing"
 
 	"github.com/chivefield/chivefield/core/mechanism"
@@ -100,34 +99,57 @@
 type cursor struct {
 	store Store
 	feed  Feed
-	next  uint64
+	// next is where to read on. Its era is the latest that this feed heard of; it is kept
+	// when known is not set, so that a copy is noticed after an outage too.
+	next  Position
 	known bool
+	// began says that the feed was read before.
+	began bool
 }
 
-// read returns records since the last read; whole says that they are all that
-// the feed holds. After a failure everything is read again, since an outage may
-// have hidden what was removed.
-func (c *cursor) read(ctx context.Context, wait time.Duration) (records []Record, whole bool, err error) {
+// reading is what a read of a feed gave.
+type reading struct {
+	records []Record
+	// whole says that they are all that the feed holds, copied that the store has come back
+	// from a copy of itself since the last read: they may be older than what was read before.
+	whole, copied bool
+}
+
+// read returns records since the last read. After a failure everything is read again, since an
+// outage may have hidden what was removed; and if the store came back from a copy, since
+// offsets were given out again: a reader that went on from its own would miss what lies before.
+func (c *cursor) read(ctx context.Context, wait time.Duration) (reading, error) {
 	if !c.known {
-		records, next, err := c.store.Newest(ctx, c.feed)
-		if err != nil {
-			return nil, false, err
-		}
-		c.next, c.known = next, true
-		return records, true, nil
+		return c.readAll(ctx)
 	}
-	records, next, err := c.store.Read(ctx, c.feed, c.next, wait)
+	records, next, err := c.store.Read(ctx, c.feed, c.next.Offset, wait)
 	var trimmed *TrimmedError
-	if errors.As(err, &trimmed) {
+	switch {
+	case errors.As(err, &trimmed) || err == nil && next.Era > c.next.Era:
+		return c.readAll(ctx)
+	case err != nil:
 		c.known = false
-		return c.read(ctx, wait)
+		return reading{}, err
+	case next.Era < c.next.Era:
+		// An answer from before the copy that was long under way.
+		return reading{}, nil
 	}
+	c.next = next
+	return reading{records: records}, nil
+}
+
+func (c *cursor) readAll(ctx context.Context) (reading, error) {
+	c.known = false
+	records, next, err := c.store.Newest(ctx, c.feed)
 	if err != nil {
-		c.known = false
-		return nil, false, err
+		return reading{}, err
 	}
-	c.next = next
-	return records, false, nil
+	if next.Era < c.next.Era {
+		return reading{}, &StaleEraError{Era: next.Era, Known: c.next.Era}
+	}
+	copied := c.began && next.Era > c.next.Era
+	c.next, c.known, c.began = next, true, true
+	return reading{records: records, whole: true, copied: copied}, nil
 }
 
 // dependency logs when the store is lost and regained.
@@ -167,7 +189,7 @@
 			pause(ctx, followCheck)
 			continue
 		}
-		records, _, err := c.read(ctx, d.configWait())
+		got, err := c.read(ctx, d.configWait())
 		d.noteStore(&dep, "config", err)
 		d.peers.setFollows(err == nil)
 		if err != nil {
@@ -177,8 +199,9 @@
 		again.succeeded()
 		asked = true
 		// Orders first: a service that moves must not use its new endpoints before.
-		d.rollouts.takeRecords(records)
-		for _, r := range records {
+		d.rollouts.takeRecords(got.records)
+		d.noteEra(c.next.Era)
+		for _, r := range got.records {
 			d.takeConfig(r)
 		}
 		if d.table.Load() == nil {
@@ -245,58 +268,67 @@
 	var again retry
 	written := false
 	for ctx.Err() == nil {
-		records, err := d.listVMs(ctx, &written)
+		list, err := d.listVMs(ctx, &written)
 		d.noteStore(&dep, "vms", err)
 		if err != nil {
 			pause(ctx, again.failed(d.mostRetry()))
 			continue
 		}
 		again.succeeded()
-		d.learnVMs(records)
+		d.noteEra(list.era)
+		d.learnVMs(list)
 		d.claim()
 		if d.peers.reads() {
-			pause(ctx, announceEvery)
+			d.heal(ctx, list)
+			d.pauseOrEra(ctx, announceEvery)
 		} else {
-			pause(ctx, listEvery)
+			d.pauseOrEra(ctx, listEvery)
 		}
 	}
 	return nil
 }
 
+// vmList is the records of FeedVMs as the store held them in an era.
+type vmList struct {
+	records []Record
+	era     uint64
+}
+
 // listVMs returns the records of all VMs, once this VM's own is written.
-func (d *Daemon) listVMs(ctx context.Context, written *bool) ([]Record, error) {
+func (d *Daemon) listVMs(ctx context.Context, written *bool) (vmList, error) {
 	if !*written {
 		before, err := d.writeRecord(ctx)
 		if err != nil {
-			return nil, err
+			return vmList{}, err
 		}
 		*written = true
 		if before != nil {
-			return before, nil
+			return *before, nil
 		}
 	}
-	records, _, err := d.opts.Store.Newest(ctx, FeedVMs)
-	return records, err
+	records, next, err := d.opts.Store.Newest(ctx, FeedVMs)
+	return vmList{records, next.Era}, err
 }
 
 // writeRecord writes this VM's record, and finds out before whether the process may take
 // what is kept for restarts. It returns the list of VMs if what was read before is whole: a
 // VM that is in it was known to all that started since, so no two can miss each other.
-func (d *Daemon) writeRecord(ctx context.Context) ([]Record, error) {
-	self := vmRecord{VM: allowance.VM{Address: d.set.Listen.Peers, Domain: d.set.Vm.FailureDomain}, started: time.Now()}
+func (d *Daemon) writeRecord(ctx context.Context) (*vmList, error) {
+	self := d.ownRecord()
 	claims := false
-	var known []Record
+	var known *vmList
 	if !d.set.Vm.FirstStart {
-		before, _, err := d.opts.Store.Newest(ctx, FeedVMs)
+		before, next, err := d.opts.Store.Newest(ctx, FeedVMs)
 		if err != nil {
 			return nil, err
 		}
+		self.era = next.Era
 		claims = d.claims(before, self)
 		if slices.ContainsFunc(before, d.isOwn) {
-			known = before
+			known = &vmList{before, next.Era}
 		}
 	}
-	if err := d.opts.Store.Write(ctx, d.set.Vm.Name, []byte(self.String())); err != nil {
+	if err := d.opts.Store.Write(ctx, Record{Key: d.set.Vm.Name, Value: []byte(self.String())}); err != nil {
 		return nil, err
 	}
 	d.claimed = claims
@@ -309,17 +341,22 @@
 	return err == nil && r.Key == d.set.Vm.Name && own.Address == d.set.Listen.Peers
 }
 
-func (d *Daemon) learnVMs(records []Record) {
-	d.suspects.learn(records)
-	d.rollouts.learn(records)
+func (d *Daemon) learnVMs(list vmList) {
+	d.suspects.learn(list.records)
+	d.rollouts.learn(list.records)
 	d.noteInformed()
-	var entries []string
-	for _, r := range records {
-		if len(r.Value) > 0 && !isSuspect(r) && !d.isStatus(r) {
-			entries = append(entries, string(r.Value))
+	named := make(map[string]string)
+	for _, r := range list.records {
+		if d.isVM(r) {
+			named[r.Key] = string(r.Value)
 		}
 	}
-	d.peers.learnAll(entries)
+	d.peers.learnNamed(named, d.isComplete(list))
+}
+
+// isVM says whether a record of FeedVMs is that of a VM.
+func (d *Daemon) isVM(r Record) bool {
+	return len(r.Value) > 0 && !isSuspect(r) && !isMark(r) && !d.isStatus(r)
 }
 
 const (
@@ -366,7 +403,8 @@
 }
 
 // mayClaim says whether a VM's process may take what is kept for restarts, by the record
-// of the one before.
+// of the one before. A record that was written before the store came back from a copy says
+// nothing: the record of a process since, which may have taken it, may be lost.
 func mayClaim(last, self vmRecord, window time.Duration) bool {
-	return !last.started.IsZero() && self.started.Sub(last.started) > window+restartsApart
+	return last.era == self.era && !last.started.IsZero() && self.started.Sub(last.started) > window+restartsApart
 }
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -58,15 +58,15 @@
 	stop  context.CancelFunc
 }
 
-func (s *callLog) Newest(context.Context, Feed) ([]Record, uint64, error) {
+func (s *callLog) Newest(context.Context, Feed) ([]Record, Position, error) {
 	s.calls = append(s.calls, "read")
 	if slices.Contains(s.calls, "write") {
 		s.stop()
 	}
-	return nil, 0, nil
+	return nil, Position{}, nil
 }
 
-func (s *callLog) Write(context.Context, string, []byte) error {
+func (s *callLog) Write(context.Context, ...Record) error {
 	s.calls = append(s.calls, "write")
 	return nil
 }
@@ -147,14 +147,14 @@
 	own string
 }
 
-func (s *restartStore) Newest(ctx context.Context, f Feed) ([]Record, uint64, error) {
+func (s *restartStore) Newest(ctx context.Context, f Feed) ([]Record, Position, error) {
 	_, _, _ = s.callLog.Newest(ctx, f)
-	return []Record{{Key: "other", Value: []byte("10.0.0.9:1 a 1786786484342")}, {Key: "self", Value: []byte(s.own)}}, 0, nil
+	return []Record{{Key: "other", Value: []byte("10.0.0.9:1 a 1786786484342")}, {Key: "self", Value: []byte(s.own)}}, Position{}, nil
 }
 
-func (s *restartStore) Write(ctx context.Context, name string, value []byte) error {
+func (s *restartStore) Write(ctx context.Context, records ...Record) error {
 	defer s.stop()
-	return s.callLog.Write(ctx, name, value)
+	return s.callLog.Write(ctx, records...)
 }
 
 // Symptom: 8,000 calls more on a day on which 295 VMs were killed at once, some of them
@@ -212,7 +212,7 @@
 			changed = append(changed, i)
 		}
 	}
-	parts := partsOf(1000, 1251, records, changed)
+	parts := partsOf(1000, Position{Offset: 1251}, records, changed)
 	is.True(len(parts) > 1)
 	at, n := uint64(1000), 0
 	for _, p := range parts {
@@ -229,7 +229,7 @@
 	}
 	is.Equal(at, uint64(1251))
 	is.Equal(n, len(changed))
-	is.Equal(len(partsOf(7, 9, nil, nil)), 1)
+	is.Equal(len(partsOf(7, Position{Offset: 9}, nil, nil)), 1)
 	is.True(unpack(&schema.EndpointRelay{Packed: []byte("no such thing")}) != nil)
 }
 
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -128,24 +128,24 @@
 
 // Store is the platform's store.
 type Store interface {
-	// Newest reads the newest record of each key, and the offset to read on from.
-	Newest(ctx context.Context, f Feed) (records []Record, next uint64, err error)
+	// Newest reads the newest record of each key, and the position to read on from.
+	Newest(ctx context.Context, f Feed) (records []Record, next Position, err error)
 	// Read reads records from an offset on, waiting up to wait for the first. It
-	// returns the offset to read on from, or a TrimmedError.
-	Read(ctx context.Context, f Feed, from uint64, wait time.Duration) ([]Record, uint64, error)
-	// Write writes a record of FeedVMs; without a value the key is removed.
-	Write(ctx context.Context, key string, value []byte) error
-	// WriteAt writes a record of FeedVMs if the feed still ends at an offset; else it returns a
+	// returns the position to read on from, whose era is the store's, or a TrimmedError.
+	Read(ctx context.Context, f Feed, from uint64, wait time.Duration) ([]Record, Position, error)
+	// Write writes records of FeedVMs, all or none; one without a value removes its key.
+	Write(ctx context.Context, records ...Record) error
+	// WriteAt writes a record of FeedVMs if the feed still ends at a position; else it returns a
 	// ConflictError.
-	WriteAt(ctx context.Context, r Record, offset uint64) error
+	WriteAt(ctx context.Context, r Record, at Position) error
 }
 
 // ConflictError reports a write that was not made, since others were since.
-type ConflictError struct{ Offset uint64 }
+type ConflictError struct{ At Position }
 
 // Error describes the failure.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("the feed does not end at offset %d any more", e.Offset)
+	return fmt.Sprintf("the feed does not end at offset %d of era %d any more", e.At.Offset, e.At.Era)
 }
 
 // TrimmedError reports records that the store no longer keeps.
@@ -154,6 +154,14 @@
 // Error describes the failure.
 func (e *TrimmedError) Error() string { return fmt.Sprintf("records from %d on were trimmed", e.From) }
 
+// StaleEraError reports an answer from before the store came back from a copy.
+type StaleEraError struct{ Era, Known uint64 }
+
+// Error describes the failure.
+func (e *StaleEraError) Error() string {
+	return fmt.Sprintf("the answer is of era %d, %d is known", e.Era, e.Known)
+}
+
 // DecodeError reports a record that cannot be understood.
 type DecodeError struct {
 	Key string
