--- a/report/report.go
+++ b/report/report.go
@@ -10,6 +10,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/chivefield/chivefield/explain"
@@ -116,6 +117,8 @@
 	Steps     []Step     `json:"steps"`
 	Routes    []Route    `json:"routes"`
 	Endpoints []Endpoint `json:"endpoints"`
+	// Rollouts are the steps of services that moved to another version, in order of time.
+	Rollouts []RolloutStep `json:"rollouts"`
 	// Dropped counts lines that are missing from the logs.
 	Dropped int `json:"lines_dropped"`
 }
@@ -182,6 +185,7 @@
 	// expected is what was expected of requests when they were placed.
 	expected map[string]prediction
 	endings  []ending
+	rollouts []RolloutStep
 	dropped  int
 }
 
@@ -215,6 +219,10 @@
 
 // line takes in one event.
 func (b *builder) line(l *explain.Line) {
+	if strings.HasPrefix(l.Event, rolloutEvents) {
+		b.rollout(l)
+		return
+	}
 	switch l.Event {
 	case "placed":
 		b.placed(l)
@@ -286,7 +294,7 @@
 		b.at(e.arrived).add(e.outcome, e.reason)
 		b.route(b.routeOf[e.request]).add(e.outcome, e.reason)
 	}
-	a := &Account{Dropped: b.dropped}
+	a := &Account{Dropped: b.dropped, Rollouts: b.rolloutSteps()}
 	for _, from := range slices.SortedFunc(maps.Keys(b.steps), time.Time.Compare) {
 		s := b.steps[from]
 		s.Cause = cause(s)
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -98,3 +98,23 @@
 	is.Equal(a.Routes[0].Predictions.Median, 1.0)
 	is.Equal(a.Endpoints[1].Predictions.Compared, 0)
 }
+
+// An operator who finds a version rolled back gets from the logs why, by whom and when.
+func TestWhyAVersionWasRolledBack(t *testing.T) {
+	is := is.New(t)
+	const logs = `
+time=2026-08-12T08:41:02.373Z level=info event=rollout_phase age=2372.6 learned=seen phase=rolled_back service=plain version=v2 was=trying vm=a
+time=2026-08-12T08:41:02.372Z level=info event=rollout_judged age=2372.3 kind=failures new_bad=28 new_total=53 next=rolled_back old_bad=0 old_total=956 route=read service=plain strength=19.5 version=v2 vm=a
+time=2026-08-12T08:41:02.374Z level=info event=rollout_phase age=2373.0 learned=told phase=rolled_back service=plain version=v2 was=trying vm=b
+time=2026-08-12T08:41:00.000Z level=info event=rollout_ordered told=false service=plain version=v2 within=5000 vm=a
+`
+	a, err := Read(strings.NewReader(logs), time.Second)
+	is.NoErr(err)
+	is.Equal(len(a.Rollouts), 3)
+	is.Equal(a.Rollouts[0].Event, "ordered")
+	is.Equal(a.Rollouts[1].Event, "judged")
+	is.True(strings.Contains(a.Rollouts[1].Detail, "new_bad=28 new_total=53"))
+	var out bytes.Buffer
+	is.NoErr(a.Write(&out, 1))
+	is.True(strings.Contains(out.String(), "rolled_back"))
+}
--- a/report/write.go
+++ b/report/write.go
@@ -28,6 +28,12 @@
 	for _, e := range a.Endpoints[:min(mostEndpoints, len(a.Endpoints))] {
 		fmt.Fprintf(t, "%s\t%d\t%s\t%d\t%s\t%s\n", nameOr(e.Name), e.Placed, list(e.Failures), e.Ejections, e.Gap, &e.Predictions)
 	}
+	if len(a.Rollouts) > 0 {
+		fmt.Fprintln(t, "\nroll-outs\tvm\tservice\tto\tstep\twhy")
+	}
+	for _, r := range a.Rollouts {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", r.At.Format("15:04:05.000"), r.VM, r.Service, r.Version, r.Event, r.Detail)
+	}
 	if a.Dropped > 0 {
 		fmt.Fprintf(t, "\n%d lines are missing from the logs\n", a.Dropped)
 	}
