Roll-outs under faults: nothing is moved on few answers, lost evidence or a broken link's failures

Causes, each by the lines of the judges: - moved after 7 answers, since little traffic was taken for little harm. Now both versions need 20 answers, trials may use half of the operator's fixed number besides the share, and a version that cannot be judged in twice its time is rolled back; - once requests move the old version has no answers to compare with: its whole record counts then; - requests cut off by a broken link to one old endpoint hid 11 failed answers of 20: answers that fail and requests that are cut off are compared apart; - processes that ended took their counts with them, and without an old version to compare with 26 failed answers of 49 said nothing: a move is not completed then unless next to none fail; - requests were moved while in doubt below the level that rolled back at the end; that level is 5 now, and while requests move it rolls back at once.

--- a/core/rollout/evidence.go
+++ b/core/rollout/evidence.go
@@ -73,7 +73,11 @@
 
 // Counts are answers of one group. They only grow.
 type Counts struct {
-	Answers, Failures uint32
+	Answers uint32
+	// Failures are answers that say so or cannot be trusted, Cuts requests that broke off or
+	// fell silent. They are compared apart: a broken link cuts off what goes to one endpoint,
+	// whatever its version, and would hide a version that answers with failures.
+	Failures, Cuts uint32
 	// First are the times to the first event of a stream, Whole those to the end of an
 	// answer. Those of endpoints that had just started are left out.
 	First, Whole Histogram
@@ -81,7 +85,7 @@
 
 // max takes the greater of each count: what another VM told later says more.
 func (c *Counts) max(other Counts) {
-	c.Answers, c.Failures = max(c.Answers, other.Answers), max(c.Failures, other.Failures)
+	c.Answers, c.Failures, c.Cuts = max(c.Answers, other.Answers), max(c.Failures, other.Failures), max(c.Cuts, other.Cuts)
 	c.First.max(&other.First)
 	c.Whole.max(&other.Whole)
 }
@@ -89,12 +93,13 @@
 func (c *Counts) add(other Counts) {
 	c.Answers += other.Answers
 	c.Failures += other.Failures
+	c.Cuts += other.Cuts
 	c.First.add(&other.First)
 	c.Whole.add(&other.Whole)
 }
 
 func (c *Counts) subtract(other Counts) {
-	c.Answers, c.Failures = less(c.Answers, other.Answers), less(c.Failures, other.Failures)
+	c.Answers, c.Failures, c.Cuts = less(c.Answers, other.Answers), less(c.Failures, other.Failures), less(c.Cuts, other.Cuts)
 	c.First.subtract(&other.First)
 	c.Whole.subtract(&other.Whole)
 }
@@ -124,25 +129,31 @@
 	}
 }
 
-// Since is what was added to earlier evidence.
-func (e Evidence) Since(earlier Evidence) Evidence {
+// Since is what was added to earlier evidence. If requests move, all of the old version's
+// answers count: it gets none any more to compare with.
+func (e Evidence) Since(earlier Evidence, moving bool) Evidence {
 	added := make(Evidence, len(e))
 	for g, c := range e {
-		c.subtract(earlier[g])
+		if g.Endpoint != 0 || !moving {
+			c.subtract(earlier[g])
+		}
 		added[g] = c
 	}
 	return added
 }
 
-// NewAnswers is the number of answers by the new version.
-func (e Evidence) NewAnswers() int {
-	n := 0
+// Totals are the answers of the new version, those of them that failed or were cut off, and the
+// answers of the old one.
+func (e Evidence) Totals() (answers, failures, old int) {
 	for g, c := range e {
-		if g.Endpoint != 0 {
-			n += int(c.Answers)
+		if g.Endpoint == 0 {
+			old += int(c.Answers)
+			continue
 		}
+		answers += int(c.Answers)
+		failures += int(c.Failures + c.Cuts)
 	}
-	return n
+	return answers, failures, old
 }
 
 // Longest is the longest time that an answer took at either version, up to a bucket.
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -107,11 +107,13 @@
 		if r.bad >= manyBad {
 			r.sinceMany += modelStep
 		}
-		r.at, r.finding, r.answers = age+modelStep, watch.Test(age, e, m.endpoints), r.exposed
-		next := m.order.Decide(r.phase, Known{
-			Age: age, Finding: r.finding, Answers: e.NewAnswers(), Longest: e.Longest(), NewListed: m.endpoints, OldListed: m.endpoints,
+		r.at, r.finding, r.answers = age+modelStep, watch.Test(r.phase, age, e, m.endpoints), r.exposed
+		k := Known{
+			Age: age, Finding: r.finding, Longest: e.Longest(), NewListed: m.endpoints, OldListed: m.endpoints,
 			Drained: r.phase == Moving && age-moved >= m.order.Ramp()+modelAnswer,
-		})
+		}
+		k.Answers, k.Failures, k.OldAnswers = e.Totals()
+		next := m.order.Decide(r.phase, k)
 		if next == Moving && r.phase == Trying {
 			moved = age
 		}
@@ -238,6 +240,20 @@
 	is.True(Test(e, 3).Bad())
 }
 
+// Symptom: a version of which 11 of 20 answers failed was completed. Sequence: in the same seconds
+// the link to one endpoint of the old version was broken, and a quarter of the old version's
+// requests were cut off. Cause: both were counted as failures.
+func TestABrokenLinkHidesNoBadVersion(t *testing.T) {
+	is := is.New(t)
+	e := Evidence{
+		{Route: "r"}:              {Answers: 266, Cuts: 70},
+		{Route: "r", Endpoint: 1}: {Answers: 10, Failures: 6},
+		{Route: "r", Endpoint: 2}: {Answers: 10, Failures: 5},
+	}
+	is.True(Test(e, 2).Untrusted())
+	is.Equal(Test(e, 2).Kind, Failures)
+}
+
 // The bound on what a bad version gets holds at any moment, whatever the VMs believe, over
 // processes that are killed and start again, by the requests that each sent.
 func TestExposureIsBounded(t *testing.T) {
@@ -313,7 +329,7 @@
 			next := o.Decide(phase, Known{
 				Age:     time.Duration(rapid.Int64Range(0, int64(20*time.Second)).Draw(t, "age")),
 				Finding: Finding{Strength: rapid.Float64Range(-5, 20).Draw(t, "strength"), Doubt: rapid.Float64Range(0, 20).Draw(t, "doubt")},
-				Answers: rapid.IntRange(0, 100).Draw(t, "answers"), NewListed: rapid.IntRange(0, 2).Draw(t, "new"),
+				Answers: rapid.IntRange(0, 100).Draw(t, "answers"), OldAnswers: rapid.IntRange(0, 100).Draw(t, "old answers"), NewListed: rapid.IntRange(0, 2).Draw(t, "new"),
 				OldListed: rapid.IntRange(0, 2).Draw(t, "old"), Drained: rapid.Bool().Draw(t, "drained"), Held: rapid.Bool().Draw(t, "held"),
 			})
 			if next < phase || phase.Final() && next != phase {
@@ -329,7 +345,7 @@
 
 func TestDecisions(t *testing.T) {
 	o := Order{Service: "s", Version: "v2", Duration: 10 * time.Second}
-	calm := Known{Age: 8 * time.Second, Answers: 100, Longest: time.Second, NewListed: 5, OldListed: 5}
+	calm := Known{Age: 8 * time.Second, Answers: 100, OldAnswers: 1000, Longest: time.Second, NewListed: 5, OldListed: 5}
 	with := func(change func(*Known)) Known {
 		k := calm
 		change(&k)
@@ -344,12 +360,16 @@
 		{"tried until it is time to move", Trying, with(func(k *Known) { k.Age = 5 * time.Second }), Trying},
 		{"moved in time", Trying, calm, Moving},
 		{"not moved while an operator holds it", Trying, with(func(k *Known) { k.Held = true }), Trying},
-		{"few answers: tried longer", Trying, with(func(k *Known) { k.Answers = 3; k.Age = 6900 * time.Millisecond }), Trying},
-		{"few answers, time short: moved", Trying, with(func(k *Known) { k.Answers = 3; k.Age = 8500 * time.Millisecond }), Moving},
+		{"few answers: tried longer", Trying, with(func(k *Known) { k.Answers = 3; k.Age = 9 * time.Second }), Trying},
+		{"few answers, beyond its time: tried longer", Trying, with(func(k *Known) { k.Answers = 3; k.Age = 12 * time.Second }), Trying},
+		{"few answers, long beyond its time: rolled back", Trying, with(func(k *Known) { k.Answers = 3; k.Age = 20 * time.Second }), RolledBack},
+		{"few answers of the old one, since processes ended: tried longer", Trying, with(func(k *Known) { k.OldAnswers = 3 }), Trying},
+		{"so few requests that none can harm: moved late", Trying, with(func(k *Known) { k.Answers = 1; k.OldAnswers = 20; k.Age = 10 * time.Second }), Moving},
+		{"few are known since processes ended: tried longer", Trying, with(func(k *Known) { k.Answers = 0; k.OldAnswers = 2 }), Trying},
 		{"suspect: tried longer", Trying, with(func(k *Known) { k.Finding.Doubt = 3; k.Age = 7 * time.Second }), Trying},
 		{"suspect, time short: moved", Trying, with(func(k *Known) { k.Finding.Doubt = 3; k.Age = 8500 * time.Millisecond }), Moving},
-		{"not trusted: not moved", Trying, with(func(k *Known) { k.Finding.Doubt = 8; k.Age = 9 * time.Second }), Trying},
-		{"not trusted to the end: rolled back", Trying, with(func(k *Known) { k.Finding.Doubt = 8; k.Age = 10 * time.Second }), RolledBack},
+		{"not trusted: not moved", Trying, with(func(k *Known) { k.Finding.Doubt = 6; k.Age = 9 * time.Second }), Trying},
+		{"not trusted to the end: rolled back", Trying, with(func(k *Known) { k.Finding.Doubt = 6; k.Age = 10 * time.Second }), RolledBack},
 		{"no endpoint of the version: waits", Trying, with(func(k *Known) { k.NewListed = 0 }), Trying},
 		{"no endpoint of the version to the end: rolled back", Trying, with(func(k *Known) { k.NewListed = 0; k.Age = 11 * time.Second }), RolledBack},
 		{"only the new version is there: moved", Trying, with(func(k *Known) { k.OldListed = 0; k.Age = 2 * time.Second }), Moving},
@@ -357,9 +377,12 @@
 		{"requests still run at the old version", Moving, calm, Moving},
 		{"nothing runs there any more, but there is time", Moving, with(func(k *Known) { k.Drained = true }), Moving},
 		{"nothing runs there any more, and time is over", Moving, with(func(k *Known) { k.Drained = true; k.Age = 9 * time.Second }), Completed},
-		{"suspect while moving: not completed yet", Moving, with(func(k *Known) { k.Drained = true; k.Age = 9 * time.Second; k.Finding.Doubt = 5 }), Moving},
-		{"suspect while moving, time short: completed", Moving, with(func(k *Known) { k.Drained = true; k.Age = 9600 * time.Millisecond; k.Finding.Doubt = 5 }), Completed},
-		{"not trusted while moving, time short: rolled back", Moving, with(func(k *Known) { k.Drained = true; k.Age = 9600 * time.Millisecond; k.Finding.Doubt = 8 }), RolledBack},
+		{"suspect while moving: not completed yet", Moving, with(func(k *Known) { k.Drained = true; k.Age = 9 * time.Second; k.Finding.Doubt = 3 }), Moving},
+		{"suspect while moving, time short: completed", Moving, with(func(k *Known) { k.Drained = true; k.Age = 9600 * time.Millisecond; k.Finding.Doubt = 3 }), Completed},
+		{"not trusted while moving: rolled back", Moving, with(func(k *Known) { k.Finding.Doubt = 6 }), RolledBack},
+		{"nothing is known of the old one any more, and some fail: not completed", Moving, with(func(k *Known) { k.Drained = true; k.Age = 11 * time.Second; k.OldAnswers = 0; k.Failures = 26 }), Moving},
+		{"the same, for long: rolled back", Moving, with(func(k *Known) { k.Drained = true; k.Age = 20 * time.Second; k.OldAnswers = 0; k.Failures = 26 }), RolledBack},
+		{"nothing is known of the old one any more, but none fail: completed", Moving, with(func(k *Known) { k.Drained = true; k.Age = 9500 * time.Millisecond; k.OldAnswers = 0 }), Completed},
 		{"no old endpoint is left to wait for", Moving, with(func(k *Known) { k.Drained = true; k.OldListed = 0 }), Completed},
 		{"a verdict stays", RolledBack, with(func(k *Known) { k.Drained = true }), RolledBack},
 	} {
--- a/core/rollout/test.go
+++ b/core/rollout/test.go
@@ -23,14 +23,14 @@
 	slowBuckets = 3
 	// convictAt is the logarithm of the evidence against a version at which it counts as
 	// bad: the chance of an error is below one in e^convictAt for each comparison. With three
-	// routes and all, three kinds and nine beginnings that is below one in a thousand.
-	convictAt = 11.6
+	// routes and all, four kinds and nine beginnings that is below one in a thousand.
+	convictAt = 11.9
 	// suspectAt is that from which a step waits for more evidence, while there is time, and
 	// doubtAt that at which the version is not trusted once there is none. The answers of all
 	// its endpoints count: rolling a good version back costs a delay, moving to a bad one
 	// harms every caller, and once the old endpoints have stopped nothing brings them back.
 	suspectAt = 2
-	doubtAt   = 7
+	doubtAt   = 5
 )
 
 // badness are the odds, in multiples of the tolerated ones, that the test looks for.
@@ -64,15 +64,17 @@
 
 // Kinds of comparisons.
 const (
-	// Failures: answers that are failures, that break off, or that do not come.
+	// Failures: answers that are failures.
 	Failures Kind = iota
+	// Cuts: answers that break off or do not come.
+	Cuts
 	// SlowFirst: times to the first event.
 	SlowFirst
 	// SlowWhole: times to the end of the answer.
 	SlowWhole
 )
 
-var kindNames = [...]string{"failures", "slow_first_event", "slow_answer"}
+var kindNames = [...]string{"failures", "cuts", "slow_first_event", "slow_answer"}
 
 // String names the kind.
 func (k Kind) String() string { return kindNames[k] }
@@ -198,6 +200,8 @@
 
 func (k Kind) sample(c *Counts, slowFrom int) sample {
 	switch k {
+	case Cuts:
+		return sample{int(c.Cuts), int(c.Answers)}
 	case SlowFirst:
 		return sample{c.First.From(slowFrom), c.First.Total()}
 	case SlowWhole:
--- a/core/rollout/watch.go
+++ b/core/rollout/watch.go
@@ -17,14 +17,14 @@
 func NewWatch(o Order) *Watch { return &Watch{order: o, marks: []Evidence{nil}} }
 
 // Test returns the strongest evidence against the new version, whose requests go to a number
-// of endpoints, at an age of the order.
-func (w *Watch) Test(age time.Duration, e Evidence, endpoints int) Finding {
+// of endpoints, in a phase and at an age of the order.
+func (w *Watch) Test(phase Phase, age time.Duration, e Evidence, endpoints int) Finding {
 	if len(w.marks) <= beginnings && age >= w.order.Duration*time.Duration(len(w.marks))/beginnings {
 		w.marks = append(w.marks, e)
 	}
 	var worst Finding
 	for _, mark := range w.marks {
-		worst = worst.stronger(Test(e.Since(mark), endpoints))
+		worst = worst.stronger(Test(e.Since(mark, phase == Moving), endpoints))
 	}
 	return worst
 }
--- a/entry/rollout_evidence.go
+++ b/entry/rollout_evidence.go
@@ -70,5 +70,8 @@
 	}
 	v.r.mu.Lock()
 	defer v.r.mu.Unlock()
-	v.failed()
+	v.count(func(c *rollout.Counts) {
+		c.Answers++
+		c.Cuts++
+	})
 }
--- a/entry/rollout_judge.go
+++ b/entry/rollout_judge.go
@@ -216,9 +216,10 @@
 	sum := m.judge.domains.Sum()
 	age := now - m.since
 	k := rollout.Known{
-		Age: age, Finding: m.judge.watch.Test(age, sum, len(m.tried)), Answers: sum.NewAnswers(), Longest: sum.Longest(),
+		Age: age, Finding: m.judge.watch.Test(m.phase, age, sum, len(m.tried)), Longest: sum.Longest(),
 		NewListed: m.listedNew, OldListed: m.listedOld, Held: slices.Contains(r.held, m.order.Service),
 	}
+	k.Answers, k.Failures, k.OldAnswers = sum.Totals()
 	k.Drained = m.phase == rollout.Moving && r.allDrained(m, now, pause, judges)
 	next := m.order.Decide(m.phase, k)
 	r.logFinding(m, k, next)
@@ -242,7 +243,7 @@
 	r.d.log.Info().Str("service", m.order.Service).Str("version", m.order.Version).Stringer("phase", m.phase).Stringer("next", next).
 		Dur("age", k.Age).Str("route", f.Route).Stringer("kind", f.Kind).Str("strength", strconv.FormatFloat(f.Strength, 'f', 1, 64)).
 		Int("new_bad", f.NewBad).Int("new_total", f.NewTotal).Int("old_bad", f.OldBad).Int("old_total", f.OldTotal).
-		Int("answers", k.Answers).Int("listed_new", k.NewListed).Int("listed_old", k.OldListed).Bool("drained", k.Drained).Msg("rollout_judged")
+		Str("doubt", strconv.FormatFloat(f.Doubt, 'f', 1, 64)).Int("answers", k.Answers).Int("failures", k.Failures).Int("old_answers", k.OldAnswers).Int("listed_new", k.NewListed).Int("listed_old", k.OldListed).Bool("drained", k.Drained).Msg("rollout_judged")
 }
 
 // takeVM takes in what a process of the own failure domain saw. source names the process,
--- a/entry/rollout_notes.go
+++ b/entry/rollout_notes.go
@@ -59,6 +59,16 @@
 	p.writeAll(p.encode(n), to)
 }
 
+// fleetSize is the number of VMs, this one included; 0 if it is not known.
+func (p *peers) fleetSize() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.complete {
+		return 0
+	}
+	return len(p.addrs) + 1
+}
+
 // heardIn are the addresses of the other VMs of a failure domain that are heard.
 func (p *peers) heardIn(domain string) []string {
 	now := p.d.now()
@@ -77,7 +87,7 @@
 	report := &schema.RolloutReport{Service: o.Service, Version: o.Version}
 	for g, c := range e {
 		report.Counts = append(report.Counts, &schema.RolloutCounts{
-			Route: g.Route, Endpoint: g.Endpoint, Answers: c.Answers, Failures: c.Failures, First: trimmed(c.First), Whole: trimmed(c.Whole),
+			Route: g.Route, Endpoint: g.Endpoint, Answers: c.Answers, Failures: c.Failures, Cuts: c.Cuts, First: trimmed(c.First), Whole: trimmed(c.Whole),
 		})
 	}
 	return report
@@ -95,7 +105,7 @@
 func evidenceOf(report *schema.RolloutReport) rollout.Evidence {
 	e := make(rollout.Evidence)
 	for _, t := range report.GetCounts() {
-		c := rollout.Counts{Answers: t.Answers, Failures: t.Failures}
+		c := rollout.Counts{Answers: t.Answers, Failures: t.Failures, Cuts: t.Cuts}
 		copy(c.First[:], t.First)
 		copy(c.Whole[:], t.Whole)
 		e[rollout.Group{Route: t.Route, Endpoint: t.Endpoint}] = c
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -25,6 +25,8 @@
 	// statusesRead says that the store's statuses were taken in: without them nobody knows
 	// whether an order found there was rolled back.
 	statusesRead bool
+	// began says that the operator's feed was read before.
+	began bool
 	// statuses are those that the store had, by service; an order may be read after them.
 	statuses map[string]RolloutStatus
 	// held are the services that an operator wants tried but not moved.
@@ -82,6 +84,9 @@
 	leastCensored = time.Second
 	// resyncMargin is how long after such a time endpoints are looked at again: several notes.
 	resyncMargin = 500 * time.Millisecond
+	// grantUptime is the least uptime of a process that gets a grant; half of it is the most
+	// that an order may be old then.
+	grantUptime = 2 * time.Second
 	// rolloutBuffer holds services whose status is to be written.
 	rolloutBuffer = 64
 )
@@ -105,6 +110,14 @@
 			r.take(*o, rec.At, r.d.now(), nil)
 		}
 	}
+	r.begun()
+}
+
+// begun notes that orders that come from now on are heard of as they come.
+func (r *rollouts) begun() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.began = true
 }
 
 // take takes in an order that lies at a place of the store and came at a time. phase is how far
@@ -126,6 +139,9 @@
 		changed = true
 		before := m
 		m = &movement{order: o, at: at, since: since, evidence: make(rollout.Evidence), known: r.statusesRead}
+		if r.isNew(since) {
+			m.gate = rollout.NewGate(rollout.Grant(r.d.set.Bounds.ExposureSlack, r.d.peers.fleetSize()))
+		}
 		if before != nil {
 			m.superseded = append(before.superseded, before.order.Version)
 		}
@@ -146,6 +162,12 @@
 	}
 }
 
+// isNew says whether an order that came at a time was heard of as it came, by a process that had
+// started well before: none before it at this VM can have had a grant for it. The lock is held.
+func (r *rollouts) isNew(since time.Duration) bool {
+	return r.began && since >= grantUptime && r.d.now()-since < grantUptime/2
+}
+
 // comesBack says whether an order that was replaced by this one comes back from a copy of the store
 // in which the later one is missing. The operator writes that again.
 func (m *movement) comesBack(o rollout.Order, at Position) bool {
@@ -201,130 +223,6 @@
 	r.held = services
 }
 
-// share is the share of the requests that go to the new version; whole says that all do.
-func (m *movement) share(now time.Duration, bound float64) (share float64, whole bool) {
-	share = rollout.TrialShare(bound)
-	if m.phase != rollout.Moving {
-		return share, false
-	}
-	ramp := m.order.Ramp()
-	moved := now - m.movingSince
-	if moved >= ramp {
-		return 1, true
-	}
-	return share + (1-share)*float64(moved)/float64(ramp), false
-}
-
-// usable are those of a service's endpoints that may get requests now, marked where only some
-// requests may go there.
-func (r *rollouts) usable(now time.Duration, service string, list []*members.Endpoint) []*members.Endpoint {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.noteVersions(now, service, list)
-	m := r.byService[service]
-	if m == nil {
-		return r.settled(now, service, list)
-	}
-	return m.usable(now, list, r.d.set.Bounds.ExposureShare)
-}
-
-// noteVersions notes since when versions are listed. Those that are there when a process
-// first reads the registry are taken to have been there.
-func (r *rollouts) noteVersions(now time.Duration, service string, list []*members.Endpoint) {
-	if len(list) == 0 {
-		return
-	}
-	known := r.versions[service]
-	first := known == nil
-	if first {
-		known = make(map[string]time.Duration)
-		r.versions[service] = known
-	}
-	for _, e := range list {
-		if _, ok := known[e.Version]; ok {
-			continue
-		}
-		known[e.Version] = now
-		if first {
-			known[e.Version] = now - versionSettles
-		}
-	}
-}
-
-// settled are the endpoints of versions that have been listed for a while, or all if there is
-// none.
-func (r *rollouts) settled(now time.Duration, service string, list []*members.Endpoint) []*members.Endpoint {
-	known := r.versions[service]
-	usable := slices.DeleteFunc(slices.Clone(list), func(e *members.Endpoint) bool {
-		return now-known[e.Version] < versionSettles
-	})
-	if len(usable) == 0 {
-		return list
-	}
-	return usable
-}
-
-func (m *movement) usable(now time.Duration, list []*members.Endpoint, bound float64) []*members.Endpoint {
-	var old, fresh []*members.Endpoint
-	var keys []string
-	for _, e := range list {
-		if e.Version != m.order.Version {
-			old = append(old, e)
-			continue
-		}
-		fresh = append(fresh, e)
-		keys = append(keys, e.Key())
-	}
-	m.listedOld, m.listedNew = len(old), len(fresh)
-	m.tried = m.order.TrialEndpoints(keys, len(old), rollout.TrialShare(bound))
-	_, whole := m.share(now, bound)
-	switch {
-	case m.phase == rollout.Completed && now-m.finalSince < oldGoneAfter && len(fresh) > 0:
-		return fresh
-	case m.phase == rollout.Completed:
-		return list
-	case m.phase == rollout.RolledBack || !m.known && len(old) > 0:
-		return old
-	case len(old) == 0, whole && len(fresh) > 0:
-		return fresh
-	case m.phase == rollout.Moving:
-		return append(old, onTrial(fresh)...)
-	}
-	return append(old, onTrial(slices.DeleteFunc(fresh, func(e *members.Endpoint) bool { return !m.tried[e.Key()] }))...)
-}
-
-// onTrial marks endpoints as those that only some requests may go to.
-func onTrial(list []*members.Endpoint) []*members.Endpoint {
-	marked := make([]*members.Endpoint, 0, len(list))
-	for _, e := range list {
-		trial := *e
-		trial.Trial = true
-		marked = append(marked, &trial)
-	}
-	return marked
-}
-
-// changing says whether the usable endpoints follow from the time by itself: a version settles,
-// requests move, or the old endpoints are gone.
-func (r *rollouts) changing(now time.Duration) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, m := range r.byService {
-		if m.phase == rollout.Moving && now-m.movingSince < m.order.Ramp()+resyncMargin ||
-			m.phase == rollout.Completed && now-m.finalSince < oldGoneAfter+resyncMargin {
-			return true
-		}
-	}
-	for _, known := range r.versions {
-		for _, since := range known {
-			if now-since >= versionSettles && now-since < versionSettles+resyncMargin {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // reserve says whether a request is to try the new version of its service.
 func (r *rollouts) reserve(service string) bool {
 	r.mu.Lock()
@@ -388,23 +286,6 @@
 	return r.byService[service] != nil
 }
 
-// admits says whether a request may go to an endpoint.
-func (m *movement) admits(now time.Duration, ep *members.Endpoint, trial bool, bound float64) bool {
-	_, whole := m.share(now, bound)
-	if ep.Version != m.order.Version {
-		moved := whole || m.phase == rollout.Completed && now-m.finalSince < oldGoneAfter
-		return !moved || m.listedNew == 0
-	}
-	switch m.phase {
-	case rollout.Completed, rollout.Moving:
-		// While requests move the VM that places them says which: it may be some ms ahead.
-		return true
-	case rollout.RolledBack:
-		return false
-	}
-	return trial || m.listedOld == 0
-}
-
 // moving says whether a service's requests move to another version.
 func (r *rollouts) moving(service string) bool {
 	r.mu.Lock()
--- a/history/deployment.go
+++ b/history/deployment.go
@@ -27,6 +27,8 @@
 	Recovers Promise = "recovers"
 	// BoundsEnds: a request under which endpoints end is not sent on without bound.
 	BoundsEnds Promise = "bounds-ends"
+	// BoundsExposure: a bad version of a service gets a bounded share of its requests.
+	BoundsExposure Promise = "bounds-exposure"
 )
 
 // Span is a stretch of time since the start of the session.
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -116,6 +116,7 @@
 	c.notNegative("bounds.retry_slack", raw.Bounds.RetrySlack)
 	c.notNegative("bounds.allowance_over", raw.Bounds.AllowanceOver)
 	c.notNegative("bounds.allowance_slack", raw.Bounds.AllowanceSlack)
+	c.notNegative("bounds.exposure_slack", raw.Bounds.ExposureSlack)
 	if raw.Bounds.ExposureShare < 0 || raw.Bounds.ExposureShare > 1 {
 		c.fault("bounds.exposure_share", "must be from 0 to 1")
 	}
