Evidence of a roll-out by at most sixteen numbers of endpoints, so that reports stay small

Worked out before any order came on a large deployment: evidence named each endpoint of the new version, so while 112 of them served three routes each VM would have sent 20 KB three times a second to its judge, and of 500 endpoints no report would have fitted into a note.

--- a/core/rollout/choose.go
+++ b/core/rollout/choose.go
@@ -12,6 +12,20 @@
 // alone nobody can say whether it or the version is sick.
 const leastTrial = 2
 
+// mostSlots bounds the endpoints of the new version that are told apart in the evidence, so that
+// what VMs tell each other does not grow with the service.
+const mostSlots = 16
+
+// Slots numbers the endpoints of the new version from 1 on, by their keys, as evidence tells them
+// apart. All VMs that know the same endpoints number them alike; of many several share a number.
+func Slots(keys []string) map[string]uint64 {
+	slots := make(map[string]uint64, len(keys))
+	for i, key := range slices.Sorted(slices.Values(keys)) {
+		slots[key] = 1 + uint64(i%mostSlots)
+	}
+	return slots
+}
+
 // TrialEndpoints picks the endpoints of the new version that get the requests of trials, by
 // their keys: so few that each gets about as many as one of the old version, since a version
 // that is bad under load looks good without. All VMs pick the same.
--- a/core/rollout/evidence.go
+++ b/core/rollout/evidence.go
@@ -108,7 +108,7 @@
 // one endpoint of the new version, since one endpoint that fails does not make a bad version.
 type Group struct {
 	Route string
-	// Endpoint is the short name of one of the new version, 0 for the old version.
+	// Endpoint is the number of one of the new version (Slots), 0 for the old version.
 	Endpoint uint64
 }
 
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -392,6 +392,21 @@
 	}
 }
 
+func TestSlotsTellFewEndpointsApart(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Slots([]string{"b", "a"}), map[string]uint64{"a": 1, "b": 2})
+	many := make([]string, 900)
+	for i := range many {
+		many[i] = fmt.Sprint("e", i)
+	}
+	seen := make(map[uint64]bool)
+	for _, slot := range Slots(many) {
+		seen[slot] = true
+	}
+	is.Equal(len(seen), mostSlots)
+	is.True(!seen[0])
+}
+
 func TestTrialEndpoints(t *testing.T) {
 	is := is.New(t)
 	o := Order{Service: "s", Version: "v2"}
--- a/entry/rollout_evidence.go
+++ b/entry/rollout_evidence.go
@@ -4,12 +4,9 @@
 	"time"
 
 	"github.com/chivefield/chivefield/core/dispatch"
-	"github.com/chivefield/chivefield/core/members"
 	"github.com/chivefield/chivefield/core/rollout"
 )
 
-func endpointName(ep *members.Endpoint) uint64 { return dispatch.NameOf(ep.Key()) }
-
 // observe counts what an attempt says of the version. The lock is held.
 //
 // What says nothing of it: endpoints that were full or gone, and requests cut off by the
--- a/entry/rollout_versions.go
+++ b/entry/rollout_versions.go
@@ -69,6 +69,7 @@
 		keys = append(keys, e.Key())
 	}
 	m.listedOld, m.listedNew = len(old), len(fresh)
+	m.slots = rollout.Slots(keys)
 	m.tried = m.order.TrialEndpoints(keys, len(old), rollout.TrialShare(bound))
 	_, whole := m.share(now, bound)
 	switch {
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -55,7 +55,9 @@
 	runningOld int
 	// tried are the endpoints of the new version that get requests, listedNew and
 	// listedOld how many of the versions the registry lists.
-	tried                map[string]bool
+	tried map[string]bool
+	// slots number the endpoints of the new version in the evidence.
+	slots                map[string]uint64
 	listedNew, listedOld int
 	judge                *judge
 	// reported is when evidence was last told to the judge, announced when the phase was
@@ -272,7 +274,7 @@
 	}
 	v = &visit{r: r, m: m, ep: ep, began: now, group: rollout.Group{Route: c.route.Name}, cold: cold}
 	if ep.Version == m.order.Version {
-		v.group.Endpoint = endpointName(ep)
+		v.group.Endpoint = max(1, m.slots[ep.Key()])
 	} else {
 		m.runningOld++
 	}
--- a/entry/rollouts_test.go
+++ b/entry/rollouts_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/chivefield/chivefield/core/members"
 	"github.com/chivefield/chivefield/core/rollout"
@@ -125,3 +126,30 @@
 	// If nothing else is left it does not wait.
 	is.Equal(versionsOf(d.rollouts.usable(4*time.Second, "s", versioned("v4", 1))), map[string]int{"v4": 1})
 }
+
+// Symptom, worked out: a judge's link is full while a service of 112 endpoints moves, and of 500 and
+// more no report fits into a note. Cause: evidence named each endpoint of the new version. What a
+// VM tells stays far below a note, whatever the service's size.
+func TestReportsStaySmall(t *testing.T) {
+	is := is.New(t)
+	e := make(rollout.Evidence)
+	keys := make([]string, 900)
+	for i := range keys {
+		keys[i] = fmt.Sprint("e", i)
+	}
+	slots := rollout.Slots(keys)
+	for _, route := range []string{"r-6q5rmmv", "r-tdhbjph", "r-a", "r-b"} {
+		for _, key := range append(keys, "old") {
+			e.Count(rollout.Group{Route: route, Endpoint: slots[key]}, func(c *rollout.Counts) {
+				c.Answers += 100
+				for ms := range 4000 {
+					c.Whole.Observe(time.Duration(ms) * time.Millisecond)
+					c.First.Observe(time.Duration(ms/4) * time.Millisecond)
+				}
+			})
+		}
+	}
+	size := proto.Size(reportOf(rollout.Order{Service: "s", Version: "v2"}, e))
+	t.Logf("%d B", size)
+	is.True(size < maxDatagram/2)
+}
