--- a/entry/copies.go
+++ b/entry/copies.go
@@ -119,9 +119,10 @@
 }
 
 // isComplete says whether a list holds all VMs: a store that never came back from a copy loses
-// none, after a copy each failure domain says when its own are there again.
+// none, and before the first start of the deployment there was nothing to lose; after a copy each
+// failure domain says when its own are there again.
 func (d *Daemon) isComplete(l vmList) bool {
-	if l.era == 0 || d.now() >= completeAfter {
+	if l.era == 0 || d.set.Vm.FirstStart || d.now() >= completeAfter {
 		return true
 	}
 	marks := l.marks()
--- a/entry/copies_test.go
+++ b/entry/copies_test.go
@@ -171,6 +171,8 @@
 	}
 	is.True(!d.isComplete(vmList{records: []Record{own, mark(set.Vm.FailureDomain, 0)}, era: 1}))
 	is.True(d.isComplete(vmList{records: []Record{own, mark(set.Vm.FailureDomain, 1)}, era: 1}))
+	// A store may begin at any era: at the first start of a deployment nothing can be missing.
+	is.True(New(Options{Settings: testSettings(t, true), Log: logging.New(io.Discard), Codec: noStatuses{}}).isComplete(vmList{era: 1}))
 	d.learnVMs(vmList{records: []Record{own}, era: 1})
 	is.True(!d.peers.knowsAll())
 	d.learnVMs(vmList{records: []Record{own, mark(set.Vm.FailureDomain, 1)}, era: 1})
