A roll-out is not completed while a failure domain is silent

By reading: only domains that are heard were asked whether anything runs at the old version, so a domain that was cut off, but still served its callers, would have had its old endpoints stop under their requests; and the smaller side of a cut could have completed a move by itself. Now a silent domain is waited for until the order's time is over, and the smaller side never completes. A judge that hears not all domains reads the statuses in the store each second. TestSilentFailureDomainIsWaitedFor fails without the check (completed with one of two other domains heard).

--- a/entry/copies.go
+++ b/entry/copies.go
@@ -81,7 +81,7 @@
 
 // pauseOrEra waits for a time, or until a while after the store came back from a copy.
 func (d *Daemon) pauseOrEra(ctx context.Context, most time.Duration) {
-	if !d.peers.knowsAll() {
+	if !d.peers.knowsAll() || d.rollouts.cutOff() {
 		most = incompleteEvery
 	}
 	t := time.NewTimer(spread(most))
--- a/entry/rollout_judge.go
+++ b/entry/rollout_judge.go
@@ -191,9 +191,15 @@
 	return true
 }
 
-// allDrained says whether that holds for each failure domain with a VM that is heard. The lock
-// is held.
+// allDrained says whether that holds for each failure domain. One of which no VM is heard may be
+// dead, or cut off and still sending to the old version, whose endpoints would stop under its
+// requests: it is waited for as long as the order's time lasts, and by the smaller side of a cut
+// for ever. The lock is held.
 func (r *rollouts) allDrained(m *movement, now, pause time.Duration, judges map[string]string) bool {
+	known := r.d.peers.knownDomains()
+	if len(judges) < known && (now-m.since < m.order.Duration || 2*len(judges) <= known) {
+		return false
+	}
 	for domain := range judges {
 		if domain == r.d.set.Vm.FailureDomain {
 			continue
--- a/entry/rollout_notes.go
+++ b/entry/rollout_notes.go
@@ -69,6 +69,17 @@
 	return len(p.addrs) + 1
 }
 
+// knownDomains is the number of failure domains with a VM that is known, the own one included.
+func (p *peers) knownDomains() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	domains := map[string]bool{p.d.set.Vm.FailureDomain: true}
+	for _, pe := range p.addrs {
+		domains[pe.domain] = true
+	}
+	return len(domains)
+}
+
 // heardIn are the addresses of the other VMs of a failure domain that are heard.
 func (p *peers) heardIn(domain string) []string {
 	now := p.d.now()
--- a/entry/rollout_status.go
+++ b/entry/rollout_status.go
@@ -152,6 +152,22 @@
 	}
 }
 
+// cutOff says whether this VM judges a service that moves while no VM of some failure domain is
+// heard: what is decided there is then known from the store alone.
+func (r *rollouts) cutOff() bool {
+	r.mu.Lock()
+	open := false
+	for _, m := range r.byService {
+		open = open || !m.phase.Final()
+	}
+	r.mu.Unlock()
+	if !open {
+		return false
+	}
+	judges := r.d.peers.judges()
+	return judges[r.d.set.Vm.FailureDomain] == r.d.set.Listen.Peers && len(judges) < r.d.peers.knownDomains()
+}
+
 // adoptStatus takes over a verdict on an order that the store has. The lock is held.
 func (r *rollouts) adoptStatus(m *movement) {
 	s, ok := r.statuses[m.order.Service]
--- a/entry/rollouts_test.go
+++ b/entry/rollouts_test.go
@@ -153,3 +153,31 @@
 	t.Logf("%d B", size)
 	is.True(size < maxDatagram/2)
 }
+
+// Symptom, by reading: the old endpoints of a failure domain that was cut off would stop under its
+// requests. Sequence: a service moves; a domain falls silent; the others have moved. Cause: only
+// domains that are heard were asked whether anything runs at the old version.
+func TestSilentFailureDomainIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	d := New(Options{Settings: testSettings(t, true), Log: logging.New(io.Discard)})
+	own := d.set.Vm.FailureDomain
+	r := d.rollouts
+	m := testMovement(rollout.Moving)
+	m.judge = newJudge(m.order)
+	const pause = time.Second
+	drained := func(now time.Duration, domains ...string) bool {
+		judges := map[string]string{own: d.set.Listen.Peers}
+		m.judge.drainedVMs[d.set.Listen.Peers] = now
+		for _, domain := range domains {
+			judges[domain] = "10.0.0.1:1"
+			m.judge.drainedDomains[domain] = now
+		}
+		return r.allDrained(m, now, pause, judges)
+	}
+	is.True(drained(time.Second)) // no other is known
+	d.peers.learnAll([]string{"10.0.0.1:1 b", "10.0.0.2:1 c"})
+	is.True(drained(time.Second, "b", "c"))
+	is.True(!drained(time.Second, "b"))
+	is.True(drained(11*time.Second, "b")) // its time is over: taken for dead
+	is.True(!drained(11 * time.Second))   // alone: this side is the one that is cut off
+}
