--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -33,9 +33,8 @@
 const reserve = 0.15
 
 // restartShare is the part of the tolerance that is kept for processes that start again.
-// After all VMs were killed their organisations' balances were at nothing, and for the
-// first second and a half more requests were refused for that (240 of organisations far
-// within their allowance) than were placed, while all engines stood idle.
+// After all VMs are killed their organisations' balances are at nothing: without it requests of
+// organisations far within their allowance are refused while all engines stand idle.
 // The rest of it is for organisations that ask for more than their allowance anyway.
 const restartShare = 0.6
 
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -3,10 +3,8 @@
 // a higher one waits at another VM, and nobody takes a slot that somebody else took a
 // moment ago.
 //
-// Load it answers: one and a half to three times what the engines do. Played with 66
-// VMs before 60 engines at one and a half times their capacity, VMs that place for
-// themselves earn 0.824 of the worth, four cells 0.903, a single one 0.911; 8 VMs
-// before 9 engines 0.807, one cell 0.862 (core/dispatch, 2 to 4 seeds).
+// Load it answers: one and a half to three times what the engines do. The fewer VMs place,
+// the more is served in time then (docs/CAPACITY.md).
 //
 // Nothing is elected or agreed on. Each VM works out its placer from the VMs that it
 // hears; if two disagree for a moment, both place, as if they were two cells. A VM that
@@ -25,9 +23,7 @@
 	// few enough that each hears each other ten times a second.
 	wholeDeployment = 24
 	// cellSize bounds the VMs of a cell. Several placers before the same engines take the
-	// same slots, so a failure domain has as few as can carry the work: one of 64 VMs with
-	// 7 requests a second each decides 450 times a second, about 2% of a core
-	// (BenchmarkDecision and four messages a request).
+	// same slots, so a failure domain has as few as can carry the work.
 	cellSize = 64
 	// placerKey is hashed with the VMs' addresses to rank them.
 	placerKey = "placer"
@@ -68,8 +64,8 @@
 const shareWorthMoving = 2
 
 // Ranked orders VMs by who should place: those that do it already, then those with the
-// most processor time. Without that a VM that was restarted took its place back at once,
-// knowing no loads: of 200 requests a second 60 went to engines that were full.
+// most processor time. Without that a VM that was restarted takes its place back at once,
+// knowing no loads, and sends requests to engines that are full.
 func Ranked(vms []VM) []VM {
 	most := 0.0
 	for _, v := range vms {
--- a/core/cell/recipients.go
+++ b/core/cell/recipients.go
@@ -29,8 +29,8 @@
 	// own failure domain and of others.
 	nearLoads = 16
 	farLoads  = 6
-	// nearHeartbeats and farHeartbeats bound heartbeats to all others. With ten notes a second
-	// and 138 VMs in a failure domain one hears each other every 3.5 s.
+	// nearHeartbeats and farHeartbeats bound heartbeats to all others, so that what a VM
+	// sends does not grow with the deployment.
 	nearHeartbeats = 4
 	farHeartbeats  = 1
 )
--- a/core/dispatch/choice.go
+++ b/core/dispatch/choice.go
@@ -13,8 +13,8 @@
 // that every endpoint is known to as many VMs as any other.
 
 const (
-	// maxChoices is the number of endpoints of a service that a VM uses: a decision
-	// among them takes about 20 us (BenchmarkDecision).
+	// maxChoices is the number of endpoints of a service that a VM uses, which bounds
+	// the time of a decision.
 	maxChoices = 128
 	// farChoices of them are in other failure domains, for when the own one fails.
 	farChoices = maxChoices / 4
--- a/core/dispatch/ejection.go
+++ b/core/dispatch/ejection.go
@@ -14,9 +14,8 @@
 // grow, until several in a row have succeeded.
 //
 // Only failures in a row count: an endpoint that spoils some of its requests serves the
-// others, and is needed under load. Ejecting by a share of failures, also with a margin of a
-// half, cost 0.034 of the worth on days on which three in five endpoints lost three in ten
-// answers (four seeds), since chance makes any of them look bad for a moment.
+// others, and is needed under load. By a share of failures chance makes any endpoint look bad for a
+// moment where many lose some of their answers.
 //
 // Where the requests of a service fail by themselves nobody is ejected. That is measured
 // by the lower quartile of the endpoints' shares of failures, which failing ones cannot
--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -72,10 +72,8 @@
 
 const (
 	// typicalUp and typicalDown are the shares by which one observation moves it: a placer
-	// sees a hundred first events a second, so that it is right within a second or two.
-	// Against steps alike, which follow the median, requests that could be on time are not
-	// kept waiting under overload: 0.79 for 0.78 of the worth at one and a half times what
-	// the engines do (BenchmarkPolicy).
+	// sees so many first events that it is right within a second or two. With steps alike,
+	// which follow the median, requests that could be on time are kept waiting under overload.
 	typicalUp   = 0.01
 	typicalDown = 0.04
 	// typicalFar is how many higher observations in a row say that it is far off, which
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -48,9 +48,9 @@
 	// probing is set while a probe is under way.
 	probing bool
 	// unproven endpoints could not be reached and take connections again: nothing tells
-	// yet that the same incarnation does. When 60 engines of 240 crashed and others came
-	// up at their addresses two seconds later, 441 requests were sent to those, six and
-	// more each, and turned away. One at a time until something is heard.
+	// yet that the same incarnation does. When others come up at the addresses of engines
+	// that crashed, each would get several requests and turn them away. One at a time until
+	// something is heard.
 	unproven bool
 	// answered is when it last answered a request.
 	answered time.Duration
@@ -234,9 +234,8 @@
 }
 
 // peerDoubts takes in another VM's doubt. What this VM heard itself since about
-// then counts more. Only VMs that place do so: when all 295 of a fleet found out for
-// themselves, on a day of 41 s on which a failure domain with 40 endpoints was cut off for
-// 6 s, they opened 343,334 connections for 128,000 requests.
+// then counts more. Only VMs that place do so: if all of a large fleet found out for
+// themselves when a failure domain is cut off, they would open several connections a request.
 func (e *endpoint) peerDoubts(now time.Duration) {
 	if now-e.health.lastHeard > silentAfter {
 		e.health.doubt(now)
--- a/core/dispatch/hopeless.go
+++ b/core/dispatch/hopeless.go
@@ -44,9 +44,8 @@
 
 // hopeless says whether a job waits for nothing, so that its caller is better told now, while
 // it has time to return: others of its class ahead of it take until it is late, and
-// the late ones until its caller leaves. Before, nine in ten refused jobs of the lowest
-// tier had been held for 1.3 s of their callers' 2 at one and a half times the
-// engines' capacity.
+// the late ones until its caller leaves. Held to the end, most refused jobs of the lowest tier
+// would cost their callers most of their patience.
 func (sv *service) hopeless(now time.Duration, j *Job, ahead map[class]int, late int) bool {
 	if j.late {
 		// Those behind it in the queue do not count.
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -43,9 +43,8 @@
 	// readRatio is the time to read a token against the time between events, by
 	// the size of the prompt; it hardly differs between endpoints, since both follow
 	// the engine's speed, but grows with the prompt, since each token attends to all
-	// before it. Its low end was no guide: a few prompts that were kept whole set it to a
-	// tenth, and one placer in six sent its requests to engines that were fast only by
-	// its word, 18 in 100 of them five times later than predicted.
+	// before it. Its low end is no guide: a few prompts that are kept whole lower it, and
+	// requests go to engines that are fast only by that.
 	readRatio [promptSizes]typical
 	// firstRatio is what the first event takes beyond the reading of the prompt, against
 	// the time between events. It may hold a single token where others hold thirty, or as
@@ -80,8 +79,8 @@
 }
 
 // A VM that places for others sees no streams of theirs, and each of them sees an engine
-// only now and then: with 49 VMs before 40 engines every ten seconds. What each has made of
-// it is old then, and the mean of that did not tell a slow engine for many seconds. So VMs
+// only now and then. What each has made of it is old then, and the mean of that does not tell a
+// slow engine for many seconds. So VMs
 // tell their placer what they see as they see it, in the notes that they send anyway.
 
 // takeFresh is what is told of the pace seen since the last time.
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -160,11 +160,8 @@
 	})
 }
 
-// returnAfter is when a refused caller should return, on average. A time that grew with the
-// refusals for one placement, up to 4 s, brought callers back when their first objective and
-// most of their patience were gone: over two seeds of five days on three small deployments
-// and one of 63 VMs 0.003 to 0.015 less of the worth was served with it. A time as long as
-// the overload had lasted served 0.002 less and 0.003 more than the one that grew.
+// returnAfter is when a refused caller should return, on average. A time that grows with the
+// overload brings callers back when their first objective and most of their patience are gone.
 const returnAfter = 300 * time.Millisecond
 
 // comeBack is when a refused caller should return, spread by its handle by half either
--- a/core/dispatch/rank.go
+++ b/core/dispatch/rank.go
@@ -5,9 +5,8 @@
 // The queue's order: by tier, and within one the jobs that can be on time before the
 // late ones. One exception: a job that takes a small part of the usual work, and can be
 // on time, goes before the late jobs of the tier just above its own. Under overload the
-// lowest tier otherwise earned 0.26 to 0.285 of what it was owed on a day of a grown site,
-// with the exception 0.34, and the tier above 0.55 and 0.56. Its short answers take about an
-// eighth of the slot time of the late ones that they delay; no job on time waits for it.
+// lowest tier is otherwise hardly served at all, though its short answers take little of the
+// slot time of the late ones that they delay; no job on time waits for it.
 
 const (
 	// ranksOfTier are: on time, short jobs of the tier below, late.
--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -25,13 +25,10 @@
 	// farCost is what another failure domain counts for, in seconds, among endpoints where
 	// an answer is on time. A stream between two domains breaks if they are cut off from
 	// each other, and each byte between them is paid for; a tenth of a second is the most
-	// that callers are to wait longer for that. Over three small deployments 0.1 earned
-	// 0.007, 0.007 and 0.000 more of the worth than 0.004, and as much as 0.3.
+	// that callers are to wait longer for that.
 	farCost = 0.1
 	// staleCost is what the age of other failure domains' loads counts for: at an
-	// endpoint whose load is not known slots are taken twice. With 66 VMs before 60
-	// engines, played at their capacity, 0 earns 0.867, 0.05 0.934, 0.5 0.962 of the
-	// worth, 1 0.959 (BenchmarkLargePolicy).
+	// endpoint whose load is not known slots are taken twice.
 	staleCost = 0.5
 	// onTimeShare is the part of the time left that a prediction may take, since
 	// peers' loads are older than a round trip.
--- a/core/dispatch/turns.go
+++ b/core/dispatch/turns.go
@@ -20,9 +20,8 @@
 const turnTime = 100 * time.Millisecond
 
 // freshAge is up to which age of others' loads turns are taken. Where loads are older
-// a slot that seems free has been taken long ago: played with 66 VMs at one and a half
-// times the engines' capacity, 80 in 100 requests to other failure domains met a full
-// engine, and 0.736 of the worth was earned; 0.828 without them.
+// a slot that seems free has been taken long ago, and most requests to other failure domains
+// would meet a full engine under overload.
 const freshAge = 3 * turnTime / 2
 
 // refillTime is how long the slot of a request that ended stays this VM's own.
--- a/core/rollout/test.go
+++ b/core/rollout/test.go
@@ -19,7 +19,7 @@
 	// tolerated are the odds of a bad answer, against those of the old version, up to which
 	// a version is not bad: its caches are empty, and fewer endpoints share its load.
 	tolerated = 2
-	// slowBuckets above the old version's median a time counts as slow: 2.4 to 2.8 times.
+	// slowBuckets above the old version's median a time counts as slow: about two and a half times.
 	slowBuckets = 3
 	// convictAt is the logarithm of the evidence against a version at which it counts as
 	// bad: the chance of an error is below one in e^convictAt for each comparison. With three
--- a/core/suspect/doc.go
+++ b/core/suspect/doc.go
@@ -3,9 +3,8 @@
 // may still be sent, what others are to be told and what is worth a log line come out.
 //
 // Load it answers: a request that ends each endpoint that begins to run it and that its
-// caller sends again at any VM, some times a second. Without it the request went to engines 16
-// times more after it had ended three; 22 of 9 engines with their successors ended in 9 s,
-// and each took up to a dozen requests of others with it.
+// caller sends again at any VM, some times a second. Without it engine after engine ends, with their
+// successors, and each takes up to a dozen requests of others with it.
 //
 // A Sighting says that a request was cut off at an incarnation of an endpoint. Cuts alone
 // say little: links break and answers are torn. So a sighting counts only once its
--- a/core/suspect/ledger.go
+++ b/core/suspect/ledger.go
@@ -34,11 +34,11 @@
 	// mended gets the request again, and if it was not, three have to end anew.
 	convictedLife = 24 * time.Hour
 	// trustFor is how long after a whole answer a request is no suspect here, whatever is cut
-	// off. Of a page that many callers read some copies run at each endpoint: when all four
-	// engines of a service ended within 0.6 s under another request, it had been at each of
-	// three generations of ends before an answer could clear it, and was refused to all.
+	// off. Of a page that many callers read some copies run at each endpoint: when all engines
+	// of a service end under another request, it is at each of three generations of ends
+	// before an answer can clear it, and would be refused to all.
 	trustFor = 10 * time.Second
-	// mostTrusted bounds the requests remembered for that, 0.2 MB.
+	// mostTrusted bounds the requests remembered for that, and so the memory.
 	mostTrusted = 2048
 )
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -230,8 +230,8 @@
 }
 
 // informedWithin is up to what uptime a request waits until configuration and endpoints
-// are known. Both are read within 30 ms of a start; callers that had been turned away
-// meanwhile, 30 to 40 in a start of nine VMs, returned too late for their objective.
+// are known. Both are read soon after a start; callers that are turned away meanwhile return
+// too late for their objective.
 const informedWithin = 500 * time.Millisecond
 
 // knowsAll says whether configuration and endpoints are known.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -23,11 +23,11 @@
 	// vmsEvery is how many notes pass between two that list the known VMs and all
 	// paces.
 	vmsEvery = 10
-	// maxListed bounds the VMs that notes list, 3 KB of them (BenchmarkNote). Larger
+	// maxListed bounds the VMs that notes list. Larger
 	// deployments know each other from the store and by heartbeat.
 	maxListed = 64
-	// maxDatagram is the largest note; a larger one is not sent, and counted. A VM with
-	// 3,000 requests under way names them all in 27 KB.
+	// maxDatagram is the largest note; a larger one is not sent, and counted. It names
+	// all requests that a VM can have under way.
 	maxDatagram = 32 << 10
 )
 
@@ -96,15 +96,14 @@
 	silent bool
 }
 
-// namedFor is how long the word that a VM places requests for others holds. Each VM hears
-// ten far ones a second; with 36 placers in other failure domains each is named every four
-// seconds, and rarely not for three times as long.
+// namedFor is how long the word that a VM places requests for others holds. Far VMs are
+// heard in turns, so each placer of another failure domain is named every few seconds in the
+// largest deployments.
 const namedFor = 12 * time.Second
 
 // placing says whether the VM places requests, its own or others', so that it needs to know
-// loads. One that was never heard does only if others say so: when all of 246 far VMs were
-// told loads in turns, the five that place heard them every four seconds, and 56 in 100
-// requests that placers sent to other failure domains met a full engine.
+// loads. One that was never heard does only if others say so: if all far VMs were told loads
+// in turns, those that place would hear them too seldom, and requests would meet full engines.
 func (pe *peer) placing(now time.Duration) bool {
 	return pe.heardLately(now) && !pe.asks || pe.named > 0 && now-pe.named < namedFor
 }
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -363,7 +363,7 @@
 
 // Up to eachLogged changes that come together are logged by line; of more, one line names
 // up to mostNamed endpoints. When all VMs and endpoints start, each VM hears of each
-// endpoint: 49,339 lines of 295 VMs and 251 endpoints.
+// endpoint, a line for every pair.
 const (
 	eachLogged = 4
 	mostNamed  = 64
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -21,8 +21,7 @@
 	aliveFor   = time.Second
 	aliveNotes = 4
 	// unheardFor is how long a VM that was never heard counts as alive after it was learned
-	// of: notes come in turns, and a VM of a failure domain of 138 hears each other one
-	// every 3.5 s.
+	// of: notes come in turns, seconds apart in a large failure domain.
 	unheardFor = 4 * time.Second
 	// everyWeight is the weight of one time between two notes in the usual one.
 	everyWeight = 0.2
@@ -100,8 +99,8 @@
 const mostUnpacked = 4 * maxDatagram
 
 // pack compresses a part's records, which are much alike, to a fifth or less. The reader
-// sends each part to all of its failure domain at once: 48 times 18 KB filled a link of
-// 20 Mbit/s, most notes were lost, and all read the store instead.
+// sends each part to all of its failure domain at once: unpacked they fill its link, most notes
+// are lost, and all read the store instead.
 func pack(part *schema.EndpointRelay) (*schema.EndpointRelay, error) {
 	if len(part.Records) == 0 {
 		return part, nil
--- a/entry/remote_jobs.go
+++ b/entry/remote_jobs.go
@@ -32,8 +32,8 @@
 	askers map[string]*asker
 }
 
-// asker is a VM that asks this one. Its requests are kept by VM: notes of 49 VMs, ten a
-// second each, are compared with what is known of the one's requests, not of all.
+// asker is a VM that asks this one. Its requests are kept by VM: each note is compared
+// with what is known of the one's requests, not of all.
 type asker struct {
 	// heard is when it spoke last.
 	heard time.Duration
--- a/entry/suspect_notes.go
+++ b/entry/suspect_notes.go
@@ -14,15 +14,14 @@
 
 const (
 	// hotSuspects bounds the records of what was learned lately in each note, and those in
-	// turn in each tenth: 0.5 KB.
+	// turn in each tenth.
 	hotSuspects = 8
 	// startSuspects bounds what a VM that has just started is told at once by each that hears
-	// of it, 4 KB.
+	// of it.
 	startSuspects = 64
 	// suspectsSettle is how long a VM that saw an endpoint end gathers what it ran there before
 	// it tells others, out of turn: a caller that sends again at once reaches another VM
-	// within a round trip. With notes in turn alone four endpoints ended under a request that two
-	// VMs got every 50 ms, now three (TestVMsThatStartKnowWhatEndsEndpoints).
+	// within a round trip, and with notes in turn alone one endpoint more ends.
 	suspectsSettle = 5 * time.Millisecond
 	// suspectKey begins the keys of convicted requests in the store.
 	suspectKey = "suspect-"
@@ -170,9 +169,8 @@
 }
 
 // keepConvicted has convictions written that this VM was told, if it reads the store for its
-// failure domain: the VM that saw one may be lost before the store takes it. When all VMs
-// were killed twice within 5 s, while the store was away, ten endpoints ended under one
-// request in place of three. The lock is held.
+// failure domain: the VM that saw one may be lost before the store takes it, and with it
+// the conviction, if all VMs are killed while the store is away. The lock is held.
 func (s *suspects) keepConvicted() {
 	convicted := s.ledger.Convicted()
 	if len(convicted) == 0 || !s.d.peers.reads() {
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -209,8 +209,8 @@
 // probe opens a connection to an endpoint under which one broke. Requests that wait for a
 // place need not find out one by one.
 //
-// A VM whose own link refuses connections would take every endpoint behind it for ended: a
-// stream that went on at a second one had two ends within 7 ms. So connections must open to
+// A VM whose own link refuses connections would take every endpoint behind it for ended, and a
+// stream that goes on elsewhere would have several ends. So connections must open to
 // others of its failure domain; else the registry's word is awaited.
 func (s *suspects) probe(ep *members.Endpoint) {
 	err := s.d.openTo(dispatch.Probe{Key: ep.Key(), Address: ep.Address})
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -24,8 +24,7 @@
 	// must get nothing more: how long a VM waits for what others read of the registry
 	// before it reads itself, a quarter more with spread, and how often the reader reads.
 	// Endpoints write there each second or so, so a waiting read would return at once each
-	// time. With 4 s a failure domain makes one call a second, with fixed times of 0.7 and
-	// 1.2 s, which 2 s need, nearly two.
+	// time.
 	silenceShare = 0.6
 	everyShare   = 0.35
 	// mostEvery and mostSilence bound them: endpoints that come are used as late as this.
