--- a/entry/rollout_judge.go
+++ b/entry/rollout_judge.go
@@ -34,7 +34,9 @@
 	// drainedVMs and drainedDomains are when a VM or a failure domain last said that nothing
 	// runs at the old version there; a report that says otherwise removes them.
 	drainedVMs, drainedDomains map[string]time.Duration
-	suspected                  bool
+	// suspected and next are those that were last logged.
+	suspected bool
+	next      rollout.Phase
 }
 
 func newJudge(o rollout.Order) *judge {
@@ -240,11 +242,11 @@
 // logFinding says what speaks against a version when it becomes suspect, and at the verdict.
 func (r *rollouts) logFinding(m *movement, k rollout.Known, next rollout.Phase) {
 	suspect := k.Finding.Suspect()
-	if next == m.phase && (!suspect || m.judge.suspected) {
-		m.judge.suspected = suspect
+	logged := next == m.judge.next && (!suspect || m.judge.suspected)
+	m.judge.suspected, m.judge.next = suspect, next
+	if logged {
 		return
 	}
-	m.judge.suspected = suspect
 	f := k.Finding
 	r.d.log.Info().Str("service", m.order.Service).Str("version", m.order.Version).Stringer("phase", m.phase).Stringer("next", next).
 		Dur("age", k.Age).Str("route", f.Route).Stringer("kind", f.Kind).Str("strength", strconv.FormatFloat(f.Strength, 'f', 1, 64)).
