--- a/core/members/members.go
+++ b/core/members/members.go
@@ -80,9 +80,9 @@
 	Leaving bool
 }
 
-// ghostsFor is how long after the registry came back from a copy incarnations that are gone may
+// copyLists is how long after the registry came back from a copy incarnations that are gone may
 // still be listed: it drops what is silent for three heartbeats.
-const ghostsFor = 10 * time.Second
+const copyLists = 10 * time.Second
 
 // mostLatest bounds the starts kept of ids that are gone: beyond it those are dropped,
 // which are long past any late record.
@@ -195,14 +195,14 @@
 	s.copied, s.wasCopied = now, true
 }
 
-// isGhost says whether a record is of an incarnation that is gone, as a copy still lists it.
-func (s *Set) isGhost(now time.Duration, c Change) bool {
-	return c.Endpoint != nil && s.wasCopied && now < s.copied+ghostsFor && s.departed[c.ID] == c.Endpoint.Key()
+// listedByCopy says whether a record is of an incarnation that is gone, as a copy still lists it.
+func (s *Set) listedByCopy(now time.Duration, c Change) bool {
+	return c.Endpoint != nil && s.wasCopied && now < s.copied+copyLists && s.departed[c.ID] == c.Endpoint.Key()
 }
 
 // ApplyCopied takes in a record that may be as old as the copy from which the registry came back.
 func (s *Set) ApplyCopied(now time.Duration, c Change) {
-	if !s.isGhost(now, c) {
+	if !s.listedByCopy(now, c) {
 		s.apply(now, c)
 	}
 }
