Roll-outs: many bad answers of the old version hide no bad new one

What callers saw: a version was completed of which all 21 answers on one route were slow. The share of the new version's own answers that are bad is tested, too, against three times the old version's odds, once 100 of those are known. TestManyBadAnswersOfTheOldVersionHideNoBadOne fails without it.

--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -254,6 +254,35 @@
 	is.Equal(Test(e, 2).Kind, Failures)
 }
 
+// Symptom: a version was completed of which all 21 answers on one route were slow. Sequence: the
+// machine is busy, and 43 of 235 answers of the old version count as slow too. Cause: only which
+// version gave the bad answers was tested, not how many of its own were bad.
+func TestManyBadAnswersOfTheOldVersionHideNoBadOne(t *testing.T) {
+	is := is.New(t)
+	fast, slow := 10*time.Millisecond, 200*time.Millisecond
+	counts := func(n, bad int) (c Counts) {
+		c.Answers = uint32(n)
+		for i := range n {
+			took := fast
+			if i < bad {
+				took = slow
+			}
+			c.First.Observe(took)
+			c.Whole.Observe(took)
+		}
+		return c
+	}
+	e := Evidence{
+		{Route: "r"}:              counts(235, 43),
+		{Route: "r", Endpoint: 1}: counts(11, 11),
+		{Route: "r", Endpoint: 2}: counts(10, 10),
+	}
+	is.True(Test(e, 2).Untrusted())
+	// As many as the old one gives are no sign.
+	e[Group{Route: "r", Endpoint: 1}], e[Group{Route: "r", Endpoint: 2}] = counts(11, 3), counts(10, 2)
+	is.True(!Test(e, 2).Suspect())
+}
+
 // The bound on what a bad version gets holds at any moment, whatever the VMs believe, over
 // processes that are killed and start again, by the requests that each sent.
 func TestExposureIsBounded(t *testing.T) {
@@ -368,18 +397,18 @@
 		{"few are known since processes ended: tried longer", Trying, with(func(k *Known) { k.Answers = 0; k.OldAnswers = 2 }), Trying},
 		{"suspect: tried longer", Trying, with(func(k *Known) { k.Finding.Doubt = 3; k.Age = 7 * time.Second }), Trying},
 		{"suspect, time short: moved", Trying, with(func(k *Known) { k.Finding.Doubt = 3; k.Age = 8500 * time.Millisecond }), Moving},
-		{"not trusted: not moved", Trying, with(func(k *Known) { k.Finding.Doubt = 6; k.Age = 9 * time.Second }), Trying},
-		{"not trusted to the end: rolled back", Trying, with(func(k *Known) { k.Finding.Doubt = 6; k.Age = 10 * time.Second }), RolledBack},
+		{"not trusted: not moved", Trying, with(func(k *Known) { k.Finding.Doubt = 7; k.Age = 9 * time.Second }), Trying},
+		{"not trusted to the end: rolled back", Trying, with(func(k *Known) { k.Finding.Doubt = 7; k.Age = 10 * time.Second }), RolledBack},
 		{"no endpoint of the version: waits", Trying, with(func(k *Known) { k.NewListed = 0 }), Trying},
 		{"no endpoint of the version to the end: rolled back", Trying, with(func(k *Known) { k.NewListed = 0; k.Age = 11 * time.Second }), RolledBack},
 		{"only the new version is there: moved", Trying, with(func(k *Known) { k.OldListed = 0; k.Age = 2 * time.Second }), Moving},
-		{"bad while moving: rolled back", Moving, with(func(k *Known) { k.Finding.Strength = 12; k.Drained = true }), RolledBack},
+		{"bad while moving: rolled back", Moving, with(func(k *Known) { k.Finding.Strength = 13; k.Drained = true }), RolledBack},
 		{"requests still run at the old version", Moving, calm, Moving},
 		{"nothing runs there any more, but there is time", Moving, with(func(k *Known) { k.Drained = true }), Moving},
 		{"nothing runs there any more, and time is over", Moving, with(func(k *Known) { k.Drained = true; k.Age = 9 * time.Second }), Completed},
 		{"suspect while moving: not completed yet", Moving, with(func(k *Known) { k.Drained = true; k.Age = 9 * time.Second; k.Finding.Doubt = 3 }), Moving},
 		{"suspect while moving, time short: completed", Moving, with(func(k *Known) { k.Drained = true; k.Age = 9600 * time.Millisecond; k.Finding.Doubt = 3 }), Completed},
-		{"not trusted while moving: rolled back", Moving, with(func(k *Known) { k.Finding.Doubt = 6 }), RolledBack},
+		{"not trusted while moving: rolled back", Moving, with(func(k *Known) { k.Finding.Doubt = 7 }), RolledBack},
 		{"nothing is known of the old one any more, and some fail: not completed", Moving, with(func(k *Known) { k.Drained = true; k.Age = 11 * time.Second; k.OldAnswers = 0; k.Failures = 26 }), Moving},
 		{"the same, for long: rolled back", Moving, with(func(k *Known) { k.Drained = true; k.Age = 20 * time.Second; k.OldAnswers = 0; k.Failures = 26 }), RolledBack},
 		{"nothing is known of the old one any more, but none fail: completed", Moving, with(func(k *Known) { k.Drained = true; k.Age = 9500 * time.Millisecond; k.OldAnswers = 0 }), Completed},
--- a/core/rollout/test.go
+++ b/core/rollout/test.go
@@ -23,14 +23,19 @@
 	slowBuckets = 3
 	// convictAt is the logarithm of the evidence against a version at which it counts as
 	// bad: the chance of an error is below one in e^convictAt for each comparison. With three
-	// routes and all, four kinds and nine beginnings that is below one in a thousand.
-	convictAt = 11.9
+	// routes and all, four kinds, two tests and nine beginnings that is below one in a thousand.
+	convictAt = 12.6
 	// suspectAt is that from which a step waits for more evidence, while there is time, and
 	// doubtAt that at which the version is not trusted once there is none. The answers of all
 	// its endpoints count: rolling a good version back costs a delay, moving to a bad one
 	// harms every caller, and once the old endpoints have stopped nothing brings them back.
 	suspectAt = 2
-	doubtAt   = 5
+	doubtAt   = 6.5
+	// toleratedShare are the odds that are tolerated against those of the old version's own
+	// answers, which are known less well than which version gave the bad ones. leastOld
+	// answers of the old version are wanted to say how many bad ones are usual.
+	toleratedShare = 3
+	leastOld       = 100
 )
 
 // badness are the odds, in multiples of the tolerated ones, that the test looks for.
@@ -210,19 +215,33 @@
 	return sample{int(c.Failures), int(c.Answers)}
 }
 
-// strength is the logarithm of the evidence that the odds of a bad answer by the new version
-// are greater than tolerated.
+// strength is the logarithm of the evidence that the new version gives bad answers more often than
+// tolerated. Where bad answers are rare what counts is which version gave them. Where the old
+// version gives many, as on a machine that is busy, that alone hides a new one that gives
+// nothing else; so the share of its own answers that are bad is tested, too.
 func strength(fresh, old sample) float64 {
 	if fresh.bad == 0 || fresh.total == 0 || old.total == 0 {
 		return 0
 	}
-	odds := tolerated * float64(fresh.total) / float64(old.total)
+	which := ratio(tolerated*float64(fresh.total)/float64(old.total), fresh.bad, old.bad)
+	if old.total < leastOld {
+		return which
+	}
+	return max(which, ratio(toleratedShare*old.odds(), fresh.bad, fresh.total-fresh.bad))
+}
+
+// odds are those of a bad answer, a little above what was seen.
+func (s sample) odds() float64 { return float64(s.bad+1) / float64(s.total-s.bad+1) }
+
+// ratio is the logarithm of the likelihood ratio of hits and misses, averaged over degrees of
+// badness, against the odds of a hit that are tolerated.
+func ratio(odds float64, hits, misses int) float64 {
 	null := odds / (1 + odds)
 	most, sum := math.Inf(-1), 0.0
 	var logs [len(badness)]float64
 	for i, b := range badness {
 		p := b * odds / (1 + b*odds)
-		logs[i] = float64(fresh.bad)*math.Log(p/null) + float64(old.bad)*math.Log((1-p)/(1-null))
+		logs[i] = float64(hits)*math.Log(p/null) + float64(misses)*math.Log((1-p)/(1-null))
 		most = max(most, logs[i])
 	}
 	for _, l := range logs {
