Roll-outs: nothing is looked at again at a start, and one piece for what stood twice

Each process took the versions of its first registry for just settled and gave the scheduler all endpoints anew five times in its first half second, once more with each reading of the list of VMs, though no order was there; both are gone, and endpoints are not copied where every version has settled.

Also: who has drained is kept by one type in place of two maps with the same four lines; a failure domain's evidence is summed once a report, not twice; a request takes one lock, not two, where its service does not move. No bound, check or test changed.

go test ./platform/whole: ok in 118 s; entry, core/rollout, core/members with the race detector: ok.

--- a/entry/rollout_judge.go
+++ b/entry/rollout_judge.go
@@ -31,18 +31,35 @@
 	// vms is what the processes of the failure domain saw, domains what failure domains did.
 	vms, domains *rollout.Ledger
 	watch        *rollout.Watch
-	// drainedVMs and drainedDomains are when a VM or a failure domain last said that nothing
-	// runs at the old version there; a report that says otherwise removes them.
-	drainedVMs, drainedDomains map[string]time.Duration
+	// drainedVMs and drainedDomains are those where nothing runs at the old version.
+	drainedVMs, drainedDomains drained
 	// suspected and next are those that were last logged.
 	suspected bool
 	next      rollout.Phase
 }
 
+// drained is when VMs or failure domains last said that nothing runs at the old version there.
+type drained map[string]time.Duration
+
+// take takes in what one of them says.
+func (d drained) take(now time.Duration, who string, report *schema.RolloutReport) {
+	if report.Drained {
+		d[who] = now
+		return
+	}
+	delete(d, who)
+}
+
+// holds says whether one of them said so within some times between two reports.
+func (d drained) holds(now, pause time.Duration, who string) bool {
+	at, ok := d[who]
+	return ok && now-at <= reportLife*pause
+}
+
 func newJudge(o rollout.Order) *judge {
 	return &judge{
 		vms: rollout.NewLedger(), domains: rollout.NewLedger(), watch: rollout.NewWatch(o),
-		drainedVMs: make(map[string]time.Duration), drainedDomains: make(map[string]time.Duration),
+		drainedVMs: make(drained), drainedDomains: make(drained),
 	}
 }
 
@@ -129,11 +146,11 @@
 	if m.judge == nil {
 		m.judge = newJudge(m.order)
 	}
-	m.judge.takeVM(now, own, own, evidenceOf(report), report)
 	others := otherJudges(judges, own)
 	var told *schema.RolloutReport
 	lead := leads(own, m.order.Service, judges)
 	if report != nil {
+		m.judge.takeVM(now, own, own, report)
 		told = r.domainReport(m, now, pause)
 		r.decide(m, now, lead, judges, pause)
 	}
@@ -173,8 +190,9 @@
 
 // domainReport is what the failure domain saw. The lock is held.
 func (r *rollouts) domainReport(m *movement, now, pause time.Duration) *schema.RolloutReport {
-	m.judge.domains.Merge(r.d.set.Vm.FailureDomain, m.judge.vms.Sum())
-	report := reportOf(m.order, m.judge.vms.Sum())
+	sum := m.judge.vms.Sum()
+	m.judge.domains.Merge(r.d.set.Vm.FailureDomain, sum)
+	report := reportOf(m.order, sum)
 	report.Domain = true
 	report.Drained = r.domainDrained(m, now, pause)
 	return report
@@ -185,8 +203,7 @@
 // and when the old endpoints stop it sees them gone. The lock is held.
 func (r *rollouts) domainDrained(m *movement, now, pause time.Duration) bool {
 	for _, address := range append(r.d.peers.heardIn(r.d.set.Vm.FailureDomain), r.d.set.Listen.Peers) {
-		at, ok := m.judge.drainedVMs[address]
-		if !ok || now-at > reportLife*pause {
+		if !m.judge.drainedVMs.holds(now, pause, address) {
 			return false
 		}
 	}
@@ -203,11 +220,7 @@
 		return false
 	}
 	for domain := range judges {
-		if domain == r.d.set.Vm.FailureDomain {
-			continue
-		}
-		at, ok := m.judge.drainedDomains[domain]
-		if !ok || now-at > reportLife*pause {
+		if domain != r.d.set.Vm.FailureDomain && !m.judge.drainedDomains.holds(now, pause, domain) {
 			return false
 		}
 	}
@@ -256,25 +269,14 @@
 
 // takeVM takes in what a process of the own failure domain saw. source names the process,
 // address its VM.
-func (j *judge) takeVM(now time.Duration, source, address string, e rollout.Evidence, report *schema.RolloutReport) {
-	if report == nil {
-		return
-	}
-	j.vms.Merge(source, e)
-	if report.Drained {
-		j.drainedVMs[address] = now
-	} else {
-		delete(j.drainedVMs, address)
-	}
+func (j *judge) takeVM(now time.Duration, source, address string, report *schema.RolloutReport) {
+	j.vms.Merge(source, evidenceOf(report))
+	j.drainedVMs.take(now, address, report)
 }
 
 func (j *judge) takeDomain(now time.Duration, domain string, report *schema.RolloutReport) {
 	j.domains.Merge(domain, evidenceOf(report))
-	if report.Drained {
-		j.drainedDomains[domain] = now
-	} else {
-		delete(j.drainedDomains, domain)
-	}
+	j.drainedDomains.take(now, domain, report)
 }
 
 // takeReports takes in what other VMs saw, if this one judges.
@@ -291,7 +293,7 @@
 			m.judge.takeDomain(r.d.now(), n.FailureDomain, report)
 		case !report.Domain && n.FailureDomain == r.d.set.Vm.FailureDomain:
 			source := n.Address + " " + strconv.FormatUint(n.Incarnation, 10)
-			m.judge.takeVM(r.d.now(), source, n.Address, evidenceOf(report), report)
+			m.judge.takeVM(r.d.now(), source, n.Address, report)
 		}
 	}
 }
--- a/entry/rollout_status.go
+++ b/entry/rollout_status.go
@@ -139,8 +139,11 @@
 		r.adoptStatus(m)
 		m.known = true
 	}
+	ordered := len(r.byService) > 0
 	r.mu.Unlock()
-	r.d.sched.resync()
+	if ordered {
+		r.d.sched.resync()
+	}
 }
 
 // rewrite has statuses written again that the store may have lost.
--- a/entry/rollout_versions.go
+++ b/entry/rollout_versions.go
@@ -39,7 +39,7 @@
 		}
 		known[e.Version] = now
 		if first {
-			known[e.Version] = now - versionSettles
+			known[e.Version] = now - versionSettles - resyncMargin
 		}
 	}
 }
@@ -48,9 +48,11 @@
 // none.
 func (r *rollouts) settled(now time.Duration, service string, list []*members.Endpoint) []*members.Endpoint {
 	known := r.versions[service]
-	usable := slices.DeleteFunc(slices.Clone(list), func(e *members.Endpoint) bool {
-		return now-known[e.Version] < versionSettles
-	})
+	fresh := func(e *members.Endpoint) bool { return now-known[e.Version] < versionSettles }
+	if !slices.ContainsFunc(list, fresh) {
+		return list
+	}
+	usable := slices.DeleteFunc(slices.Clone(list), fresh)
 	if len(usable) == 0 {
 		return list
 	}
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -258,13 +258,13 @@
 // What is decided and told meanwhile must not be passed by: the placer may know less. visit is
 // nil if the service does not move.
 func (r *rollouts) begin(c *caller, ep *members.Endpoint, trial bool) (v *visit, ok bool) {
-	cold := r.moves(c.service) && r.d.sched.cold(ep)
+	if !r.moves(c.service) {
+		return nil, true
+	}
+	cold := r.d.sched.cold(ep)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := r.byService[c.service]
-	if m == nil {
-		return nil, true
-	}
 	now := r.d.now()
 	if !m.admits(now, ep, trial, r.d.set.Bounds.ExposureShare) {
 		return nil, false
