Retry budgets are logged and counted, apart from allowances

The sum of repeats over all VMs could not be had from logs: no line said what a VM earned, paid, sent and refused, nor by how many VMs it divided the fixed part. Each VM logs retry_budget for a service of which repeats were asked, each 5 s and at its end, and counts the same. The budgets get a type of their own.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -101,7 +101,7 @@
 		c.refuse(*bad)
 		return
 	}
-	d.shares.request(c.service)
+	d.retries.request(c.service)
 	c.run(ctx)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -87,6 +87,7 @@
 	// startedAt is when the process started, by the VM's clock.
 	startedAt time.Time
 	shares    *sharing
+	retries   *retries
 	pool      *upstream.Pool
 	idle      *idleLimit
 	bodies    *memoryBudget
@@ -132,7 +133,7 @@
 	d.sched.usable = d.rollouts.usable
 	d.sched.departed = d.suspects.departed
 	d.sched.follow(d.set.Listen.Peers, false)
-	d.shares = newSharing(d.set, d.now)
+	d.shares, d.retries = newSharing(d.set, d.now), newRetries(d)
 	d.peers = newPeers(d)
 	return d
 }
@@ -185,6 +186,7 @@
 	group.Go(func() error { return d.suspects.keep(work) })
 	group.Go(func() error { return d.rollouts.keep(work) })
 	group.Go(func() error { return d.rollouts.follow(work) })
+	group.Go(func() error { return d.retries.keep(work) })
 	group.Go(func() error { return d.sched.tick(work) })
 	group.Go(func() error { return d.sweep(work) })
 	group.Go(func() error { return d.reload(work) })
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -119,7 +119,7 @@
 	if c.ran && !c.route.Repeatable() {
 		return false
 	}
-	return c.sent < c.route.MaxEndpoints && c.d.shares.mayRepeat(c.service)
+	return c.sent < c.route.MaxEndpoints && c.d.retries.pay(c.service)
 }
 
 // giveUp ends a request whose caller left or whose time is over.
@@ -211,6 +211,9 @@
 	defer cancel()
 	c.d.sched.onRestart(dec.Handle, cancel)
 	watch := c.watch(dec, cancel)
+	if c.sent > 0 {
+		c.d.retries.sent(c.service)
+	}
 	sent := c.d.now()
 	a := c.exchange(tctx, ctx, dec, req, sent, s, watch)
 	if watch.over() && !a.delivered {
@@ -293,7 +296,7 @@
 	}
 	c.d.suspects.succeeded(c.digest, ans)
 	if ans.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() && c.sent < c.route.MaxEndpoints &&
-		time.Until(c.limit) > shortWait && c.d.shares.mayRepeat(c.service) {
+		time.Until(c.limit) > shortWait && c.d.retries.pay(c.service) {
 		return attempt{outcome: dispatch.Failed, again: true, err: &FailedAnswerError{Status: ans.StatusCode}}
 	}
 	c.visit.event()
--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -7,22 +7,19 @@
 	"time"
 
 	"github.com/chivefield/chivefield/core/allowance"
-	"github.com/chivefield/chivefield/core/budget"
 	"github.com/chivefield/chivefield/core/routing"
 	"github.com/chivefield/chivefield/settings"
 
 	"github.com/chivefield/chivefield/core/mechanism"
 )
 
-// sharing is this VM's part of what all VMs share: allowances and the budgets of
-// repeats.
+// sharing is this VM's part of the allowances that all VMs share.
 type sharing struct {
 	now func() time.Duration
 	set *settings.Entry
 
-	mu      sync.Mutex
-	ledger  *allowance.Ledger
-	budgets map[string]*budget.Budget
+	mu     sync.Mutex
+	ledger *allowance.Ledger
 	// vms are all VMs, empty while they are not known; keepers are those that keep
 	// an organisation's allowance.
 	vms     []allowance.VM
@@ -37,7 +34,7 @@
 func newSharing(set *settings.Entry, now func() time.Duration) *sharing {
 	tol := allowance.Tolerance{Window: set.AllowanceWindow, Over: set.Bounds.AllowanceOver, Slack: set.Bounds.AllowanceSlack}
 	return &sharing{
-		now: now, set: set, ledger: allowance.New(tol, set.Vm.FirstStart), budgets: make(map[string]*budget.Budget),
+		now: now, set: set, ledger: allowance.New(tol, set.Vm.FirstStart),
 		waiting: make(map[string]float64), arrived: make(chan struct{}), keepers: make(map[string][]allowance.VM),
 	}
 }
@@ -70,9 +67,6 @@
 	s.vms = vms
 	s.keepers = make(map[string][]allowance.VM)
 	s.ledger.SetParts(s.now(), s.part)
-	for _, b := range s.budgets {
-		b.SetCap(s.retryPart())
-	}
 }
 
 // keepersOf are the VMs that keep an organisation's allowance.
@@ -195,45 +189,6 @@
 	return s.reserves[tier]
 }
 
-// mayRepeat takes one repeat off the service's budget.
-func (s *sharing) mayRepeat(service string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.budget(service).Spend()
-}
-
-// request earns for one request of a caller to a service.
-func (s *sharing) request(service string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.budget(service).Request()
-}
-
-// retryReserve is the part of the retry budget that is left unused.
-const retryReserve = 0.1
-
-// retryPart is this VM's part of the fixed number of repeats; nothing while the
-// number of VMs is not known.
-func (s *sharing) retryPart() float64 {
-	if len(s.vms) == 0 {
-		return 0
-	}
-	return s.set.Bounds.RetrySlack * (1 - retryReserve) / float64(len(s.vms))
-}
-
-func (s *sharing) budget(service string) *budget.Budget {
-	if len(s.vms) == 0 {
-		// A budget made now would start empty and stay so: its part is not known yet.
-		return budget.New(0, 0, false)
-	}
-	b := s.budgets[service]
-	if b == nil {
-		b = budget.New(s.set.Bounds.RetryRatio*(1-retryReserve), s.retryPart(), s.set.Vm.FirstStart)
-		s.budgets[service] = b
-	}
-	return b
-}
-
 // refund gives back what a request that was not run had spent, and returns what
 // this VM may not keep.
 func (s *sharing) refund(a allowance.Amount) (back float64) {
--- a/entry/stall.go
+++ b/entry/stall.go
@@ -41,7 +41,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.timer = time.AfterFunc(max(stallFirst, stallFactor*dec.Predicted), func() {
-		if time.Until(c.limit) < shortWait || !c.d.sched.otherFit(c.service, tried) || !c.d.shares.mayRepeat(c.service) {
+		if time.Until(c.limit) < shortWait || !c.d.sched.otherFit(c.service, tried) || !c.d.retries.pay(c.service) {
 			return
 		}
 		s.mu.Lock()
