--- a/history/deployment.go
+++ b/history/deployment.go
@@ -264,17 +264,37 @@
 		seen[r.ID] = true
 	}
 	for service, times := range again {
-		for i, to := range times {
-			n := 1
-			for i-n >= 0 && times[i-n] >= to-c.RepeatWindow {
-				n++
-			}
-			if allowed := c.RepeatRatio*c.sent(service, to) + c.RepeatSlack; float64(n) > allowed {
-				c.breach(FewRepeats, service, "%d repeats in %v before %v, %.0f allowed", n, c.RepeatWindow, to, allowed)
-				break
-			}
+		w := c.worstWindow(service, times)
+		if w.over() > 0 {
+			c.breach(FewRepeats, service, "%d repeats in %v before %v, %.0f allowed", w.repeats, c.RepeatWindow, w.to, w.allowed)
+		}
+	}
+}
+
+// repeatWindow is the repeats that reached a service's endpoints in a window, and how many may.
+type repeatWindow struct {
+	to      time.Duration
+	repeats int
+	allowed float64
+}
+
+func (w repeatWindow) over() float64 { return float64(w.repeats) - w.allowed }
+
+// worstWindow is the window that passes the bound furthest, or comes nearest to it. times are in
+// order.
+func (c *deploymentCheck) worstWindow(service string, times []time.Duration) repeatWindow {
+	var worst repeatWindow
+	first := 0
+	for i, to := range times {
+		for times[first] < to-c.RepeatWindow {
+			first++
+		}
+		w := repeatWindow{to: to, repeats: i - first + 1, allowed: c.RepeatRatio*c.sent(service, to) + c.RepeatSlack}
+		if i == 0 || w.over() > worst.over() {
+			worst = w
 		}
 	}
+	return worst
 }
 
 // sent counts the requests for a service in the window before a moment or the one
