Repeats are earned by requests alone, and paid for the moment they are sent

Callers' requests were sent once more beyond what the operator allows over all VMs: in whole VMs 104 to 109 times where 62 are allowed (VMs that start one after the other), 217 to 220 where 93 to 98 are (a process that starts again at once); in a model also by what waited for places (one VM, after 22 s).

Cause: each process held a part of a fixed number, divided by the number of VMs that it had read, and began with it in hand when its settings spoke of a first start. Parts by unlike numbers add up to more than one, and each start mints anew. Besides, a repeat was paid when it was decided on, however much later it was sent. Ruled out by reading: a way to a second endpoint that is not charged.

Now each process earns half of the share for each of its own requests and may send it within one window: what all send in a window was earned in it or in the one before, and half of both is at most the share of the larger, whatever VMs know, however often they start. A repeat is renewed as it leaves, and given back if it does not. Of the fixed number each VM of a small deployment has one or two a window, for quiet services: the k-th to write its record knows at least k VMs, so all of them together have less than half.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -57,6 +57,7 @@
 	units float64
 	// sent counts the endpoints that may have read the request.
 	sent  int
+	again repeats
 	tried []uint64
 	// avoided are endpoints whose version may not get the request, trial says that it tries
 	// a new version, visit is the attempt under way.
@@ -102,6 +103,8 @@
 		return
 	}
 	d.retries.request(c.service)
+	c.again = repeats{retries: d.retries, service: c.service}
+	defer c.again.over()
 	c.run(ctx)
 }
 
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -29,6 +29,13 @@
 // Error describes the failure.
 func (e *FailedAnswerError) Error() string { return "the endpoint failed, status " + itoa(e.Status) }
 
+// UnpaidRepeatError reports a request that was not sent once more: it waited until what paid for that
+// had expired.
+type UnpaidRepeatError struct{ Service string }
+
+// Error describes the failure.
+func (e *UnpaidRepeatError) Error() string { return "no repeat of " + e.Service + " is left" }
+
 func itoa(n int) string { return strconv.Itoa(n) }
 
 // splitList splits a header's list.
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -32,8 +32,8 @@
 	outcome dispatch.Outcome
 	// delivered says that the caller has its final answer, whole or broken.
 	delivered bool
-	// again says that the repeat was already taken off the budget.
-	again bool
+	// unpaid says that it was not sent once more, since nothing pays for that now.
+	unpaid bool
 	// cut says that the connection broke under the request, or fell silent.
 	cut bool
 	// stopped says that the request was not sent, since it ends endpoints, heldBack that it was
@@ -113,13 +113,13 @@
 	if try >= maxAttempts {
 		return false
 	}
-	if last.outcome == dispatch.Unreachable || last.again {
+	if last.outcome == dispatch.Unreachable {
 		return true
 	}
-	if c.ran && !c.route.Repeatable() {
+	if last.unpaid || c.ran && !c.route.Repeatable() {
 		return false
 	}
-	return c.sent < c.route.MaxEndpoints && c.d.retries.pay(c.service)
+	return c.sent < c.route.MaxEndpoints && (c.sent == 0 || c.again.pay())
 }
 
 // giveUp ends a request whose caller left or whose time is over.
@@ -192,6 +192,9 @@
 	if view.Convicted() {
 		return attempt{outcome: dispatch.Left, stopped: true}
 	}
+	if c.sent > 0 && !c.again.mayLeave() {
+		return attempt{outcome: dispatch.Left, unpaid: true, err: &UnpaidRepeatError{Service: c.service}}
+	}
 	lastID := c.call.LastEventID
 	if s != nil {
 		lastID = s.lastID
@@ -211,13 +214,13 @@
 	defer cancel()
 	c.d.sched.onRestart(dec.Handle, cancel)
 	watch := c.watch(dec, cancel)
-	if c.sent > 0 {
-		c.d.retries.sent(c.service)
-	}
 	sent := c.d.now()
 	a := c.exchange(tctx, ctx, dec, req, sent, s, watch)
-	if watch.over() && !a.delivered {
-		a.outcome, a.again, a.cut = dispatch.Silent, true, true
+	if watch.over() {
+		c.again.take(watch.repeat)
+		if !a.delivered {
+			a.outcome, a.cut = dispatch.Silent, true
+		}
 	}
 	c.d.suspects.tried(c, ep, sent, view.Generation, a)
 	visit.end(a, c.sent > before, before > 0)
@@ -236,6 +239,9 @@
 		}
 		return attempt{outcome: dispatch.Unreachable, err: err}
 	}
+	if c.sent > 0 {
+		c.again.sent()
+	}
 	c.sent++
 	if err != nil {
 		c.ran = true
@@ -296,8 +302,8 @@
 	}
 	c.d.suspects.succeeded(c.digest, ans)
 	if ans.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() && c.sent < c.route.MaxEndpoints &&
-		time.Until(c.limit) > shortWait && c.d.retries.pay(c.service) {
-		return attempt{outcome: dispatch.Failed, again: true, err: &FailedAnswerError{Status: ans.StatusCode}}
+		time.Until(c.limit) > shortWait && c.again.pay() {
+		return attempt{outcome: dispatch.Failed, err: &FailedAnswerError{Status: ans.StatusCode}}
 	}
 	c.visit.event()
 	c.d.placing.events(handle, 1)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -266,7 +266,6 @@
 		vms = append(vms, allowance.VM{Address: a, Domain: pe.domain})
 	}
 	p.d.shares.setVMs(vms)
-	p.d.retries.setVMs(len(vms))
 }
 
 // learn takes in one VM; nil if it is this one or cannot be understood.
--- a/entry/retries.go
+++ b/entry/retries.go
@@ -3,85 +3,130 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/chivefield/chivefield/core/budget"
-	"github.com/chivefield/chivefield/settings"
 )
 
-// retries are this VM's budgets of repeats, by service.
+// retries are this process's budgets of repeats, by service.
 type retries struct {
-	d   *Daemon
-	set *settings.Entry
+	d *Daemon
+	// apart says that the process before this one, if there was any, started long ago.
+	apart atomic.Bool
 
 	mu      sync.Mutex
 	budgets map[string]*budget.Budget
-	// vms is the number of VMs that the fixed number is divided by, 0 while it is not known.
-	vms int
 	// told is what the last line on a service's budget said.
 	told map[string]budget.Counts
 }
 
 func newRetries(d *Daemon) *retries {
-	return &retries{d: d, set: d.set, budgets: make(map[string]*budget.Budget), told: make(map[string]budget.Counts)}
+	return &retries{d: d, budgets: make(map[string]*budget.Budget), told: make(map[string]budget.Counts)}
 }
 
-// setVMs says how many VMs there are.
-func (r *retries) setVMs(n int) {
+// request earns for one request of a caller to a service.
+func (r *retries) request(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.vms = n
-	for _, b := range r.budgets {
-		b.SetCap(r.part())
-	}
+	r.budget(service).Request(r.d.now())
 }
 
 // pay takes one repeat off the service's budget.
-func (r *retries) pay(service string) bool {
+func (r *retries) pay(service string) (budget.Repeat, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.budget(service).Spend()
+	b := r.budget(service)
+	b.SetFixed(r.fixed())
+	return b.Pay(r.d.now())
 }
 
-// sent notes that a request leaves for a further endpoint.
-func (r *retries) sent(service string) {
+// renew says whether a repeat that was paid may leave now.
+func (r *retries) renew(service string, p budget.Repeat) (budget.Repeat, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.budget(service).Sent()
+	return r.budget(service).Renew(r.d.now(), p)
 }
 
-// request earns for one request of a caller to a service.
-func (r *retries) request(service string) {
+// sent notes that a repeat left for an endpoint.
+func (r *retries) sent(service string, p budget.Repeat) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.budget(service).Request()
+	r.budget(service).Sent(r.d.now(), p)
 }
 
-// retryReserve is the part of the retry budget that is left unused.
-const retryReserve = 0.1
+// giveBack gives back a repeat that did not leave.
+func (r *retries) giveBack(service string, p budget.Repeat) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(service).GiveBack(r.d.now(), p)
+}
 
-// part is this VM's part of the fixed number of repeats; nothing while the number of VMs is
-// not known.
-func (r *retries) part() float64 {
-	if r.vms == 0 {
+// fixed is how many repeats of the fixed number this VM may send in a window: none while an earlier
+// process of it may have sent some in the same window.
+func (r *retries) fixed() int {
+	if !r.apart.Load() && r.d.now() < r.d.set.RetryWindow {
 		return 0
 	}
-	return r.set.Bounds.RetrySlack * (1 - retryReserve) / float64(r.vms)
+	return budget.Fixed(r.d.set.Bounds.RetrySlack, r.d.peers.fleetSize())
 }
 
 func (r *retries) budget(service string) *budget.Budget {
-	if r.vms == 0 {
-		// A budget made now would start empty and stay so: its part is not known yet.
-		return budget.New(0, 0, false)
-	}
 	b := r.budgets[service]
 	if b == nil {
-		b = budget.New(r.set.Bounds.RetryRatio*(1-retryReserve), r.part(), r.set.Vm.FirstStart)
+		b = budget.New(r.d.set.Bounds.RetryRatio, r.d.set.RetryWindow)
 		r.budgets[service] = b
 	}
 	return b
 }
 
+// repeats are what one request paid for: at most the next time that it is sent.
+type repeats struct {
+	retries *retries
+	service string
+	paid    bool
+	repeat  budget.Repeat
+}
+
+// pay pays for the next time, unless that is done.
+func (r *repeats) pay() bool {
+	if !r.paid {
+		r.repeat, r.paid = r.retries.pay(r.service)
+	}
+	return r.paid
+}
+
+// take takes over what was paid elsewhere.
+func (r *repeats) take(p budget.Repeat) {
+	if r.paid {
+		r.retries.giveBack(r.service, p)
+		return
+	}
+	r.repeat, r.paid = p, true
+}
+
+// mayLeave says whether the next time is paid, as of now.
+func (r *repeats) mayLeave() bool {
+	if r.paid {
+		r.repeat, r.paid = r.retries.renew(r.service, r.repeat)
+	}
+	return r.paid
+}
+
+// sent says that the request was sent once more.
+func (r *repeats) sent() {
+	r.paid = false
+	r.retries.sent(r.service, r.repeat)
+}
+
+// over gives back what was paid and not used.
+func (r *repeats) over() {
+	if r.paid {
+		r.paid = false
+		r.retries.giveBack(r.service, r.repeat)
+	}
+}
+
 // retriesToldEvery is how often the budgets are logged, those of which repeats were asked.
 const retriesToldEvery = 5 * time.Second
 
@@ -106,12 +151,14 @@
 	defer r.mu.Unlock()
 	for service, b := range r.budgets {
 		c, last := b.Counts(), r.told[service]
-		if c.Paid == last.Paid && c.Refused == last.Refused && c.Sent == last.Sent {
+		earned := last
+		earned.Requests = c.Requests
+		if c == earned {
 			continue
 		}
 		r.told[service] = c
-		r.d.log.Info().Str("service", service).Int("vms", r.vms).Float64("held", b.Held()).Int("requests", c.Requests).
-			Int("paid", c.Paid).Int("refused", c.Refused).Int("sent", c.Sent).Msg("retry_budget")
+		r.d.log.Info().Str("service", service).Float64("held", b.Held(r.d.now())).Int("requests", c.Requests).Int("paid", c.Paid).
+			Int("refused", c.Refused).Int("sent", c.Sent).Int("given_back", c.GivenBack).Int("expired", c.Expired).Msg("retry_budget")
 		r.d.countMany("repeats_paid."+service, c.Paid-last.Paid)
 		r.d.countMany("repeats_refused."+service, c.Refused-last.Refused)
 		r.d.countMany("repeats_sent."+service, c.Sent-last.Sent)
--- a/entry/stall.go
+++ b/entry/stall.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/chivefield/chivefield/core/budget"
 	"github.com/chivefield/chivefield/core/dispatch"
 
 	"github.com/chivefield/chivefield/core/mechanism"
@@ -28,6 +29,9 @@
 	mu     sync.Mutex
 	timer  *time.Timer
 	silent bool
+	// ended says that the attempt is over, repeat is what was paid as it fell silent.
+	ended  bool
+	repeat budget.Repeat
 }
 
 // watch starts to watch an attempt.
@@ -41,17 +45,34 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.timer = time.AfterFunc(max(stallFirst, stallFactor*dec.Predicted), func() {
-		if time.Until(c.limit) < shortWait || !c.d.sched.otherFit(c.service, tried) || !c.d.retries.pay(c.service) {
+		if time.Until(c.limit) < shortWait || !c.d.sched.otherFit(c.service, tried) {
+			return
+		}
+		repeat, ok := c.d.retries.pay(c.service)
+		if !ok {
+			return
+		}
+		if !s.fallSilent(repeat) {
+			c.d.retries.giveBack(c.service, repeat)
 			return
 		}
-		s.mu.Lock()
-		s.silent = true
-		s.mu.Unlock()
 		cancel()
 	})
 	return s
 }
 
+// fallSilent notes that the endpoint fell silent and that a repeat was paid, unless the attempt is
+// over.
+func (s *stall) fallSilent(repeat budget.Repeat) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return false
+	}
+	s.silent, s.repeat = true, repeat
+	return true
+}
+
 // sign notes a sign of life.
 func (s *stall) sign() {
 	s.mu.Lock()
@@ -65,6 +86,7 @@
 func (s *stall) over() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.ended = true
 	if s.timer != nil {
 		s.timer.Stop()
 	}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -309,29 +309,43 @@
 	return vmList{records, next.Era}, err
 }
 
-// writeRecord writes this VM's record, and finds out before whether the process may take
-// what is kept for restarts. It returns the list of VMs if what was read before is whole: a
-// VM that is in it was known to all that started since, so no two can miss each other.
+// writeRecord writes this VM's record, and finds out before when its process before started. It
+// returns the list of VMs if what was read before is whole: a VM that is in it was known to all that
+// started since, so no two can miss each other.
 func (d *Daemon) writeRecord(ctx context.Context) (*vmList, error) {
 	self := d.ownRecord()
-	claims := false
-	var known *vmList
-	if !d.set.Vm.FirstStart {
-		before, next, err := d.opts.Store.Newest(ctx, FeedVMs)
-		if err != nil {
-			return nil, err
-		}
-		self.era = next.Era
-		claims = d.claims(before, self)
-		if slices.ContainsFunc(before, d.isOwn) {
-			known = &vmList{before, next.Era}
-		}
+	before, next, err := d.opts.Store.Newest(ctx, FeedVMs)
+	if err != nil {
+		return nil, err
 	}
+	self.era = next.Era
+	last, found := d.lastRecord(before)
 	if err := d.opts.Store.Write(ctx, Record{Key: d.set.Vm.Name, Value: []byte(self.String())}); err != nil {
 		return nil, err
 	}
-	d.claimed = claims
-	return known, nil
+	d.claimed = found && mayClaim(last, self, d.set.AllowanceWindow)
+	d.retries.apart.Store(found && mayClaim(last, self, d.set.RetryWindow) || !found && next.Era == 0)
+	d.log.Info().Bool("started_before", found).Dur("since_last_start", self.started.Sub(last.started)).Bool("claims", d.claimed).
+		Bool("apart", d.retries.apart.Load()).Msg("previous_start")
+	if !d.set.Vm.FirstStart && slices.ContainsFunc(before, d.isOwn) {
+		return &vmList{before, next.Era}, nil
+	}
+	return nil, nil
+}
+
+// lastRecord is the record of this VM's process before this one.
+func (d *Daemon) lastRecord(before []Record) (last vmRecord, found bool) {
+	for _, r := range before {
+		if r.Key != d.set.Vm.Name {
+			continue
+		}
+		last, err := parseVMRecord(string(r.Value))
+		if err != nil {
+			d.log.Warn().Err(err).Msg("own_record_unreadable")
+		}
+		return last, true
+	}
+	return vmRecord{}, false
 }
 
 // isOwn says whether a record of the list of VMs is that of this VM at its address.
@@ -369,26 +383,6 @@
 	restartLate = 3 * time.Second
 )
 
-// claims says whether this process may take what is kept for restarts: if the store says
-// that this VM's process before started long ago. This start is written to the store before
-// it is taken, so a process that follows at once finds it there and gets nothing.
-func (d *Daemon) claims(before []Record, self vmRecord) bool {
-	for _, r := range before {
-		if r.Key != d.set.Vm.Name {
-			continue
-		}
-		last, err := parseVMRecord(string(r.Value))
-		if err != nil {
-			d.log.Warn().Err(err).Msg("own_record_unreadable")
-			return false
-		}
-		claims := mayClaim(last, self, d.set.AllowanceWindow)
-		d.log.Info().Dur("since_last_start", self.started.Sub(last.started)).Bool("claims", claims).Msg("restart_allowance")
-		return claims
-	}
-	return false
-}
-
 // claim takes what is kept for restarts once this VM's parts are known.
 func (d *Daemon) claim() {
 	if !d.claimed {
