Allowances begin with nothing at a first start too, and a new VM keeps a part once the others count it

Same cause as the repeats: VMs that start one after the other each held their part of burst and tolerance as if they had divided it by the same number. Seen in whole VMs, five of them 0.3 s apart, 40 requests of 200 units each: 62 ran where 36 are allowed within 8 s; in the model of eight 14,000 units where 7,380 are.

Now no process begins with a balance: what was earned is all there is, and that sums up to the rate. A VM whose record was not in the list before its process wrote it holds no part until it has heard all that are listed, who therefore count it, or for 5 s, since some may be gone for good; it asks keepers meanwhile. A VM that starts again under its record takes its part at once, as before.

The search over several ledgers begins with balances earned long ago in place of given.

What it costs: in the first seconds of a deployment an organisation has what its rate earned since, not its burst.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -7,9 +7,10 @@
 // part of burst and tolerance; the others ask keepers. Amounts move between VMs only
 // by being taken off the giver's balance before they are sent, so a lost message
 // loses an amount and can never double it; what the receiver cannot use goes back.
-// A restarted process cannot know what its predecessor spent a moment ago, so it begins
-// with nothing but a part of the tolerance that is kept for restarts, and gets that only
-// where none was taken there within the window (Restarted).
+// A process cannot know what its predecessor, or VMs that it has not heard of, spent a moment ago: it
+// begins with nothing, also where the whole deployment starts for the first time. A part of the
+// tolerance is kept for restarts; a process gets that only where none was taken there within the
+// window (Restarted).
 package allowance
 
 import "time"
@@ -51,8 +52,7 @@
 
 // Ledger is one VM's balances. It is not safe for concurrent use.
 type Ledger struct {
-	tol  Tolerance
-	full bool
+	tol Tolerance
 	// part is this VM's part of an organisation's allowance, 0 to 1.
 	part     func(organisation string) float64
 	accounts map[string]*account
@@ -63,8 +63,6 @@
 	part    float64
 	balance float64
 	at      time.Duration
-	// fresh accounts have not had a balance yet.
-	fresh bool
 	// earned is what was earned since the account began here, up to the bound.
 	earned float64
 	// overUntil is until when the balance may pass the bound, for a request that
@@ -72,10 +70,9 @@
 	overUntil time.Duration
 }
 
-// New returns a ledger. full says that no earlier process of the deployment
-// spent anything, so that balances may start at their bound.
-func New(tol Tolerance, full bool) *Ledger {
-	return &Ledger{tol: tol, full: full, accounts: make(map[string]*account), part: func(string) float64 { return 0 }}
+// New returns a ledger without any balance.
+func New(tol Tolerance) *Ledger {
+	return &Ledger{tol: tol, accounts: make(map[string]*account), part: func(string) float64 { return 0 }}
 }
 
 // SetParts says which part of each organisation's allowance this VM keeps; 0 where
@@ -96,7 +93,7 @@
 		present[t.Organisation] = true
 		a := l.accounts[t.Organisation]
 		if a == nil {
-			l.accounts[t.Organisation] = &account{terms: t, part: l.part(t.Organisation), at: now, fresh: true}
+			l.accounts[t.Organisation] = &account{terms: t, part: l.part(t.Organisation), at: now}
 			continue
 		}
 		l.accrue(now, a)
@@ -140,12 +137,6 @@
 		return
 	}
 	bound := l.bound(a)
-	if a.fresh {
-		a.fresh = false
-		if l.full {
-			a.balance, a.earned = bound, bound
-		}
-	}
 	earned := a.terms.Rate * a.part * max(0, (now-a.at).Seconds())
 	a.at = now
 	a.earned = min(bound, a.earned+earned)
--- a/core/allowance/allowance_test.go
+++ b/core/allowance/allowance_test.go
@@ -10,6 +10,9 @@
 	"pgregory.net/rapid"
 )
 
+// longAgo is when processes started whose balances are at their bound by now.
+const longAgo = -time.Hour
+
 // Over any window all VMs together stay within what the operator tolerates,
 // whatever VMs ask of each other, lose, and forget in restarts.
 func TestVMsTogetherStayWithinTheBound(t *testing.T) {
@@ -18,8 +21,8 @@
 		terms := Terms{Organisation: "o", Rate: float64(rapid.IntRange(1000, 300000).Draw(t, "rate")), Burst: float64(rapid.IntRange(0, 300000).Draw(t, "burst"))}
 		n := rapid.IntRange(1, 6).Draw(t, "vms")
 		keepers := rapid.IntRange(1, n).Draw(t, "keepers")
-		start := func(i int, now time.Duration, full bool) *Ledger {
-			l := New(tol, full)
+		start := func(i int, now time.Duration) *Ledger {
+			l := New(tol)
 			if i < keepers {
 				l.SetParts(now, equal(keepers))
 			}
@@ -28,7 +31,7 @@
 		}
 		vms := make([]*Ledger, n)
 		for i := range vms {
-			vms[i] = start(i, 0, true)
+			vms[i] = start(i, longAgo)
 		}
 		type spending struct {
 			at    time.Duration
@@ -47,7 +50,7 @@
 			units := float64(rapid.IntRange(1, 60000).Draw(t, "units"))
 			switch rapid.IntRange(0, 9).Draw(t, "what") {
 			case 0:
-				vms[i] = start(i, now, false)
+				vms[i] = start(i, now)
 				if now-granted[i] >= tol.Window {
 					granted[i] = now
 					vms[i].Restarted(now)
@@ -98,9 +101,9 @@
 	terms := []Terms{{Organisation: "o", Rate: 36000, Burst: 36000}}
 	vms := make([]*Ledger, 8)
 	for i := range vms {
-		vms[i] = New(tol, true)
-		vms[i].SetParts(0, equal(len(vms)))
-		vms[i].SetTerms(0, terms)
+		vms[i] = New(tol)
+		vms[i].SetParts(longAgo, equal(len(vms)))
+		vms[i].SetTerms(longAgo, terms)
 	}
 	const large = 54600
 	v := vms[0].Spend(0, Request{Amount: Amount{"o", large}})
@@ -111,11 +114,37 @@
 	is.True(vms[0].Spend(0, Request{Amount: Amount{"o", large}}).OK)
 }
 
+// Guards against parts that add up to more than the whole, as VMs start one after the other and know
+// those alone that came before.
+func TestVMsThatStartApartStayWithinTheBound(t *testing.T) {
+	tol := Tolerance{Window: 8 * time.Second, Over: 0.1, Slack: 1000}
+	terms := Terms{Organisation: "o", Rate: 100, Burst: 5000}
+	var vms []*Ledger
+	spent := 0.0
+	for now := time.Duration(0); now < tol.Window; now += 10 * time.Millisecond {
+		if now%(300*time.Millisecond) == 0 && len(vms) < 8 {
+			vms = append(vms, New(tol))
+			for _, l := range vms {
+				l.SetParts(now, equal(len(vms)))
+			}
+			vms[len(vms)-1].SetTerms(now, []Terms{terms})
+		}
+		for _, l := range vms {
+			if l.Spend(now, Request{Amount: Amount{"o", 50}}).OK {
+				spent += 50
+			}
+		}
+	}
+	if bound := (terms.Rate*tol.Window.Seconds()+terms.Burst)*(1+tol.Over) + tol.Slack; spent > bound {
+		t.Fatalf("spent %.0f, bound %.0f", spent, bound)
+	}
+}
+
 // A process that starts again spends nothing at first, and learns the number of
 // VMs before it spends anything.
 func TestRestartedProcessStartsWithNothing(t *testing.T) {
 	is := is.New(t)
-	l := New(Tolerance{Window: 8 * time.Second}, false)
+	l := New(Tolerance{Window: 8 * time.Second})
 	l.SetTerms(0, []Terms{{Organisation: "o", Rate: 800, Burst: 800}})
 	is.True(!l.Spend(time.Second, Request{Amount: Amount{"o", 1}}).OK)
 	l.SetParts(time.Second, equal(8))
@@ -131,7 +160,7 @@
 // first half second, at half of the rate, none was served before.
 func TestRestartedProcessesServeAtOnce(t *testing.T) {
 	is := is.New(t)
-	l := New(Tolerance{Window: 8 * time.Second, Over: 0.1, Slack: 140000}, false)
+	l := New(Tolerance{Window: 8 * time.Second, Over: 0.1, Slack: 140000})
 	l.SetParts(0, equal(9))
 	l.SetTerms(0, []Terms{{Organisation: "o", Rate: 200000, Burst: 200000}})
 	l.Restarted(0)
@@ -151,9 +180,9 @@
 // lower tiers were smaller. Now lower tiers leave a reserve.
 func TestUrgentRequestsFindSomethingLeft(t *testing.T) {
 	is := is.New(t)
-	l := New(Tolerance{Window: 8 * time.Second, Over: 0.1, Slack: 140000}, true)
-	l.SetParts(0, equal(8))
-	l.SetTerms(0, []Terms{{Organisation: "o", Rate: 40000, Burst: 40000}})
+	l := New(Tolerance{Window: 8 * time.Second, Over: 0.1, Slack: 140000})
+	l.SetParts(longAgo, equal(8))
+	l.SetTerms(longAgo, []Terms{{Organisation: "o", Rate: 40000, Burst: 40000}})
 	served := map[string]int{}
 	const steps = 2000
 	for i := range steps {
@@ -181,7 +210,7 @@
 // can have earned.
 func TestReserveAfterARestart(t *testing.T) {
 	is := is.New(t)
-	l := New(Tolerance{Window: 8 * time.Second, Over: 0.1, Slack: 140000}, false)
+	l := New(Tolerance{Window: 8 * time.Second, Over: 0.1, Slack: 140000})
 	l.SetParts(0, equal(8))
 	l.SetTerms(0, []Terms{{Organisation: "o", Rate: 40000, Burst: 40000}})
 	served := 0
@@ -211,10 +240,10 @@
 	is.Equal(len(keepers), keeperCount)
 	vms := make(map[string]*Ledger)
 	for _, v := range all {
-		l := New(Tolerance{Window: 8 * time.Second, Over: 0.1, Slack: 140000}, true)
-		l.SetTerms(0, []Terms{{Organisation: "o", Rate: 36000, Burst: 36000}})
+		l := New(Tolerance{Window: 8 * time.Second, Over: 0.1, Slack: 140000})
+		l.SetTerms(longAgo, []Terms{{Organisation: "o", Rate: 36000, Burst: 36000}})
 		if slices.Contains(keepers, v) {
-			l.SetParts(0, equal(len(keepers)))
+			l.SetParts(longAgo, equal(len(keepers)))
 		}
 		vms[v.Address] = l
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -70,9 +70,11 @@
 	// unreadable are the entries of the registry that could not be understood, with
 	// their faults. Only the goroutine that follows the registry uses it.
 	unreadable map[string]string
-	// claimed says that this process may take what is kept for restarts. Only the
-	// goroutine that announces it uses it.
-	claimed  bool
+	// claimed says that this process may take what is kept for restarts, apart that its
+	// predecessor started long ago or there was none. Only the goroutine that announces it uses
+	// them.
+	claimed, apart bool
+
 	draining atomic.Bool
 	active   atomic.Int64
 	// lastHandle starts at random: handles are unique over all VMs.
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -125,6 +125,7 @@
 	now := p.d.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.share()
 	peers := make([]cell.Peer, 0, len(p.addrs))
 	for a, pe := range p.addrs {
 		peers = append(peers, cell.Peer{
@@ -198,15 +199,17 @@
 	}
 	p.mu.Lock()
 	pe := p.learn(allowance.VM{Address: n.Address, Domain: n.FailureDomain})
-	if len(n.Vms) > 0 {
-		p.learnList(n.Vms)
-	}
-	p.share()
 	started := false
 	if pe != nil {
 		started = pe.incarnation != n.Incarnation
 		pe.incarnation, pe.name = n.Incarnation, n.Vm
 		pe.hear(p.d.now())
+	}
+	if len(n.Vms) > 0 {
+		p.learnList(n.Vms)
+	}
+	p.share()
+	if pe != nil {
 		pe.followsConfig, pe.storeLost = n.FollowsConfig, n.StoreLost
 		if placer := p.addrs[n.Placer]; placer != nil {
 			placer.named = p.d.now()
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -63,10 +63,17 @@
 	// complete says that the whole list of VMs was read, from the store or from a VM
 	// that had read it. Before that, shared amounts would be divided by too few.
 	complete bool
+	// knownBefore says that this VM's record was in the list before this process wrote it, settled
+	// that the others count this VM too.
+	knownBefore, settled bool
 	// shared is the number of VMs that share was last told of.
 	shared int
 }
 
+// newcomerSettles is after what uptime a VM takes part in what all share though some that are listed
+// were not heard: they may be gone for good.
+const newcomerSettles = 5 * time.Second
+
 type peer struct {
 	addr *net.UDPAddr
 	// name is empty if it was never told.
@@ -257,7 +264,7 @@
 // share tells the parts that divide amounts among all VMs who they are, if one came.
 // Notes come hundreds of times a second, new VMs seldom.
 func (p *peers) share() {
-	if !p.complete || p.shared == len(p.addrs)+1 {
+	if !p.complete || !p.settles() || p.shared == len(p.addrs)+1 {
 		return
 	}
 	p.shared = len(p.addrs) + 1
@@ -268,6 +275,32 @@
 	p.d.shares.setVMs(vms)
 }
 
+// settles says whether the others count this VM among those that share. A VM sends notes only to those
+// that it counts, so one that was heard does. Until then this VM would hold a part of what
+// the others have divided without it.
+func (p *peers) settles() bool {
+	if !p.settled {
+		p.settled = p.knownBefore || p.d.now() >= newcomerSettles || p.allHeard()
+	}
+	return p.settled
+}
+
+func (p *peers) allHeard() bool {
+	for _, pe := range p.addrs {
+		if pe.heard == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// noteKnownBefore says that this VM's record was in the list before this process wrote it.
+func (p *peers) noteKnownBefore() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.knownBefore = true
+}
+
 // learn takes in one VM; nil if it is this one or cannot be understood.
 func (p *peers) learn(v allowance.VM) *peer {
 	if v.Address == p.d.set.Listen.Peers {
--- a/entry/retries.go
+++ b/entry/retries.go
@@ -12,8 +12,9 @@
 // retries are this process's budgets of repeats, by service.
 type retries struct {
 	d *Daemon
-	// apart says that the process before this one, if there was any, started long ago.
-	apart atomic.Bool
+	// listed says that the list of VMs was read after this VM's record was written, apart that
+	// the process before this one, if there was any, started long ago.
+	listed, apart atomic.Bool
 
 	mu      sync.Mutex
 	budgets map[string]*budget.Budget
@@ -25,6 +26,12 @@
 	return &retries{d: d, budgets: make(map[string]*budget.Budget), told: make(map[string]budget.Counts)}
 }
 
+// noteListed says that the list of VMs is known as of this VM's own record.
+func (r *retries) noteListed(apart bool) {
+	r.apart.Store(apart)
+	r.listed.Store(true)
+}
+
 // request earns for one request of a caller to a service.
 func (r *retries) request(service string) {
 	r.mu.Lock()
@@ -65,7 +72,7 @@
 // fixed is how many repeats of the fixed number this VM may send in a window: none while an earlier
 // process of it may have sent some in the same window.
 func (r *retries) fixed() int {
-	if !r.apart.Load() && r.d.now() < r.d.set.RetryWindow {
+	if !r.listed.Load() || !r.apart.Load() && r.d.now() < r.d.set.RetryWindow {
 		return 0
 	}
 	return budget.Fixed(r.d.set.Bounds.RetrySlack, r.d.peers.fleetSize())
--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -34,7 +34,7 @@
 func newSharing(set *settings.Entry, now func() time.Duration) *sharing {
 	tol := allowance.Tolerance{Window: set.AllowanceWindow, Over: set.Bounds.AllowanceOver, Slack: set.Bounds.AllowanceSlack}
 	return &sharing{
-		now: now, set: set, ledger: allowance.New(tol, set.Vm.FirstStart),
+		now: now, set: set, ledger: allowance.New(tol),
 		waiting: make(map[string]float64), arrived: make(chan struct{}), keepers: make(map[string][]allowance.VM),
 	}
 }
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -276,6 +276,7 @@
 		again.succeeded()
 		d.noteEra(list.era)
 		d.learnVMs(list)
+		d.retries.noteListed(d.apart)
 		d.claim()
 		if d.peers.reads() {
 			d.heal(ctx, list)
@@ -324,10 +325,11 @@
 		return nil, err
 	}
 	d.claimed = found && mayClaim(last, self, d.set.AllowanceWindow)
-	d.retries.apart.Store(found && mayClaim(last, self, d.set.RetryWindow) || !found && next.Era == 0)
+	d.apart = found && mayClaim(last, self, d.set.RetryWindow) || !found && next.Era == 0
 	d.log.Info().Bool("started_before", found).Dur("since_last_start", self.started.Sub(last.started)).Bool("claims", d.claimed).
-		Bool("apart", d.retries.apart.Load()).Msg("previous_start")
-	if !d.set.Vm.FirstStart && slices.ContainsFunc(before, d.isOwn) {
+		Bool("apart", d.apart).Msg("previous_start")
+	if slices.ContainsFunc(before, d.isOwn) {
+		d.peers.noteKnownBefore()
 		return &vmList{before, next.Era}, nil
 	}
 	return nil, nil
