Abandoned requests are discarded by a reset, so that they do not arrive later

The third way in which repeats can pass the bound, and in which a request reaches an endpoint after its caller left: a request goes on to another endpoint, its connection is closed, and what had not been read yet arrives all the same when link or process go on; the bound counts arrivals. What a stopped process's own kernel has taken in cannot be called back: for that the fixed number is left.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -136,11 +136,11 @@
 	if err != nil {
 		return nil, &ExchangeError{Address: address, Stage: NotSent, Err: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(ctx, c.abandon)
 	a, err := c.exchange(r)
 	if err != nil {
 		stop()
-		_ = c.Close()
+		c.abandon()
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -150,6 +150,16 @@
 	return a, nil
 }
 
+// abandon closes a connection and discards what the endpoint has not been sent yet: on a link that is
+// cut or full it would arrive when the request has long gone on elsewhere.
+func (c *conn) abandon() {
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		// A connection that is closed already has nothing left to discard.
+		_ = l.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // Open opens a connection to an endpoint and keeps it as an idle one.
 func (p *Pool) Open(key, address string) error {
 	c, err := p.get(context.Background(), key, address, true)
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,48 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a request that went on elsewhere and that its first endpoint reads all the same, once
+// its link or its process goes on.
+func TestAbandonedRequestDoesNotArriveLater(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	arrived := make(chan error, 1)
+	resume := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			arrived <- err
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		<-resume
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err == nil {
+			_, err = io.Copy(io.Discard, r.Body)
+		}
+		arrived <- err
+	}()
+	p := NewPool((&net.Dialer{}).DialContext, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	// More than the endpoint's side takes in unread, less than the sender's side holds.
+	_, err = p.Do(ctx, "e", l.Addr().String(), &Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 1<<20)}, false)
+	is.True(err != nil)
+	time.Sleep(50 * time.Millisecond)
+	close(resume)
+	is.True(<-arrived != nil)
+}
