--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -450,3 +450,17 @@
 	is.Equal(len(o.TrialEndpoints(keys[:5], 9, TrialShare(0.1))), 2)
 	is.Equal(len(o.TrialEndpoints(keys[:1], 9, TrialShare(0.1))), 1)
 }
+
+// Guards against grants that add up to more than the fixed number, as VMs that were added during a cut are
+// not known to those that came before.
+func TestGrantsOfVMsThatKnowDifferentNumbersStayWithinTheFixedNumber(t *testing.T) {
+	const slack = 50.0
+	for before := 1; before <= 2000; before = before*3/2 + 1 {
+		for added := 0; added <= 2*before; added += 1 + before/5 {
+			sum := float64(before)*Grant(slack, before) + float64(added)*Grant(slack, before+added)
+			if sum > slack {
+				t.Fatalf("%d VMs and %d that they do not know are granted %.1f of %.0f", before, added, sum, slack)
+			}
+		}
+	}
+}
