Who left before a copy of the registry stays out until it writes itself

Callers' requests went on to an endpoint that had left: it had announced that and gone in the seconds that the store lost; the copy lists it as ready. VMs that knew better kept it out for 10 s. Ruled out: the first reads after the copy, and what the reader of a failure domain passes on; both keep it out.

Now a record of an incarnation that was gone before the copy counts only if it lies later than where the copy was first seen to list it. The time limit stands for records without a known offset.

--- a/core/members/members.go
+++ b/core/members/members.go
@@ -44,6 +44,8 @@
 	Endpoint *Endpoint
 	// Unreadable says that the record names no endpoint that could be understood.
 	Unreadable bool
+	// Written is one more than the record's offset in the registry; 0 if that is not known.
+	Written uint64
 }
 
 // returnGrace is how long after the registry's return an entry that lapsed
@@ -65,12 +67,23 @@
 	// of an earlier incarnation may come late, from a VM that lags.
 	latest     map[string]int64
 	departures []Departure
-	// departed are the keys of incarnations that are gone, by id. A registry that comes back
-	// from a copy lists them again, as they were some seconds ago.
-	departed map[string]string
-	// copied is when it last did.
-	copied    time.Duration
-	wasCopied bool
+	// departed are incarnations that are gone, by id. A registry that comes back from a copy
+	// lists them again, as they were some seconds ago.
+	departed map[string]departed
+	// copies is how often it did, copied when it last did.
+	copies int
+	copied time.Duration
+}
+
+// departed is an incarnation that is gone.
+type departed struct {
+	key string
+	// copies is how many copies there had been.
+	copies int
+	// listedIn is the copy that was first seen to list it again, by number, and written where
+	// that lists it.
+	listedIn int
+	written  uint64
 }
 
 // Departure is an incarnation that may not get requests any more.
@@ -80,8 +93,8 @@
 	Leaving bool
 }
 
-// copyLists is how long after the registry came back from a copy incarnations that are gone may
-// still be listed: it drops what is silent for three heartbeats.
+// copyLists is how long after the registry came back from a copy a record whose offset is not known
+// may be the copy's: the registry drops what is silent for three heartbeats.
 const copyLists = 10 * time.Second
 
 // mostLatest bounds the starts kept of ids that are gone: beyond it those are dropped,
@@ -100,7 +113,7 @@
 
 // New returns an empty set.
 func New() *Set {
-	return &Set{known: make(map[string]*entry), latest: make(map[string]int64), departed: make(map[string]string)}
+	return &Set{known: make(map[string]*entry), latest: make(map[string]int64), departed: make(map[string]departed)}
 }
 
 // Version grows whenever the usable endpoints change.
@@ -192,12 +205,25 @@
 // outage. What is there follows by Replace or ApplyCopied.
 func (s *Set) Restore(now time.Duration) {
 	s.away, s.everAway, s.returned = false, true, now
-	s.copied, s.wasCopied = now, true
+	s.copied = now
+	s.copies++
 }
 
-// listedByCopy says whether a record is of an incarnation that is gone, as a copy still lists it.
+// listedByCopy says whether a record is of an incarnation that was gone before the last copy, as
+// that still lists it. What the incarnation writes itself since then lies at a later offset.
 func (s *Set) listedByCopy(now time.Duration, c Change) bool {
-	return c.Endpoint != nil && s.wasCopied && now < s.copied+copyLists && s.departed[c.ID] == c.Endpoint.Key()
+	d, ok := s.departed[c.ID]
+	if !ok || c.Endpoint == nil || d.key != c.Endpoint.Key() || d.copies == s.copies {
+		return false
+	}
+	if c.Written == 0 {
+		return now < s.copied+copyLists
+	}
+	if d.listedIn != s.copies {
+		d.listedIn, d.written = s.copies, c.Written
+		s.departed[c.ID] = d
+	}
+	return c.Written <= d.written
 }
 
 // ApplyCopied takes in a record that may be as old as the copy from which the registry came back.
@@ -247,7 +273,7 @@
 
 // depart notes that an incarnation is gone. One that was leaving was noted then.
 func (s *Set) depart(e *entry) {
-	s.departed[e.ID] = e.Key()
+	s.departed[e.ID] = departed{key: e.Key(), copies: s.copies}
 	if len(s.departed) > mostLatest {
 		clear(s.departed)
 	}
--- a/core/members/members_test.go
+++ b/core/members/members_test.go
@@ -148,3 +148,24 @@
 	s.Replace(2*time.Minute, []Change{ep("a", false), ep("b", false)})
 	is.Equal(ids(s), []string{"a", "b"})
 }
+
+// written is a record at an offset of the registry.
+func written(c Change, offset uint64) Change {
+	c.Written = offset + 1
+	return c
+}
+
+// Guards against an incarnation that left before a copy and is used for good once a whole list, long
+// after it, still holds the copy's record of it.
+func TestWhoLeftBeforeACopyStaysOutUntilItWritesItself(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	s.Replace(0, []Change{written(ep("gone", false), 3), written(ep("stays", false), 4)})
+	s.Apply(0, Change{ID: "gone"})
+	s.Restore(time.Minute)
+	s.Replace(time.Minute, []Change{written(ep("gone", false), 3), written(ep("stays", false), 4)})
+	s.Replace(2*time.Minute, []Change{written(ep("gone", false), 3), written(ep("stays", false), 9)})
+	is.Equal(ids(s), []string{"stays"})
+	s.Replace(3*time.Minute, []Change{written(ep("gone", false), 12), written(ep("stays", false), 13)})
+	is.Equal(ids(s), []string{"gone", "stays"})
+}
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -81,7 +81,7 @@
 	g.serving++
 	reply := &schema.EndpointsReply{Known: true, Next: g.next.Offset, Era: g.next.Era}
 	for _, r := range g.records {
-		reply.Records = append(reply.Records, &schema.StoreRecord{Key: r.Key, Value: r.Value})
+		reply.Records = append(reply.Records, &schema.StoreRecord{Key: r.Key, Value: r.Value, Written: r.writtenIn(g.next.Era)})
 	}
 	return reply
 }
@@ -132,7 +132,7 @@
 	if !reply.Known {
 		return nil, Position{}, &NoSourceError{Address: address}
 	}
-	return relayed(reply.Records), Position{Era: reply.Era, Offset: reply.Next}, nil
+	return relayed(reply.Records, reply.Era), Position{Era: reply.Era, Offset: reply.Next}, nil
 }
 
 // sourcesOf are VMs of the own failure domain that know the registry up to a position,
@@ -231,7 +231,7 @@
 	size := 0
 	for _, r := range records {
 		if known, ok := missing[r.Key]; !ok || !bytes.Equal(known.Value, r.Value) {
-			part.Records = append(part.Records, &schema.StoreRecord{Key: r.Key, Value: r.Value})
+			part.Records = append(part.Records, &schema.StoreRecord{Key: r.Key, Value: r.Value, Written: r.writtenIn(next.Era)})
 			size += len(r.Key) + len(r.Value)
 		}
 		delete(missing, r.Key)
@@ -270,13 +270,13 @@
 	case c.known && r.Era == c.next.Era && r.From <= c.next.Offset:
 		if !next.Before(c.next) {
 			c.next = next
-			d.takeEndpoints(reading{records: relayed(r.Records)}, next)
+			d.takeEndpoints(reading{records: relayed(r.Records, r.Era)}, next)
 		}
 		return true
 	case c.known && r.Before != nil && c.next == (Position{Era: r.Before.Era, Offset: r.Before.Offset}):
 		c.next = next
 		d.noteEra(next.Era)
-		d.takeEndpoints(reading{records: relayed(r.Records), copied: true}, next)
+		d.takeEndpoints(reading{records: relayed(r.Records, r.Era), copied: true}, next)
 		d.log.Info().Uint64("era", next.Era).Uint64("offset", next.Offset).Int("changes", len(r.Records)).Msg("registry_copy_told")
 		return true
 	}
@@ -296,14 +296,27 @@
 	return true
 }
 
-func relayed(list []*schema.StoreRecord) []Record {
+// relayed are records that another VM passed on, as of an era.
+func relayed(list []*schema.StoreRecord, era uint64) []Record {
 	records := make([]Record, 0, len(list))
 	for _, r := range list {
-		records = append(records, Record{Key: r.Key, Value: r.Value})
+		rec := Record{Key: r.Key, Value: r.Value}
+		if r.Written > 0 {
+			rec.At, rec.Placed = Position{Era: era, Offset: r.Written - 1}, true
+		}
+		records = append(records, rec)
 	}
 	return records
 }
 
+// writtenIn is one more than the record's offset, if it is known to lie in an era.
+func (r Record) writtenIn(era uint64) uint64 {
+	if !r.Placed || r.At.Era != era {
+		return 0
+	}
+	return r.At.Offset + 1
+}
+
 // takeEndpoints takes in what was read of the registry, and returns which of the records changed
 // something, by index.
 func (d *Daemon) takeEndpoints(got reading, next Position) (changed []int) {
@@ -312,6 +325,7 @@
 	for _, r := range got.records {
 		c, err := d.codec.Endpoint(r)
 		d.logUnreadable(r.Key, err)
+		c.Written = r.writtenIn(next.Era)
 		changes = append(changes, c)
 	}
 	var told []members.Change
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -106,7 +106,9 @@
 type Record struct {
 	Key   string
 	Value []byte
-	At    Position
+	// At is where it lies, if that is known (Placed).
+	At     Position
+	Placed bool
 }
 
 // Position is a place in a feed.
