--- a/entry/entry.go
+++ b/entry/entry.go
@@ -41,8 +41,9 @@
 	// Hangup delivers requests to read the settings anew.
 	Hangup <-chan struct{}
 	// Listen, ListenPacket and Dial default to the net package's.
-	Listen func(addr string) (net.Listener, error)
-	Dial   func(ctx context.Context, network, addr string) (net.Conn, error)
+	Listen       func(addr string) (net.Listener, error)
+	ListenPacket func(addr string) (net.PacketConn, error)
+	Dial         func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // Daemon is one VM's process.
@@ -116,6 +117,9 @@
 	if opts.Listen == nil {
 		opts.Listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 	}
+	if opts.ListenPacket == nil {
+		opts.ListenPacket = func(addr string) (net.PacketConn, error) { return net.ListenPacket("udp4", addr) }
+	}
 	if opts.Dial == nil {
 		opts.Dial = (&net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: false}}).DialContext
 	}
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -162,7 +162,7 @@
 	if len(b) == 0 {
 		return
 	}
-	if _, err := p.conn.WriteToUDP(b, to); err != nil {
+	if _, err := p.conn.WriteTo(b, to); err != nil {
 		p.d.count("note_errors")
 	}
 }
@@ -172,7 +172,7 @@
 	defer stop()
 	buf := make([]byte, maxDatagram)
 	for {
-		size, from, err := p.conn.ReadFromUDP(buf)
+		size, addr, err := p.conn.ReadFrom(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -180,8 +180,9 @@
 			p.d.count("note_errors")
 			continue
 		}
+		from, ok := addr.(*net.UDPAddr)
 		n := &schema.PeerNote{}
-		if err := proto.Unmarshal(buf[:size], n); err != nil {
+		if err := proto.Unmarshal(buf[:size], n); err != nil || !ok {
 			p.d.count("notes_unreadable")
 			continue
 		}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -36,7 +36,7 @@
 // connection can fall silent.
 type peers struct {
 	d    *Daemon
-	conn *net.UDPConn
+	conn net.PacketConn
 	inc  uint64
 
 	// relays are what other VMs read of the registry, hints are newer versions of
@@ -153,12 +153,8 @@
 	}
 }
 
-func (p *peers) listen() error {
-	addr, err := net.ResolveUDPAddr("udp4", p.d.set.Listen.Peers)
-	if err != nil {
-		return err
-	}
-	p.conn, err = net.ListenUDP("udp4", addr)
+func (p *peers) listen() (err error) {
+	p.conn, err = p.d.opts.ListenPacket(p.d.set.Listen.Peers)
 	return err
 }
 
