--- a/entry/retries.go
+++ b/entry/retries.go
@@ -45,7 +45,13 @@
 	defer r.mu.Unlock()
 	b := r.budget(service)
 	b.SetFixed(r.fixed())
-	return b.Pay(r.d.now())
+	p, ok := b.Pay(r.d.now())
+	if !ok {
+		r.d.count("repeats_refused." + service)
+		return p, false
+	}
+	r.d.count("repeats_paid." + service)
+	return p, true
 }
 
 // renew says whether a repeat that was paid may leave now.
@@ -60,6 +66,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.budget(service).Sent(r.d.now(), p)
+	r.d.count("repeats_sent." + service)
 }
 
 // giveBack gives back a repeat that did not leave.
@@ -166,8 +173,5 @@
 		r.told[service] = c
 		r.d.log.Info().Str("service", service).Float64("held", b.Held(r.d.now())).Int("requests", c.Requests).Int("paid", c.Paid).
 			Int("refused", c.Refused).Int("sent", c.Sent).Int("given_back", c.GivenBack).Int("expired", c.Expired).Msg("retry_budget")
-		r.d.countMany("repeats_paid."+service, c.Paid-last.Paid)
-		r.d.countMany("repeats_refused."+service, c.Refused-last.Refused)
-		r.d.countMany("repeats_sent."+service, c.Sent-last.Sent)
 	}
 }
