--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -98,3 +98,17 @@
 	is.Equal(Fixed(56, 8), 1)
 	is.Equal(Fixed(56, 0), 0)
 }
+
+// BenchmarkRequest is what each request of a caller costs, with one repeat in a hundred.
+func BenchmarkRequest(b *testing.B) {
+	budget := New(0.2, window)
+	for i := range b.N {
+		now := time.Duration(i) * time.Millisecond
+		budget.Request(now)
+		if i%100 == 0 {
+			if r, ok := budget.Pay(now); ok {
+				budget.Sent(now, r)
+			}
+		}
+	}
+}
