--- a/report/report.go
+++ b/report/report.go
@@ -119,6 +119,8 @@
 	Endpoints []Endpoint `json:"endpoints"`
 	// Rollouts are the steps of services that moved to another version, in order of time.
 	Rollouts []RolloutStep `json:"rollouts"`
+	// Repeats are what was sent to a further endpoint, by service.
+	Repeats []Repeats `json:"repeats"`
 	// Dropped counts lines that are missing from the logs.
 	Dropped int `json:"lines_dropped"`
 }
@@ -168,6 +170,7 @@
 	b := &builder{
 		step: step, steps: make(map[time.Time]*Step), routes: make(map[string]*Route),
 		endpoints: make(map[string]*Endpoint), routeOf: make(map[string]string), expected: make(map[string]prediction),
+		repeats: newRepeatSums(),
 	}
 	if err := explain.Scan(r, "", b.line); err != nil {
 		return nil, err
@@ -186,6 +189,7 @@
 	expected map[string]prediction
 	endings  []ending
 	rollouts []RolloutStep
+	repeats  *repeatSums
 	dropped  int
 }
 
@@ -248,6 +252,8 @@
 		b.end(l, l.At, broken, l.Get("reason"))
 	case "caller_left":
 		b.end(l, l.At.Add(-milliseconds(l.Get("held"))), left, "")
+	case "retry_budget":
+		b.repeats.take(l)
 	case "endpoint_ejected":
 		b.endpoint(l.Get("endpoint")).Ejections++
 	case "started":
@@ -294,7 +300,7 @@
 		b.at(e.arrived).add(e.outcome, e.reason)
 		b.route(b.routeOf[e.request]).add(e.outcome, e.reason)
 	}
-	a := &Account{Dropped: b.dropped, Rollouts: b.rolloutSteps()}
+	a := &Account{Dropped: b.dropped, Rollouts: b.rolloutSteps(), Repeats: b.repeats.sums()}
 	for _, from := range slices.SortedFunc(maps.Keys(b.steps), time.Time.Compare) {
 		s := b.steps[from]
 		s.Cause = cause(s)
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -118,3 +118,20 @@
 	is.NoErr(a.Write(&out, 1))
 	is.True(strings.Contains(out.String(), "rolled_back"))
 }
+
+// Repeats of all VMs are had as a sum, also where processes ended and others began to count anew.
+func TestRepeatsOfAllVMs(t *testing.T) {
+	is := is.New(t)
+	const logs = `
+time=2026-08-12T08:41:05.000Z level=info event=retry_budget service=plain requests=100 held=1.5 paid=9 refused=3 sent=7 given_back=1 expired=0 vm=a
+time=2026-08-12T08:41:05.000Z level=info event=retry_budget service=plain requests=80 held=2 paid=6 refused=0 sent=6 given_back=0 expired=0 vm=b
+time=2026-08-12T08:41:10.000Z level=info event=retry_budget service=plain requests=190 held=0.5 paid=18 refused=9 sent=16 given_back=2 expired=1 vm=a
+time=2026-08-12T08:41:15.000Z level=info event=retry_budget service=plain requests=40 held=0 paid=4 refused=1 sent=4 given_back=0 expired=0 vm=a
+`
+	a, err := Read(strings.NewReader(logs), time.Second)
+	is.NoErr(err)
+	is.Equal(a.Repeats, []Repeats{{Service: "plain", Processes: 3, Requests: 310, Paid: 28, Refused: 10, Sent: 26, GivenBack: 2, Expired: 1}})
+	var out bytes.Buffer
+	is.NoErr(a.Write(&out, 1))
+	is.True(strings.Contains(out.String(), "repeats of"))
+}
--- a/report/write.go
+++ b/report/write.go
@@ -28,6 +28,7 @@
 	for _, e := range a.Endpoints[:min(mostEndpoints, len(a.Endpoints))] {
 		fmt.Fprintf(t, "%s\t%d\t%s\t%d\t%s\t%s\n", nameOr(e.Name), e.Placed, list(e.Failures), e.Ejections, e.Gap, &e.Predictions)
 	}
+	writeRepeats(t, a.Repeats)
 	if len(a.Rollouts) > 0 {
 		fmt.Fprintln(t, "\nroll-outs\tvm\tservice\tto\tstep\twhy")
 	}
