--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -28,8 +28,7 @@
 
 // Fixed is how many repeats of the fixed number one VM may send in a window, if it knows a number of
 // VMs. A VM knows at least those that came before it, so only the first of all VMs have any, in
-// whatever order they start and whatever they know of those that came after: together at most
-// mostFixed times fixedPart.
+// whatever order they start and whatever they know of those that came after: together at most half of it.
 func Fixed(slack float64, vms int) int {
 	if vms == 0 {
 		return 0
--- a/entry/retries.go
+++ b/entry/retries.go
@@ -76,8 +76,8 @@
 	r.budget(service).GiveBack(r.d.now(), p)
 }
 
-// fixed is how many repeats of the fixed number this VM may send in a window: none while an earlier
-// process of it may have sent some in the same window.
+// fixed is how many repeats of the fixed number this process may send in a window. One that follows
+// another soon has none until it has lived for a window: processes in series would send some each.
 func (r *retries) fixed() int {
 	if !r.listed.Load() || !r.apart.Load() && r.d.now() < r.d.set.RetryWindow {
 		return 0
