A verdict reaches a failure domain that is cut off from the others while it waits to read

Cause: the judge there reads the statuses each second while others are not heard, but whether that is so was asked only as a pause began, which lasts 5 s, or a minute at VMs that do not read for their failure domain. Ruled out: that the judge does not notice the cut (a second), or tells its VMs late. Now the pause is looked at each second.

--- a/entry/copies.go
+++ b/entry/copies.go
@@ -79,18 +79,24 @@
 	d.rollouts.rewrite()
 }
 
-// pauseOrEra waits for a time, or until a while after the store came back from a copy.
+// pauseOrEra waits for a time, until a while after the store came back from a copy, or until the list
+// has to be read oftener: a cut may begin while it waits.
 func (d *Daemon) pauseOrEra(ctx context.Context, most time.Duration) {
-	if !d.peers.knowsAll() || d.rollouts.cutOff() {
-		most = incompleteEvery
-	}
-	t := time.NewTimer(spread(most))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-d.eras.changed:
-		pause(ctx, healSpread)
+	end := d.now() + spread(most)
+	for ctx.Err() == nil && d.now() < end {
+		t := time.NewTimer(min(spread(incompleteEvery), end-d.now()))
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		case <-d.eras.changed:
+			t.Stop()
+			pause(ctx, healSpread)
+			return
+		}
+		t.Stop()
+		if !d.peers.knowsAll() || d.rollouts.cutOff() {
+			return
+		}
 	}
 }
 
