Sight: what endpoints say of themselves in their answers is decoded, counted and logged

Logs could not tell whether a VM had read that an endpoint names a limit, so the hypotheses on requests beyond a named limit looked alike. No decision rests on it yet.

--- /dev/null
+++ b/core/notice/notice.go
@@ -0,0 +1,10 @@
+// Package notice keeps what incarnations of endpoints say of themselves in their answers. It is pure:
+// answers, what other VMs know, and the time come in.
+package notice
+
+// Notice is what one answer of an incarnation says of it.
+type Notice struct {
+	// Limit is how many requests a second the incarnation takes from all VMs together, if HasLimit.
+	Limit    float64
+	HasLimit bool
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -85,6 +85,7 @@
 	placing    *placing
 	remoteJobs *remoteJobs
 	suspects   *suspects
+	notices    *notices
 	rollouts   *rollouts
 	eras       *eras
 	// startedAt is when the process started, by the VM's clock.
@@ -134,7 +135,7 @@
 	d.lastHandle.Store(rand.Uint64())
 	d.placing, d.remoteJobs = newPlacing(d), newRemoteJobs(d)
 	d.sched.remote = d.remoteJobs.decided
-	d.suspects = newSuspects(d)
+	d.suspects, d.notices = newSuspects(d), newNotices(d)
 	d.rollouts = newRollouts(d)
 	d.sched.usable = d.rollouts.usable
 	d.sched.departed = d.suspects.departed
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chivefield/chivefield/core/members"
+	"github.com/chivefield/chivefield/core/notice"
 	"github.com/chivefield/chivefield/core/rollout"
 	"github.com/chivefield/chivefield/core/routing"
 )
@@ -59,8 +60,18 @@
 	Replaced bool
 	// Encoded bodies are not the endpoint's own.
 	Encoded bool
+	// Notice is what the answering incarnation says of itself, Unreadable the headers of that which
+	// cannot be understood.
+	Notice     notice.Notice
+	Unreadable []HeaderError
 }
 
+// HeaderError reports a header of an answer that cannot be understood.
+type HeaderError struct{ Header, Value string }
+
+// Error describes the failure.
+func (e *HeaderError) Error() string { return fmt.Sprintf("header %s: %q", e.Header, e.Value) }
+
 // Codec translates between the wire and the product's types.
 type Codec interface {
 	Call(h http.Header) Call
