An endpoint's limit of requests a second holds over all VMs

Cause: no VM read the header, and nothing bounds what all VMs together send to one endpoint.

Now core/notice keeps what an incarnation says of itself until it says otherwise, merged over VMs in any order; of the VMs that place requests only the first in an order by endpoint uses the limit, 0.7 of it where it hears the placers of more than half of all VMs, a part of 0.2 else; a VM sends what another placed only if that was counted. Why it holds: nothing is divided by numbers that VMs know differently, at most one side of a cut has the larger part, and two that both take themselves for the first stay within one and a half times the limit.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/chivefield/chivefield/core/limit"
 	"github.com/chivefield/chivefield/core/mechanism"
 	"github.com/chivefield/chivefield/core/members"
 	"github.com/chivefield/chivefield/core/suspect"
@@ -41,6 +42,8 @@
 	Suspicion Suspicion
 	// Trial says that the request is to try a new version of the service.
 	Trial bool
+	// Counted says that the VM that placed it counted it against the endpoint's limit.
+	Counted bool
 
 	arrived time.Duration
 	// late says that the objective cannot be met any more; rank orders the queue.
@@ -68,6 +71,8 @@
 	// Load is what all VMs together had at the endpoint, as far as known, and its
 	// slowness as assumed.
 	Load Use
+	// Counted says that it was counted against the endpoint's limit.
+	Counted bool
 }
 
 // Reasons of refusals.
@@ -125,6 +130,10 @@
 	onTrial map[suspect.Digest]int
 	// company is what is known of the VMs of the own failure domain, and of others.
 	company [2]company
+	// limits are of the endpoints that name one, by their short names; reach is the part of each that this
+	// VM may use where it is the one to send.
+	limits map[uint64]*limit.Bucket
+	reach  float64
 }
 
 type service struct {
@@ -205,7 +214,7 @@
 	return &Scheduler{
 		self: xxhash.Sum64String(vm), chooser: xxhash.Sum64String(vm), domain: domain,
 		services: make(map[string]*service), running: make(map[uint64]*run),
-		byName: make(map[uint64]*endpoint), vms: make(map[string]int), onTrial: make(map[suspect.Digest]int),
+		byName: make(map[uint64]*endpoint), vms: make(map[string]int), onTrial: make(map[suspect.Digest]int), limits: make(map[uint64]*limit.Bucket),
 	}
 }
 
@@ -469,7 +478,7 @@
 	sv.effort += (sv.work(j) - sv.effort) * effortWeight
 	ep := c.ep.Endpoint
 	s.out = append(s.out, Decision{
-		Handle: j.Handle, Endpoint: &ep, Predicted: c.first, Candidates: len(sv.list), Waiting: len(sv.queue), Load: c.load,
+		Handle: j.Handle, Endpoint: &ep, Predicted: c.first, Candidates: len(sv.list), Waiting: len(sv.queue), Load: c.load, Counted: s.spend(c.ep),
 	})
 }
 
@@ -487,6 +496,6 @@
 
 func (s *Scheduler) refuse(now time.Duration, sv *service, j *Job, reason string) {
 	s.out = append(s.out, Decision{
-		Handle: j.Handle, Reason: reason, RetryAfter: comeBack(j), Candidates: len(sv.list), Waiting: len(sv.queue),
+		Handle: j.Handle, Reason: reason, RetryAfter: max(comeBack(j), s.limitedWait(sv)), Candidates: len(sv.list), Waiting: len(sv.queue),
 	})
 }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -56,7 +56,7 @@
 		may = (*endpoint).reachable
 	}
 	for _, e := range sv.list {
-		if !may(e, now) {
+		if !may(e, now) || !s.permits(now, e) {
 			continue
 		}
 		if u := e.load(now, sv.pace.readOf(e, 0), s.lastNote); s.hasRoom(now, e, u) {
@@ -70,7 +70,7 @@
 func (s *Scheduler) reseat(now time.Duration, sv *service, seats []seat, e *endpoint) []seat {
 	i := slices.IndexFunc(seats, func(t seat) bool { return t.ep == e })
 	seats[i].load = e.load(now, sv.pace.readOf(e, 0), s.lastNote)
-	if e.admits(now) && s.hasRoom(now, e, seats[i].load) {
+	if e.admits(now) && s.permits(now, e) && s.hasRoom(now, e, seats[i].load) {
 		return seats
 	}
 	return slices.Delete(seats, i, i+1)
--- a/core/dispatch/remote.go
+++ b/core/dispatch/remote.go
@@ -23,6 +23,8 @@
 	Gone Unusable = "gone"
 	// NotReached: a probe from here failed.
 	NotReached Unusable = "not_reached"
+	// Limited: it names a limit against which the request was not counted.
+	Limited Unusable = "limited"
 	// HeldBack: its version gets only requests that are chosen to try it.
 	HeldBack Unusable = "held_back"
 )
@@ -42,6 +44,8 @@
 		return nil, HeldBack
 	case e.health.unreachable():
 		return nil, NotReached
+	case s.limits[name] != nil && !j.Counted:
+		return nil, Limited
 	}
 	s.checkJob(&j)
 	j.arrived, j.Suspicion = now, s.suspicion(&j)
--- /dev/null
+++ b/core/limit/fleet_test.go
@@ -0,0 +1,314 @@
+package limit_test
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chivefield/chivefield/core/dispatch"
+	"github.com/chivefield/chivefield/core/members"
+	"github.com/chivefield/chivefield/core/notice"
+)
+
+// The bound on what reaches an endpoint that names a limit, over all VMs.
+const (
+	window = 4 * time.Second
+	factor = 1.5
+	slack  = 5
+	// settles is how long after it first named a limit the bound holds, told how long after a VM got an answer
+	// that names it what that VM sends counts.
+	settles = 3 * time.Second
+	told    = 500 * time.Millisecond
+
+	step       = 50 * time.Millisecond
+	noteEvery  = 100 * time.Millisecond
+	listEvery  = 5 * time.Second
+	heardFor   = time.Second
+	service    = "s"
+	domains    = 3
+	mostVMs    = 8
+	newcomers  = 2
+	endpointID = "e"
+	steps      = 500
+)
+
+// vm is a VM of the model with its process, if sched is not nil. Every VM places its own requests.
+type vm struct {
+	name, domain string
+	listed       bool
+	side         int
+
+	sched  *dispatch.Scheduler
+	ledger *notice.Ledger
+	// known are the VMs that it knows, heard when each spoke last.
+	known   map[int]bool
+	heard   map[int]time.Duration
+	started time.Duration
+	// toldAt is when it first got an answer that names a limit.
+	toldAt  time.Duration
+	isTold  bool
+	process int
+}
+
+// event is something that happens later.
+type event struct {
+	at time.Duration
+	do func()
+}
+
+// fleet plays VMs before one endpoint and counts what reaches it.
+type fleet struct {
+	t      *rapid.T
+	rand   *rand.Rand
+	now    time.Duration
+	vms    [mostVMs]vm
+	later  []event
+	handle uint64
+	// limit is what the endpoint names, since when, if it does.
+	limit    float64
+	names    bool
+	since    time.Duration
+	arrivals []time.Duration
+	counted  int
+	server   *members.Endpoint
+	storeUp  bool
+}
+
+func newFleet(t *rapid.T) *fleet {
+	f := &fleet{t: t, rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), server: &members.Endpoint{ID: endpointID, Service: service, FailureDomain: "0", Slots: 1 << 10}, storeUp: true}
+	for i := range f.vms {
+		f.vms[i].name, f.vms[i].domain = "vm"+strconv.Itoa(i), strconv.Itoa(i%domains)
+	}
+	return f
+}
+
+// start starts a process, which reads the list of VMs.
+func (f *fleet) start(i int) {
+	v := &f.vms[i]
+	v.listed = true
+	v.sched, v.ledger, v.started = dispatch.New(v.name, v.domain), notice.New(), f.now
+	v.known, v.heard, v.isTold, v.process = make(map[int]bool), make(map[int]time.Duration), false, v.process+1
+	v.sched.SetEndpoints(f.now, service, []*members.Endpoint{f.server}, false)
+	f.readList(v)
+}
+
+func (f *fleet) readList(v *vm) {
+	for k := range f.vms {
+		if f.vms[k].listed {
+			v.known[k] = true
+		}
+	}
+}
+
+// sometime draws a delay.
+func (f *fleet) sometime(most time.Duration) time.Duration {
+	return time.Duration(f.rand.Int64N(int64(most)))
+}
+
+// in has something happen later, if the process of a VM still lives then.
+func (f *fleet) in(delay time.Duration, i int, do func(v *vm)) {
+	process := f.vms[i].process
+	f.later = append(f.later, event{f.now + delay, func() {
+		if v := &f.vms[i]; v.sched != nil && v.process == process {
+			do(v)
+		}
+	}})
+}
+
+// tell sends a VM's note to those on its side.
+func (f *fleet) tell(i int) {
+	from := &f.vms[i]
+	records := from.ledger.Turn(f.now, 1)
+	for k := range f.vms {
+		if k == i || f.vms[k].sched == nil || f.vms[k].side != from.side || !from.known[k] {
+			continue
+		}
+		f.in(f.sometime(300*time.Millisecond), k, func(v *vm) {
+			v.known[i] = true
+			v.heard[i] = f.now
+			v.sched.PeerUses(f.now, from.name, from.domain, nil, true)
+			for _, r := range records {
+				if v.ledger.Merge(f.now, r) {
+					f.apply(v)
+				}
+			}
+		})
+	}
+}
+
+func (f *fleet) apply(v *vm) {
+	name := dispatch.NameOf(endpointID)
+	if n := v.ledger.Holds(name); n.HasLimit {
+		v.sched.SetLimit(f.now, name, n.Limit)
+		return
+	}
+	v.sched.LiftLimit(name)
+}
+
+// reach is how many VMs one hears, with itself.
+func (f *fleet) reach(v *vm) int {
+	n := 1
+	for _, at := range v.heard {
+		if f.now-at < heardFor {
+			n++
+		}
+	}
+	return n
+}
+
+// request has a caller's request placed and sent, if there is room at once.
+func (f *fleet) request(i int) {
+	v := &f.vms[i]
+	f.handle++
+	handle := f.handle
+	for _, d := range v.sched.Submit(f.now, dispatch.Job{Handle: handle, Service: service, Objective: f.now + time.Second, Abandon: f.now + time.Second}) {
+		if d.Endpoint == nil {
+			continue
+		}
+		decided := f.now
+		f.in(f.sometime(200*time.Millisecond), i, func(v *vm) { f.arrive(i, v, handle, decided) })
+	}
+	v.sched.Withdraw(f.now, service, handle)
+}
+
+// arrive counts a request at the endpoint, which answers later.
+func (f *fleet) arrive(i int, v *vm, handle uint64, sent time.Duration) {
+	if f.names && v.isTold && f.now >= v.toldAt+told {
+		f.arrivals = append(f.arrivals, f.now)
+		f.counted++
+		f.check()
+	}
+	said := notice.Notice{HasLimit: f.names}
+	if f.names {
+		said.Limit = f.limit
+	}
+	f.in(f.sometime(600*time.Millisecond), i, func(v *vm) {
+		v.sched.Events(f.now, handle, 1)
+		v.sched.End(f.now, handle, dispatch.Answered)
+		if said.HasLimit && !v.isTold {
+			v.isTold, v.toldAt = true, f.now
+		}
+		if v.ledger.Hear(f.now, sent, dispatch.NameOf(endpointID), said) {
+			f.apply(v)
+		}
+	})
+}
+
+func (f *fleet) check() {
+	if f.now < f.since+settles {
+		return
+	}
+	n := 0
+	for _, at := range f.arrivals {
+		if at > f.now-window {
+			n++
+		}
+	}
+	if allowed := factor*f.limit*window.Seconds() + slack; float64(n) > allowed {
+		f.t.Fatalf("%d requests in %v at %v, %.1f allowed", n, window, f.now, allowed)
+	}
+}
+
+// name has the endpoint name a limit, or none: what was counted before is of another need.
+func (f *fleet) name(limit float64, names bool) {
+	f.limit, f.names, f.since, f.arrivals = limit, names, f.now, nil
+	for i := range f.vms {
+		f.vms[i].isTold = false
+	}
+}
+
+func (f *fleet) advance() {
+	f.now += step
+	var due []event
+	kept := f.later[:0]
+	for _, e := range f.later {
+		if e.at <= f.now {
+			due = append(due, e)
+		} else {
+			kept = append(kept, e)
+		}
+	}
+	f.later = kept
+	for _, e := range due {
+		e.do()
+	}
+	for i := range f.vms {
+		v := &f.vms[i]
+		if v.sched == nil {
+			continue
+		}
+		if f.now%noteEvery == 0 {
+			f.tell(i)
+			v.sched.SetReach(f.now, f.reach(v), len(v.known))
+		}
+		if f.storeUp && (f.now-v.started)%listEvery == 0 {
+			f.readList(v)
+		}
+	}
+}
+
+// Guards against VMs that together send more than an endpoint names, while they start, are cut off from each
+// other, die, learn late and send late.
+func TestSumOfAllVMsStaysWithinANamedLimit(t *testing.T) {
+	counted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t)
+		first := 1 + f.rand.IntN(mostVMs-newcomers)
+		for i := range first {
+			f.start(i)
+		}
+		load := 1 + f.rand.IntN(4)
+		next := first
+		for range steps {
+			f.advance()
+			for i := range f.vms {
+				for range load {
+					if f.vms[i].sched != nil {
+						f.request(i)
+					}
+				}
+			}
+			next = f.disturb(first, next)
+		}
+		counted += f.counted
+	})
+	t.Logf("%d requests counted", counted)
+	if counted == 0 {
+		t.Error("nothing was counted")
+	}
+}
+
+// limits are those that the endpoint may name.
+var limits = []float64{0, 0.1, 0.5, 1, 2.5, 4, 10, 60}
+
+// disturb may change something, and returns which VM may be added next.
+func (f *fleet) disturb(first, next int) int {
+	i := f.rand.IntN(first)
+	switch f.rand.IntN(100) {
+	case 0:
+		f.name(limits[f.rand.IntN(len(limits))], !f.names)
+	case 1, 2:
+		f.vms[i].side = f.rand.IntN(domains)
+	case 3:
+		for k := range f.vms {
+			f.vms[k].side = 0
+		}
+	case 4:
+		f.vms[i].sched = nil
+	case 5, 6, 7:
+		if f.vms[i].sched == nil {
+			f.start(i)
+		}
+	case 8:
+		f.storeUp = !f.storeUp
+	case 9:
+		if next < min(mostVMs, first+newcomers) {
+			f.start(next)
+			next++
+		}
+	}
+	return next
+}
--- a/core/members/members.go
+++ b/core/members/members.go
@@ -289,6 +289,15 @@
 	return list
 }
 
+// Keys are the incarnations that are known, leaving ones too.
+func (s *Set) Keys() []string {
+	keys := make([]string, 0, len(s.known))
+	for _, e := range s.known {
+		keys = append(keys, e.Key())
+	}
+	return keys
+}
+
 // Serving says whether the registry lists an incarnation that does not leave.
 func (s *Set) Serving(e *Endpoint) bool {
 	known := s.known[e.ID]
--- /dev/null
+++ b/core/notice/ledger.go
@@ -0,0 +1,234 @@
+package notice
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// settle is by how much what another VM saw counts as older: the word of it may have been under way for
+	// as long, and must not pass for later than what was said since.
+	settle = 500 * time.Millisecond
+	// hotFor is how long every note tells of a change.
+	hotFor = time.Second
+	// mostRecords bounds the incarnations that are remembered.
+	mostRecords = 1 << 14
+	// oldest bounds ages.
+	oldest = 365 * 24 * time.Hour
+)
+
+// Never is the age of what did not happen.
+const Never time.Duration = -1
+
+// Record is what one VM tells others of an incarnation. Ages are as of when it is told.
+type Record struct {
+	// Endpoint is the short name of the incarnation.
+	Endpoint uint64
+	// Limit is the limit that was named in answer to the request that was sent last of those whose answer
+	// named one, Asked how long ago that was sent. Named is how long ago the last such answer came, Lifted how
+	// long ago the last request was sent whose answer named none.
+	Limit                float64
+	Asked, Named, Lifted time.Duration
+}
+
+// Valid says whether a record can be.
+func (r Record) Valid() bool { return r.Limit >= 0 && !math.IsInf(r.Limit, 0) }
+
+// stamp is a moment of the VM's process, if it ever was.
+type stamp struct {
+	at  time.Duration
+	was bool
+}
+
+// after says whether it is the later one.
+func (s stamp) after(o stamp) bool { return s.was && (!o.was || s.at > o.at) }
+
+// settled is the moment as others take it.
+func (s stamp) settled() stamp {
+	s.at -= settle
+	return s
+}
+
+// ago is its age.
+func (s stamp) ago(now time.Duration) time.Duration {
+	if !s.was {
+		return Never
+	}
+	return max(0, now-s.at)
+}
+
+// stampOf is the moment of an age.
+func stampOf(now, ago time.Duration) stamp {
+	if ago < 0 {
+		return stamp{}
+	}
+	return stamp{at: now - min(ago, oldest), was: true}
+}
+
+// entry is what is known of one incarnation.
+type entry struct {
+	limit                float64
+	asked, named, lifted stamp
+	// changed is when what holds changed last.
+	changed time.Duration
+}
+
+func (e *entry) holds() Notice {
+	if !e.named.was || e.lifted.after(e.named) {
+		return Notice{}
+	}
+	return Notice{Limit: e.limit, HasLimit: true}
+}
+
+// Ledger is what one VM knows. Times are those of its process; it is not safe for concurrent use. Records of
+// other VMs may come in any order and again.
+type Ledger struct {
+	entries map[uint64]*entry
+	// turn is the short name at which the next Turn begins.
+	turn uint64
+}
+
+// New returns an empty ledger.
+func New() *Ledger { return &Ledger{entries: make(map[uint64]*entry)} }
+
+// Hear takes in an answer of an incarnation to a request that was sent at a time, and reports whether what
+// holds has changed. Answers on different connections overtake each other: a limit holds until an answer
+// names none whose request was sent after the last one that named it had come, and of two limits that of the
+// request that was sent later, or the lower one if its answer came later.
+func (l *Ledger) Hear(now, sent time.Duration, endpoint uint64, n Notice) bool {
+	e := l.entries[endpoint]
+	if e == nil && !n.HasLimit {
+		return false
+	}
+	return l.change(now, endpoint, func(e *entry) {
+		if !n.HasLimit {
+			e.lift(stamp{sent, true})
+			return
+		}
+		asked := stamp{sent, true}
+		if e.asked.after(asked) {
+			e.limit = min(e.limit, n.Limit)
+		} else {
+			e.asked, e.limit = asked, n.Limit
+		}
+		e.name(stamp{now, true})
+	})
+}
+
+func (e *entry) name(at stamp) {
+	if at.after(e.named) {
+		e.named = at
+	}
+}
+
+func (e *entry) lift(at stamp) {
+	if at.after(e.lifted) {
+		e.lifted = at
+	}
+}
+
+// change changes an entry and reports whether what holds has changed.
+func (l *Ledger) change(now time.Duration, endpoint uint64, do func(*entry)) bool {
+	e := l.entries[endpoint]
+	if e == nil {
+		if len(l.entries) >= mostRecords {
+			return false
+		}
+		e = &entry{changed: now}
+		l.entries[endpoint] = e
+	}
+	before := e.holds()
+	do(e)
+	if e.holds() == before {
+		return false
+	}
+	e.changed = now
+	return true
+}
+
+// Merge takes in what another VM knows, and reports whether what holds has changed.
+func (l *Ledger) Merge(now time.Duration, r Record) bool {
+	return l.change(now, r.Endpoint, func(e *entry) {
+		if asked := stampOf(now, r.Asked).settled(); asked.after(e.asked) {
+			e.asked, e.limit = asked, r.Limit
+		}
+		e.name(stampOf(now, r.Named))
+		e.lift(stampOf(now, r.Lifted).settled())
+	})
+}
+
+// Holds is what an incarnation says of itself now.
+func (l *Ledger) Holds(endpoint uint64) Notice {
+	if e := l.entries[endpoint]; e != nil {
+		return e.holds()
+	}
+	return Notice{}
+}
+
+// Forget drops incarnations that are not listed or of which nothing holds, unless that changed within a
+// time: the registry may list them later here than elsewhere. It returns those by which something held.
+func (l *Ledger) Forget(now, within time.Duration, listed func(endpoint uint64) bool) (held []uint64) {
+	for name, e := range l.entries {
+		holds := e.holds() != Notice{}
+		if now-e.changed <= within || holds && listed(name) {
+			continue
+		}
+		if holds {
+			held = append(held, name)
+		}
+		delete(l.entries, name)
+	}
+	return held
+}
+
+func (l *Ledger) record(now time.Duration, endpoint uint64) Record {
+	e := l.entries[endpoint]
+	return Record{Endpoint: endpoint, Limit: e.limit, Asked: e.asked.ago(now), Named: e.named.ago(now), Lifted: e.lifted.ago(now)}
+}
+
+// Hot are at most n records that changed lately, the latest first.
+func (l *Ledger) Hot(now time.Duration, n int) []Record {
+	return l.first(now, n, func(e *entry) bool { return now-e.changed <= hotFor })
+}
+
+// Holding are at most n records by which something holds.
+func (l *Ledger) Holding(now time.Duration, n int) []Record {
+	return l.first(now, n, func(e *entry) bool { return e.holds() != Notice{} })
+}
+
+func (l *Ledger) first(now time.Duration, n int, which func(*entry) bool) []Record {
+	var names []uint64
+	for name, e := range l.entries {
+		if which(e) {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(l.entries[b].changed, l.entries[a].changed), cmp.Compare(a, b))
+	})
+	var list []Record
+	for _, name := range names[:min(n, len(names))] {
+		list = append(list, l.record(now, name))
+	}
+	return list
+}
+
+// Turn are the next n records, so that all come up equally often.
+func (l *Ledger) Turn(now time.Duration, n int) []Record {
+	names := make([]uint64, 0, len(l.entries))
+	for name := range l.entries {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	from, _ := slices.BinarySearch(names, l.turn)
+	var list []Record
+	for k := range min(n, len(names)) {
+		list = append(list, l.record(now, names[(from+k)%len(names)]))
+	}
+	if len(list) > 0 {
+		l.turn = list[len(list)-1].Endpoint + 1
+	}
+	return list
+}
--- /dev/null
+++ b/core/notice/ledger_test.go
@@ -0,0 +1,140 @@
+package notice
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const (
+	endpoint = 7
+	ms       = time.Millisecond
+)
+
+func limited(perSecond float64) Notice { return Notice{Limit: perSecond, HasLimit: true} }
+
+func TestLimitHoldsForAsLongAsItIsSaid(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	is.True(!l.Hear(10*ms, 0, endpoint, Notice{}))
+	is.Equal(l.Holds(endpoint), Notice{})
+	is.True(l.Hear(20*ms, 10*ms, endpoint, limited(2.5)))
+	is.True(!l.Hear(30*ms, 25*ms, endpoint, limited(2.5)))
+	is.Equal(l.Holds(endpoint), limited(2.5))
+	is.True(l.Hear(50*ms, 40*ms, endpoint, Notice{}))
+	is.Equal(l.Holds(endpoint), Notice{})
+	is.True(l.Hear(70*ms, 60*ms, endpoint, limited(0)))
+	is.Equal(l.Holds(endpoint), limited(0))
+}
+
+// Guards against an older answer without a limit that comes later and ends one.
+func TestOlderAnswerEndsNoLimit(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.Hear(100*ms, 50*ms, endpoint, limited(2.5))
+	is.True(!l.Hear(110*ms, 40*ms, endpoint, Notice{}))
+	is.True(!l.Hear(120*ms, 90*ms, endpoint, Notice{}))
+	is.Equal(l.Holds(endpoint), limited(2.5))
+}
+
+// Guards against a limit that stays at what was once named, where answers always overlap.
+func TestLimitThatChangesIsFollowed(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	for at := time.Duration(0); at < time.Second; at += 10 * ms {
+		l.Hear(at+300*ms, at, endpoint, limited(2.5))
+	}
+	for at := time.Second; at < 2*time.Second; at += 10 * ms {
+		l.Hear(at+300*ms, at, endpoint, limited(4))
+	}
+	is.Equal(l.Holds(endpoint), limited(4))
+	// The lower of two whose order is not known.
+	l.Hear(2400*ms, 1900*ms, endpoint, limited(1))
+	is.Equal(l.Holds(endpoint), limited(1))
+	l.Hear(2500*ms, 2450*ms, endpoint, limited(4))
+	is.Equal(l.Holds(endpoint), limited(4))
+}
+
+// Guards against another VM's older word that ends a limit, or changes it.
+func TestOlderWordOfAnotherVMChangesNothing(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.Hear(10*time.Second, 9900*ms, endpoint, limited(2.5))
+	is.True(!l.Merge(11*time.Second, Record{Endpoint: endpoint, Limit: 5, Asked: 3 * time.Second, Named: 3 * time.Second, Lifted: 2 * time.Second}))
+	is.Equal(l.Holds(endpoint), limited(2.5))
+	is.True(l.Merge(12*time.Second, Record{Endpoint: endpoint, Limit: 5, Asked: 5 * time.Second, Named: 5 * time.Second, Lifted: 100 * ms}))
+	is.Equal(l.Holds(endpoint), Notice{})
+}
+
+func TestRecordsThatCannotBe(t *testing.T) {
+	is := is.New(t)
+	for _, limit := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1} {
+		is.True(!Record{Limit: limit}.Valid())
+	}
+	is.True(Record{Limit: math.MaxFloat64}.Valid())
+}
+
+// Guards against VMs that end with different words for the order in which they heard the same.
+func TestRecordsMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		source := New()
+		var records []Record
+		const now = time.Minute
+		for at := time.Duration(0); at < 40*time.Second; at += time.Duration(r.IntN(3000)) * ms {
+			n := Notice{}
+			if r.IntN(2) == 0 {
+				n = limited(float64(r.IntN(4)))
+			}
+			source.Hear(at, at-time.Duration(r.IntN(1000))*ms, endpoint, n)
+			records = append(records, source.Turn(now, 1)...)
+		}
+		a, b := New(), New()
+		for _, record := range records {
+			a.Merge(now, record)
+		}
+		for _, i := range r.Perm(len(records)) {
+			b.Merge(now, records[i])
+			b.Merge(now, records[i])
+		}
+		if a.Holds(endpoint).HasLimit != b.Holds(endpoint).HasLimit {
+			t.Fatalf("%v and %v", a.Holds(endpoint), b.Holds(endpoint))
+		}
+	})
+}
+
+func TestForget(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.Hear(0, 0, 1, limited(1))
+	l.Hear(0, 0, 2, limited(1))
+	l.Hear(0, 0, 3, limited(1))
+	l.Hear(20*ms, 10*ms, 3, Notice{})
+	is.Equal(len(l.Forget(time.Second, time.Minute, func(uint64) bool { return false })), 0)
+	is.Equal(l.Forget(2*time.Minute, time.Minute, func(name uint64) bool { return name != 2 }), []uint64{2})
+	is.Equal(l.Holds(1), limited(1))
+	is.Equal(len(l.Turn(0, 8)), 1)
+}
+
+// Guards against records that are never told where there are many.
+func TestTurnTellsAll(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	for name := range uint64(20) {
+		l.Hear(0, 0, name, limited(1))
+	}
+	told := make(map[uint64]int)
+	for range 5 {
+		for _, r := range l.Turn(0, 8) {
+			told[r.Endpoint]++
+		}
+	}
+	is.Equal(len(told), 20)
+	for _, n := range told {
+		is.Equal(n, 2)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -320,6 +320,7 @@
 		case <-t.C:
 			d.pool.Sweep()
 			d.suspects.expire()
+			d.notices.forget()
 		}
 	}
 }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -251,7 +251,7 @@
 	}
 	defer ans.Finish()
 	reply := c.d.codec.Reply(ans.Response)
-	c.d.notices.heard(ep, reply)
+	c.d.notices.heard(ep, sent, reply)
 	c.d.suspects.answering(c, ep, sent, reply)
 	return c.pass(whole, dec.Handle, ans, reply, s, watch)
 }
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -52,11 +52,15 @@
 			pause(ctx, suspectsSettle)
 			p.tellNews(i)
 			continue
+		case <-p.d.notices.fresh:
+			p.tellNews(i)
+			continue
 		case <-t.C:
 		}
 		p.d.remoteJobs.sweep()
 		p.reconsider()
 		p.d.placing.choose()
+		p.d.sched.setReach(p.reach())
 		p.d.rollouts.step()
 		p.tellOnce(i)
 	}
@@ -83,7 +87,7 @@
 	to := p.recipients(i)
 	heartbeat := p.heartbeat(i)
 	whole := i%vmsEvery == 0
-	heartbeat.Suspects = p.d.suspects.news(whole)
+	heartbeat.Suspects, heartbeat.Notices = p.d.suspects.news(whole), p.d.notices.news(whole)
 	p.writeAll(p.encode(heartbeat), to.Heartbeats)
 	state := proto.Clone(heartbeat).(*schema.PeerNote)
 	p.d.placing.describe(state)
@@ -225,6 +229,7 @@
 		p.d.noteEra(n.RegistryEra)
 	}
 	p.d.suspects.told(n.Suspects)
+	p.d.notices.told(n.Notices)
 	p.d.rollouts.told(n.Rollouts)
 	p.d.rollouts.takeReports(n)
 	if started {
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -4,30 +4,51 @@
 	"sync"
 	"time"
 
+	"github.com/chivefield/chivefield/core/dispatch"
 	"github.com/chivefield/chivefield/core/members"
 	"github.com/chivefield/chivefield/core/notice"
+	"github.com/chivefield/chivefield/schema"
 )
 
-// unreadableEvery bounds the log lines on headers that cannot be understood.
-const unreadableEvery = time.Second
+const (
+	// hotNotices bounds the records of what changed lately in each note, and those in turn in each tenth.
+	hotNotices = 8
+	// startNotices bounds what a VM that has just started is told at once by each that hears of it.
+	startNotices = 64
+	// unreadableEvery bounds the log lines on headers that cannot be understood.
+	unreadableEvery = time.Second
+	// forgetEvery is how often incarnations that are gone are forgotten, unlistedFor for how long one is
+	// remembered that this VM's registry does not list.
+	forgetEvery = 10 * time.Second
+	unlistedFor = time.Minute
+)
+
+// How a VM learned what an endpoint says of itself.
+const (
+	noticeSeen = "seen"
+	noticeTold = "told"
+)
 
-// notices takes in what endpoints say of themselves in their answers.
+// notices takes in what endpoints say of themselves in their answers and what other VMs know of that, and
+// tells the scheduler and other VMs.
 type notices struct {
 	d *Daemon
+	// fresh says that something was seen here that others should hear at once.
+	fresh chan struct{}
 
-	mu sync.Mutex
-	// last is what each incarnation said last, by its key.
-	last map[string]notice.Notice
-	// unreadableAt is when a header that cannot be understood was logged last.
-	unreadableAt time.Duration
+	mu     sync.Mutex
+	ledger *notice.Ledger
+	// unreadableAt is when a header that cannot be understood was logged last, forgotAt when incarnations
+	// that are gone were forgotten.
+	unreadableAt, forgotAt time.Duration
 }
 
 func newNotices(d *Daemon) *notices {
-	return &notices{d: d, last: make(map[string]notice.Notice), unreadableAt: -unreadableEvery}
+	return &notices{d: d, fresh: make(chan struct{}, 1), ledger: notice.New(), unreadableAt: -unreadableEvery}
 }
 
-// heard takes in an answer of an endpoint.
-func (n *notices) heard(ep *members.Endpoint, reply Reply) {
+// heard takes in an answer of an endpoint to a request that was sent at a time.
+func (n *notices) heard(ep *members.Endpoint, sent time.Duration, reply Reply) {
 	if reply.Replaced {
 		return
 	}
@@ -36,12 +57,110 @@
 	n.logUnreadable(ep, reply.Unreadable)
 	if reply.Notice.HasLimit {
 		n.d.count("answers_naming_a_limit")
+	} else if reply.ID == "" || len(reply.Unreadable) > 0 {
+		// An answer without an id may be none of the incarnation's own: it ends nothing.
+		return
+	}
+	name := dispatch.NameOf(ep.Key())
+	if !n.ledger.Hear(n.d.now(), sent, name, reply.Notice) {
+		return
+	}
+	n.changed(name, ep.ID, noticeSeen)
+	select {
+	case n.fresh <- struct{}{}:
+	default:
+	}
+}
+
+// told takes in what another VM knows.
+func (n *notices) told(list []*schema.EndpointNotice) {
+	if len(list) == 0 {
+		return
 	}
-	if n.last[ep.Key()] == reply.Notice {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, m := range list {
+		r := noticeRecord(m)
+		if !r.Valid() {
+			n.d.countImpossible(1)
+			continue
+		}
+		if n.ledger.Merge(n.d.now(), r) {
+			n.changed(r.Endpoint, "", noticeTold)
+		}
+	}
+}
+
+// changed passes on what an incarnation says of itself now. id is empty where it is not at hand. The lock
+// is held.
+func (n *notices) changed(name uint64, id, learned string) {
+	holds := n.ledger.Holds(name)
+	n.d.sched.setLimit(name, holds)
+	n.d.log.Info().Str("endpoint", id).Uint64("endpoint_hash", name).Str("learned", learned).
+		Bool("limited", holds.HasLimit).Float64("per_second", holds.Limit).Msg("endpoint_notice")
+}
+
+// forget drops what is known of incarnations that are gone.
+func (n *notices) forget() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.d.now()
+	if now < n.forgotAt+forgetEvery {
 		return
 	}
-	n.last[ep.Key()] = reply.Notice
-	n.d.log.Info().Str("endpoint", ep.ID).Bool("limited", reply.Notice.HasLimit).Float64("per_second", reply.Notice.Limit).Msg("endpoint_notice")
+	n.forgotAt = now
+	listed := n.d.sched.listed()
+	for _, name := range n.ledger.Forget(now, unlistedFor, func(name uint64) bool { return listed[name] }) {
+		n.d.sched.setLimit(name, notice.Notice{})
+	}
+}
+
+// news is what a note tells: what changed lately and, in some notes, of all in turn.
+func (n *notices) news(inTurn bool) []*schema.EndpointNotice {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	list := n.ledger.Hot(n.d.now(), hotNotices)
+	if inTurn {
+		list = append(list, n.ledger.Turn(n.d.now(), hotNotices)...)
+	}
+	return noticesOf(list)
+}
+
+// holding is what a process that has just started is told.
+func (n *notices) holding() []*schema.EndpointNotice {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return noticesOf(n.ledger.Holding(n.d.now(), startNotices))
+}
+
+func noticesOf(list []notice.Record) []*schema.EndpointNotice {
+	var told []*schema.EndpointNotice
+	for _, r := range list {
+		told = append(told, &schema.EndpointNotice{
+			Endpoint: r.Endpoint, Limit: r.Limit, AskedMs: agoOf(r.Asked), NamedMs: agoOf(r.Named), LiftedMs: agoOf(r.Lifted),
+		})
+	}
+	return told
+}
+
+func noticeRecord(m *schema.EndpointNotice) notice.Record {
+	return notice.Record{Endpoint: m.Endpoint, Limit: m.Limit, Asked: agoIn(m.AskedMs), Named: agoIn(m.NamedMs), Lifted: agoIn(m.LiftedMs)}
+}
+
+// agoOf is an age as notes tell it: one more than its ms, 0 for never.
+func agoOf(ago time.Duration) uint64 {
+	if ago < 0 {
+		return 0
+	}
+	return uint64(ago.Milliseconds()) + 1
+}
+
+// agoIn is an age that a note tells.
+func agoIn(ms uint64) time.Duration {
+	if ms == 0 {
+		return notice.Never
+	}
+	return time.Duration(min(ms-1, uint64(longestQuiet.Milliseconds()))) * time.Millisecond
 }
 
 // logUnreadable counts headers that cannot be understood and logs one now and then. The lock is held.
--- a/entry/placing.go
+++ b/entry/placing.go
@@ -187,6 +187,7 @@
 	// While requests move, which go to the new version is the placer's to say: it may be some ms
 	// ahead of this VM, whose own list still holds the new endpoints back.
 	j.Trial = j.Trial || p.d.rollouts.moving(j.Service)
+	j.Counted = m.Counted
 	dec, why := p.d.sched.adopt(j, m.Endpoint, micros(m.PredictedUs), int(m.PromptTokens))
 	if dec == nil {
 		p.leave(to, j.Handle)
--- a/entry/remote_jobs.go
+++ b/entry/remote_jobs.go
@@ -154,7 +154,7 @@
 		Running: uint32(dec.Load.Running), PromptTokens: uint32(dec.Load.PromptTokens), EventGapUs: uint64(dec.Load.Gap.Microseconds()),
 	}
 	if dec.Endpoint != nil {
-		m.Verdict, m.Endpoint = schema.PlaceDecision_PLACED, dispatch.NameOf(dec.Endpoint.Key())
+		m.Verdict, m.Endpoint, m.Counted = schema.PlaceDecision_PLACED, dispatch.NameOf(dec.Endpoint.Key()), dec.Counted
 	}
 	// A refusal is kept until the other VM no longer names the request, to be told again.
 	job.decision, job.since = m, r.d.now()
--- a/entry/rollout_notes.go
+++ b/entry/rollout_notes.go
@@ -59,6 +59,24 @@
 	p.writeAll(p.encode(n), to)
 }
 
+// reach is how many VMs are served by the placers that are heard, this VM included, and how many are
+// known; 0 if the list is not whole.
+func (p *peers) reach() (heard, known int) {
+	now, members := p.d.now(), p.d.remoteJobs.members()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.complete {
+		return 0, 0
+	}
+	heard = 1 + len(members)
+	for _, pe := range p.addrs {
+		if pe.heardLately(now) && !pe.asks {
+			heard += 1 + pe.members
+		}
+	}
+	return heard, len(p.addrs) + 1
+}
+
 // fleetSize is the number of VMs, this one included; 0 if it is not known.
 func (p *peers) fleetSize() int {
 	p.mu.Lock()
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -7,6 +7,7 @@
 
 	"github.com/chivefield/chivefield/core/dispatch"
 	"github.com/chivefield/chivefield/core/members"
+	"github.com/chivefield/chivefield/core/notice"
 	"github.com/chivefield/chivefield/core/routing"
 
 	"github.com/chivefield/chivefield/core/mechanism"
@@ -232,6 +233,35 @@
 	return s.sched.Controls(s.now(), e.Key(), e.FailureDomain)
 }
 
+// setLimit sets how many requests a second an endpoint takes, or that it takes any.
+func (s *scheduling) setLimit(endpoint uint64, n notice.Notice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !n.HasLimit {
+		s.sched.LiftLimit(endpoint)
+		return
+	}
+	s.sched.SetLimit(s.now(), endpoint, n.Limit)
+}
+
+// setReach says how many VMs the placers that are heard serve, of those known.
+func (s *scheduling) setReach(heard, known int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sched.SetReach(s.now(), heard, known)
+}
+
+// listed are the short names of the incarnations that the registry lists.
+func (s *scheduling) listed() map[uint64]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := make(map[uint64]bool)
+	for _, key := range s.members.Keys() {
+		names[dispatch.NameOf(key)] = true
+	}
+	return names
+}
+
 // doubt says that nothing listens at an endpoint's address.
 func (s *scheduling) doubt(key string) {
 	s.mu.Lock()
--- a/entry/suspect_notes.go
+++ b/entry/suspect_notes.go
@@ -108,7 +108,8 @@
 // tellNews tells those who get the i-th note what was just learned.
 func (p *peers) tellNews(i uint64) {
 	n := p.note()
-	if n.Suspects = p.d.suspects.news(false); len(n.Suspects) == 0 {
+	n.Suspects, n.Notices = p.d.suspects.news(false), p.d.notices.news(false)
+	if len(n.Suspects)+len(n.Notices) == 0 {
 		return
 	}
 	to := p.recipients(i)
@@ -116,11 +117,11 @@
 }
 
 // tellStarted tells a process that was not heard before what it must not learn late: which
-// requests end endpoints, and which versions get few requests.
+// requests end endpoints, which versions get few requests, and what endpoints say of themselves.
 func (p *peers) tellStarted(pe *peer) {
 	n := p.note()
-	n.Suspects, n.Rollouts = p.d.suspects.worst(), p.d.rollouts.describe()
-	if len(n.Suspects)+len(n.Rollouts) > 0 {
+	n.Suspects, n.Rollouts, n.Notices = p.d.suspects.worst(), p.d.rollouts.describe(), p.d.notices.holding()
+	if len(n.Suspects)+len(n.Rollouts)+len(n.Notices) > 0 {
 		p.send(n, pe.addr)
 	}
 }
