--- a/entry/notices.go
+++ b/entry/notices.go
@@ -57,7 +57,15 @@
 	n.logUnreadable(ep, reply.Unreadable)
 	if reply.Notice.HasLimit {
 		n.d.count("answers_naming_a_limit")
-	} else if reply.ID == "" || len(reply.Unreadable) > 0 {
+	}
+	if reply.Notice.Leaving {
+		n.d.count("answers_saying_leaving")
+	}
+	if reply.Notice.Rest > 0 {
+		n.d.count("answers_asking_for_rest")
+		n.d.log.Info().Str("endpoint", ep.ID).Dur("rest", reply.Notice.Rest).Msg("endpoint_asks_for_rest")
+	}
+	if !reply.Notice.HasLimit && (reply.ID == "" || len(reply.Unreadable) > 0) {
 		// An answer without an id may be none of the incarnation's own: it ends nothing.
 		return
 	}
