An endpoint that turns a VM away and asks for rest gets it

Cause: Retry-After of endpoints was read by nobody; one that rejects rested for 100 ms. Ruled out: requests that were under way (the excess lasts as long as the endpoint asks).

Now a 503 with Retry-After binds the VM that got it to the latest end named: its own scheduler, what it takes from its placer and what it asks of it. To other VMs it is told as a hint: they use the endpoint where nothing else is free. Requests whose endpoints all rest wait if a rest ends within their time, else they are refused at once with that time as Retry-After. VMs come back apart, within half a second.

A search over orders of answers, words and time keeps each rest to its latest end.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -80,6 +80,7 @@
 	ReasonNoEndpoint = "no_endpoint"
 	ReasonTooLate    = "too_late"
 	ReasonFull       = "queue_full"
+	ReasonRest       = "endpoints_rest"
 )
 
 // Use is the load that one VM puts on an endpoint.
@@ -134,6 +135,8 @@
 	// VM may use where it is the one to send.
 	limits map[uint64]*limit.Bucket
 	reach  float64
+	// rests are when endpoints want requests again, by their short names.
+	rests map[uint64]rest
 }
 
 type service struct {
@@ -214,7 +217,7 @@
 	return &Scheduler{
 		self: xxhash.Sum64String(vm), chooser: xxhash.Sum64String(vm), domain: domain,
 		services: make(map[string]*service), running: make(map[uint64]*run),
-		byName: make(map[uint64]*endpoint), vms: make(map[string]int), onTrial: make(map[suspect.Digest]int), limits: make(map[uint64]*limit.Bucket),
+		byName: make(map[uint64]*endpoint), vms: make(map[string]int), onTrial: make(map[suspect.Digest]int), limits: make(map[uint64]*limit.Bucket), rests: make(map[uint64]rest),
 	}
 }
 
@@ -496,6 +499,6 @@
 
 func (s *Scheduler) refuse(now time.Duration, sv *service, j *Job, reason string) {
 	s.out = append(s.out, Decision{
-		Handle: j.Handle, Reason: reason, RetryAfter: max(comeBack(j), s.limitedWait(sv)), Candidates: len(sv.list), Waiting: len(sv.queue),
+		Handle: j.Handle, Reason: reason, RetryAfter: max(comeBack(j), s.limitedWait(sv), s.restWait(now, sv, j)), Candidates: len(sv.list), Waiting: len(sv.queue),
 	})
 }
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -289,12 +289,12 @@
 	now := 2 * time.Second
 	is.Equal(len(s.Probes(now)), 1) // it looks silent
 	is.True(adopt(now, 2))
-	is.Equal(len(s.Unreachable(playService)), 0)
+	is.Equal(len(s.Barred(now, playService)), 0)
 	s.ProbeEnded(now, "e", false)
 	now += time.Second
 	is.Equal(len(s.Probes(now)), 1)
 	is.True(!adopt(now, 3))
-	is.Equal(s.Unreachable(playService), []uint64{NameOf("e")})
+	is.Equal(s.Barred(now, playService), []uint64{NameOf("e")})
 }
 
 // Symptom: the lowest tier earned 0.26 to 0.285 of what it was owed on a day with bursts,
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -171,7 +171,7 @@
 // OtherFit says whether a service has a fit endpoint that was not tried.
 func (s *Scheduler) OtherFit(now time.Duration, service string, tried []uint64) bool {
 	for _, e := range s.service(service).list {
-		if e.fit(now) && s.permits(now, e) && !slices.Contains(tried, e.name) {
+		if e.fit(now) && s.permits(now, e) && !s.wantsRest(now, e) && !slices.Contains(tried, e.name) {
 			return true
 		}
 	}
--- a/core/dispatch/limits.go
+++ b/core/dispatch/limits.go
@@ -26,6 +26,7 @@
 // called several times a second.
 func (s *Scheduler) SetReach(now time.Duration, heard, known int) {
 	s.reach = limit.Part(heard, known)
+	s.endRests(now)
 	for name, b := range s.limits {
 		if e := s.byName[name]; e != nil {
 			b.Fill(now, s.part(now, e))
--- /dev/null
+++ b/core/dispatch/notices_test.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chivefield/chivefield/core/members"
+)
+
+// plainEndpoints are a scheduler's endpoints of a plain service.
+func plainEndpoints(s *Scheduler, ids ...string) {
+	var list []*members.Endpoint
+	for _, id := range ids {
+		list = append(list, &members.Endpoint{ID: id, Service: "plain", Slots: 2, FailureDomain: "a"})
+	}
+	s.SetEndpoints(0, "plain", list, false)
+}
+
+// placeOne places a job of a plain service, of this VM or another, and returns where; empty if it waits, the
+// reason if it is refused.
+func placeOne(s *Scheduler, now time.Duration, handle uint64, remote bool) string {
+	j := Job{Handle: handle, Service: "plain", Objective: now + time.Second, Abandon: now + 2*time.Second, Remote: remote, Domain: "a"}
+	for _, d := range s.Submit(now, j) {
+		if d.Endpoint == nil {
+			return d.Reason
+		}
+		return d.Endpoint.ID
+	}
+	return ""
+}
+
+// Guards against requests of this VM to an endpoint that asked it for rest, also where no other is left.
+func TestOwnRestIsKept(t *testing.T) {
+	is := is.New(t)
+	s := New("vm1", "a")
+	plainEndpoints(s, "e")
+	s.SetRest(NameOf("e"), time.Second, 0)
+	is.Equal(placeOne(s, 0, 1, false), "")
+	is.Equal(s.Barred(0, "plain"), []uint64{NameOf("e")})
+	_, why := s.Adopt(0, Job{Handle: 2, Service: "plain"}, NameOf("e"), 0, 0)
+	is.Equal(why, Resting)
+	out := s.Tick(time.Second)
+	is.Equal(len(out), 1)
+	is.Equal(out[0].Endpoint.ID, "e")
+}
+
+// Guards against callers that wait in vain for a rest that is longer than their time.
+func TestRestBeyondACallersTimeRefuses(t *testing.T) {
+	is := is.New(t)
+	s := New("vm1", "a")
+	plainEndpoints(s, "e", "f")
+	s.SetRest(NameOf("e"), 5*time.Second, 0)
+	s.SetRest(NameOf("f"), 4*time.Second, 0)
+	out := s.Submit(0, Job{Handle: 1, Service: "plain", Objective: time.Second, Abandon: 2 * time.Second})
+	is.Equal(out[0].Reason, ReasonRest)
+	is.Equal(out[0].RetryAfter, 4*time.Second)
+}
+
+// Guards against requests that each VM has turned away by an endpoint that already asked others for rest, and
+// against room that is left where nothing else is free.
+func TestEndpointThatAskedOthersForRestIsUsedLast(t *testing.T) {
+	is := is.New(t)
+	s := New("vm1", "a")
+	plainEndpoints(s, "e", "f")
+	s.SetRest(NameOf("e"), 0, time.Second)
+	for n := range uint64(plainFill * 2) {
+		is.Equal(placeOne(s, 0, n+1, n%2 == 0), "f")
+	}
+	is.Equal(placeOne(s, 0, 10, false), "e")
+}
+
+// Guards against a limit that a VM keeps which another VM is first to use, or that asks another.
+func TestOnlyTheFirstPlacerUsesALimit(t *testing.T) {
+	is := is.New(t)
+	s := New("vm1", "a")
+	plainEndpoints(s, "e")
+	use := func(now time.Duration) string {
+		s.SetReach(now, 2, 2)
+		return placeOne(s, now, uint64(now), false)
+	}
+	s.SetLimit(0, NameOf("e"), 10)
+	is.Equal(use(0), "") // begins with nothing
+	is.Equal(use(250*time.Millisecond), "e")
+	// A VM of the endpoint's failure domain that places comes first, or this one does, but not both.
+	s.PeerUses(300*time.Millisecond, "vm2", "a", nil, true)
+	other := New("vm2", "a")
+	plainEndpoints(other, "e")
+	other.SetLimit(0, NameOf("e"), 10)
+	other.PeerUses(300*time.Millisecond, "vm1", "a", nil, true)
+	e := s.byName[NameOf("e")]
+	is.True((s.part(300*time.Millisecond, e) == 0) != (func() bool {
+		other.SetReach(300*time.Millisecond, 2, 2)
+		return other.part(300*time.Millisecond, other.byName[NameOf("e")]) == 0
+	}()))
+	s.Follow("vm3", true)
+	is.Equal(s.part(5*time.Second, e), 0.0)
+}
+
+// Guards against an endpoint whose limit is low that is never asked again, and cannot say that its need is over.
+func TestLimitOfZeroIsAskedNowAndThen(t *testing.T) {
+	is := is.New(t)
+	s := New("vm1", "a")
+	plainEndpoints(s, "e")
+	s.SetLimit(0, NameOf("e"), 0)
+	sent := 0
+	for now := time.Duration(0); now < 30*time.Second; now += 100 * time.Millisecond {
+		s.SetReach(now, 1, 1)
+		for _, d := range s.Submit(now, Job{Handle: uint64(now) + 1, Service: "plain", Objective: now + time.Second, Abandon: now + time.Second}) {
+			if d.Endpoint != nil {
+				sent++
+				s.End(now, d.Handle, Answered)
+			}
+		}
+	}
+	is.True(sent >= 2 && sent <= 3)
+}
+
+// Guards against an endpoint whose capacity is counted though its limit lets nothing through.
+func TestRequestsGoElsewhereAtOnceWhereAnEndpointNamesALimit(t *testing.T) {
+	is := is.New(t)
+	s := New("vm1", "a")
+	plainEndpoints(s, "e", "f")
+	s.SetReach(0, 1, 1)
+	s.SetLimit(0, NameOf("e"), 0.1)
+	for n := range uint64(plainFill * 2) {
+		is.Equal(placeOne(s, 0, n+1, false), "f")
+	}
+}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -79,7 +79,7 @@
 // best picks the seat with the least score that the job has not tried yet.
 func (s *Scheduler) best(now time.Duration, sv *service, j *Job, seats []seat) (best candidate) {
 	for _, t := range seats {
-		if slices.Contains(j.Tried, t.ep.name) || slices.Contains(j.Avoided, t.ep.name) || !s.mayTry(j, t.ep) || !admitsVersion(j, t.ep) {
+		if slices.Contains(j.Tried, t.ep.name) || slices.Contains(j.Avoided, t.ep.name) || !s.mayTry(j, t.ep) || !admitsVersion(j, t.ep) || !j.Remote && s.wantsRest(now, t.ep) {
 			continue
 		}
 		c := s.rate(now, sv, j, t.ep, t.load)
@@ -142,6 +142,8 @@
 			s.refuse(now, sv, j, ReasonNoEndpoint)
 		case now+sv.atBest(j, fastest) >= j.Abandon || sv.hopeless(now, j, ahead, late[j.Tier]):
 			s.refuse(now, sv, j, ReasonTooLate)
+		case now+s.restWait(now, sv, j) >= j.Abandon:
+			s.refuse(now, sv, j, ReasonRest)
 		case len(kept) >= maxQueued:
 			s.refuse(now, sv, j, ReasonFull)
 		default:
--- a/core/dispatch/remote.go
+++ b/core/dispatch/remote.go
@@ -25,6 +25,8 @@
 	NotReached Unusable = "not_reached"
 	// Limited: it names a limit against which the request was not counted.
 	Limited Unusable = "limited"
+	// Resting: it wants nothing from this VM for a time.
+	Resting Unusable = "resting"
 	// HeldBack: its version gets only requests that are chosen to try it.
 	HeldBack Unusable = "held_back"
 )
@@ -44,6 +46,8 @@
 		return nil, HeldBack
 	case e.health.unreachable():
 		return nil, NotReached
+	case s.wantsRest(now, e):
+		return nil, Resting
 	case s.limits[name] != nil && !j.Counted:
 		return nil, Limited
 	}
@@ -62,11 +66,11 @@
 	}
 }
 
-// Unreachable returns the names of a service's endpoints that this VM cannot reach.
-func (s *Scheduler) Unreachable(service string) []uint64 {
+// Barred returns the names of a service's endpoints that this VM cannot reach, or that want nothing from it.
+func (s *Scheduler) Barred(now time.Duration, service string) []uint64 {
 	var names []uint64
 	for _, e := range s.service(service).list {
-		if e.health.unreachable() {
+		if e.health.unreachable() || s.wantsRest(now, e) {
 			names = append(names, e.name)
 		}
 	}
--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -69,7 +69,7 @@
 	if e.FailureDomain != s.domain && !s.off.Has(mechanism.StaleCost) {
 		c.score += staleCost * s.company[1].age.Seconds()
 	}
-	c.score += s.caution(j, e, u) + trialCost(j, e)
+	c.score += s.caution(j, e, u) + trialCost(j, e) + s.restingCost(now, e)
 	return c
 }
 
--- a/core/notice/ledger.go
+++ b/core/notice/ledger.go
@@ -33,6 +33,8 @@
 	Asked, Named, Lifted time.Duration
 	// Leaving says that the incarnation said that it leaves, which holds for the rest of its life.
 	Leaving bool
+	// Rest is for how much longer it wants nothing from the VM that tells.
+	Rest time.Duration
 }
 
 // Valid says whether a record can be.
@@ -74,6 +76,9 @@
 	limit                float64
 	asked, named, lifted stamp
 	leaving              bool
+	// rest is when the rest for which it asked this VM ends, others when that for which it asked
+	// another does.
+	rest, others time.Duration
 	// changed is when what holds changed last, listed when the registry was last seen to list it.
 	changed time.Duration
 	listed  stamp
@@ -109,6 +114,9 @@
 	}
 	return l.change(now, endpoint, func(e *entry) {
 		e.leaving = e.leaving || n.Leaving
+		if n.Rest > 0 {
+			e.rest = max(e.rest, now+n.Rest)
+		}
 		if !n.HasLimit {
 			e.lift(stamp{sent, true})
 			return
@@ -145,9 +153,9 @@
 		e = &entry{changed: now}
 		l.entries[endpoint] = e
 	}
-	before := e.holds()
+	before, rest, others := e.holds(), e.rest, e.others
 	do(e)
-	if e.holds() == before {
+	if e.holds() == before && e.rest == rest && e.others == others {
 		return false
 	}
 	e.changed = now
@@ -161,6 +169,9 @@
 			e.asked, e.limit = asked, r.Limit
 		}
 		e.leaving = e.leaving || r.Leaving
+		if r.Rest > 0 {
+			e.others = max(e.others, now+min(r.Rest, oldest))
+		}
 		e.name(stampOf(now, r.Named))
 		e.lift(stampOf(now, r.Lifted).settled())
 	})
@@ -174,11 +185,20 @@
 	return Notice{}
 }
 
+// Rests are when the rest ends for which an incarnation asked this VM, and that for which it asked another.
+// Each is the latest that was named: an answer that comes later ends none.
+func (l *Ledger) Rests(endpoint uint64) (own, others time.Duration) {
+	if e := l.entries[endpoint]; e != nil {
+		return e.rest, e.others
+	}
+	return 0, 0
+}
+
 // Forget drops incarnations that were not listed for a time, or of which nothing holds since then: the registry
 // may list them later here than elsewhere, or again. It returns those by which something held.
 func (l *Ledger) Forget(now, within time.Duration, listed func(endpoint uint64) bool) (held []uint64) {
 	for name, e := range l.entries {
-		holds := e.holds() != Notice{}
+		holds := e.holds() != Notice{} || e.rest > now
 		if listed(name) {
 			e.listed = stamp{now, true}
 		}
@@ -195,7 +215,7 @@
 
 func (l *Ledger) record(now time.Duration, endpoint uint64) Record {
 	e := l.entries[endpoint]
-	return Record{Endpoint: endpoint, Limit: e.limit, Asked: e.asked.ago(now), Named: e.named.ago(now), Lifted: e.lifted.ago(now), Leaving: e.leaving}
+	return Record{Endpoint: endpoint, Limit: e.limit, Asked: e.asked.ago(now), Named: e.named.ago(now), Lifted: e.lifted.ago(now), Leaving: e.leaving, Rest: max(0, e.rest-now)}
 }
 
 // Hot are at most n records that changed lately, the latest first.
@@ -205,7 +225,7 @@
 
 // Holding are at most n records by which something holds.
 func (l *Ledger) Holding(now time.Duration, n int) []Record {
-	return l.first(now, n, func(e *entry) bool { return e.holds() != Notice{} })
+	return l.first(now, n, func(e *entry) bool { return e.holds() != Notice{} || e.rest > now })
 }
 
 func (l *Ledger) first(now time.Duration, n int, which func(*entry) bool) []Record {
--- a/core/notice/ledger_test.go
+++ b/core/notice/ledger_test.go
@@ -151,3 +151,40 @@
 	is.True(other.Merge(0, l.Turn(50*ms, 1)[0]))
 	is.Equal(other.Holds(endpoint), Notice{Leaving: true})
 }
+
+// Guards against a rest that an answer that comes later, or another VM's word, ends sooner than any named.
+func TestRestLastsToTheLatestEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		l := New()
+		var now, end time.Duration
+		for range 100 {
+			now += time.Duration(r.IntN(500)) * ms
+			n := Notice{Rest: time.Duration(max(0, r.IntN(8000)-4000)) * ms, HasLimit: r.IntN(3) == 0}
+			if r.IntN(2) == 0 {
+				l.Hear(now, now-time.Duration(r.IntN(1000))*ms, endpoint, n)
+				if n.Rest > 0 {
+					end = max(end, now+n.Rest)
+				}
+			} else {
+				l.Merge(now, Record{Endpoint: endpoint, Asked: Never, Named: Never, Lifted: 0, Rest: n.Rest})
+			}
+			l.Forget(now, time.Second, func(uint64) bool { return true })
+			if own, _ := l.Rests(endpoint); own < end && end > now {
+				t.Fatalf("ends at %v in place of %v", own, end)
+			}
+		}
+	})
+}
+
+// Guards against a rest that grows as VMs tell each other of it again and again.
+func TestRestIsToldByWhomItWasAskedAlone(t *testing.T) {
+	is := is.New(t)
+	a, b := New(), New()
+	a.Hear(0, 0, endpoint, Notice{Rest: time.Second})
+	b.Merge(0, a.Turn(0, 1)[0])
+	own, others := b.Rests(endpoint)
+	is.Equal(own, time.Duration(0))
+	is.Equal(others, time.Second)
+	is.Equal(b.Turn(0, 1)[0].Rest, time.Duration(0))
+}
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -63,9 +63,8 @@
 	}
 	if reply.Notice.Rest > 0 {
 		n.d.count("answers_asking_for_rest")
-		n.d.log.Info().Str("endpoint", ep.ID).Dur("rest", reply.Notice.Rest).Msg("endpoint_asks_for_rest")
 	}
-	if !reply.Notice.HasLimit && !reply.Notice.Leaving && (reply.ID == "" || len(reply.Unreadable) > 0) {
+	if reply.Notice == (notice.Notice{}) && (reply.ID == "" || len(reply.Unreadable) > 0) {
 		// An answer without an id may be none of the incarnation's own: it ends nothing.
 		return
 	}
@@ -104,11 +103,25 @@
 func (n *notices) changed(name uint64, id, learned string) {
 	holds := n.ledger.Holds(name)
 	n.d.sched.setLimit(name, holds)
+	own, others := n.ledger.Rests(name)
+	n.d.sched.setRest(name, n.spread(name, own), others)
 	if holds.Leaving {
 		n.d.sched.leave(name)
 	}
 	n.d.log.Info().Str("endpoint", id).Uint64("endpoint_hash", name).Str("learned", learned).
-		Bool("limited", holds.HasLimit).Float64("per_second", holds.Limit).Bool("leaving", holds.Leaving).Msg("endpoint_notice")
+		Dur("rest", max(0, own-n.d.now())).Bool("limited", holds.HasLimit).Float64("per_second", holds.Limit).Bool("leaving", holds.Leaving).Msg("endpoint_notice")
+}
+
+// restSpread bounds by how much longer than it asked an endpoint gets rest.
+const restSpread = 500 * time.Millisecond
+
+// spread is when this VM sends again to an endpoint whose rest ends at a time: VMs that were turned away
+// together do not all come back together.
+func (n *notices) spread(name uint64, end time.Duration) time.Duration {
+	if end == 0 {
+		return 0
+	}
+	return end + time.Duration((name^n.d.peers.inc)%uint64(restSpread))
 }
 
 // forget drops what is known of incarnations that are gone.
@@ -148,14 +161,16 @@
 	var told []*schema.EndpointNotice
 	for _, r := range list {
 		told = append(told, &schema.EndpointNotice{
-			Endpoint: r.Endpoint, Limit: r.Limit, AskedMs: agoOf(r.Asked), NamedMs: agoOf(r.Named), LiftedMs: agoOf(r.Lifted), Leaving: r.Leaving,
+			Endpoint: r.Endpoint, Limit: r.Limit, AskedMs: agoOf(r.Asked), NamedMs: agoOf(r.Named), LiftedMs: agoOf(r.Lifted), Leaving: r.Leaving, RestMs: uint64(r.Rest.Milliseconds()),
 		})
 	}
 	return told
 }
 
 func noticeRecord(m *schema.EndpointNotice) notice.Record {
-	return notice.Record{Endpoint: m.Endpoint, Limit: m.Limit, Asked: agoIn(m.AskedMs), Named: agoIn(m.NamedMs), Lifted: agoIn(m.LiftedMs), Leaving: m.Leaving}
+	return notice.Record{Endpoint: m.Endpoint, Limit: m.Limit, Asked: agoIn(m.AskedMs), Named: agoIn(m.NamedMs), Lifted: agoIn(m.LiftedMs), Leaving: m.Leaving,
+		Rest: time.Duration(min(m.RestMs, uint64(longestQuiet.Milliseconds()))) * time.Millisecond,
+	}
 }
 
 // agoOf is an age as notes tell it: one more than its ms, 0 for never.
--- a/entry/placing.go
+++ b/entry/placing.go
@@ -67,7 +67,10 @@
 
 // place finds an endpoint for a job of a caller's request; ok is false if ctx ended first.
 func (p *placing) place(ctx context.Context, request string, j dispatch.Job) (dec dispatch.Decision, ok bool) {
-	j.Avoided = append(j.Avoided, p.d.sched.unreachable(j.Service)...)
+	if dec, ok, over := p.awaitRest(ctx, j); over {
+		return dec, ok
+	}
+	j.Avoided = append(j.Avoided, p.d.sched.barred(j.Service)...)
 	for to := p.current(); to != nil; to = p.current() {
 		start := p.d.now()
 		dec, ok, alone := p.ask(ctx, to, j)
@@ -88,6 +91,23 @@
 	return p.d.sched.place(ctx, j)
 }
 
+// awaitRest waits while all endpoints for a job want nothing from this VM; over says that the job ended, as
+// they do for longer than its caller waits, or as ctx did.
+func (p *placing) awaitRest(ctx context.Context, j dispatch.Job) (dec dispatch.Decision, ok, over bool) {
+	for {
+		wait := p.d.sched.restWait(j.Service, j.Tried)
+		if wait == 0 {
+			return dec, false, false
+		}
+		if p.d.now()+wait >= j.Abandon {
+			return dispatch.Decision{Handle: j.Handle, Reason: dispatch.ReasonRest, RetryAfter: wait}, true, true
+		}
+		if !pause(ctx, wait) {
+			return dec, false, true
+		}
+	}
+}
+
 // Reasons for placing a request here though another VM places, beside those why its
 // endpoint may not be used.
 const (
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -131,11 +131,25 @@
 	s.sched.Own(handle)
 }
 
-// unreachable are the endpoints of a service that cannot be reached from here.
-func (s *scheduling) unreachable(service string) []uint64 {
+// barred are the endpoints of a service that cannot be reached from here, or want nothing from this VM.
+func (s *scheduling) barred(service string) []uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.sched.Unreachable(service)
+	return s.sched.Barred(s.now(), service)
+}
+
+// restWait is how long all endpoints of a service that were not tried want nothing from this VM.
+func (s *scheduling) restWait(service string, tried []uint64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sched.RestWait(s.now(), service, tried)
+}
+
+// setRest sets when an endpoint wants requests of this VM again, and of others that it asked for rest.
+func (s *scheduling) setRest(endpoint uint64, own, others time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sched.SetRest(endpoint, own, others)
 }
 
 // follow uses the endpoints that the VM chooses which places this one's requests; asks
@@ -243,6 +257,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sched.LiftLimit(endpoint)
+	s.sched.SetRest(endpoint, 0, 0)
 	s.members.ForgetLeft(endpoint)
 }
 
