--- a/core/dispatch/notices_test.go
+++ b/core/dispatch/notices_test.go
@@ -22,13 +22,14 @@
 // reason if it is refused.
 func placeOne(s *Scheduler, now time.Duration, handle uint64, remote bool) string {
 	j := Job{Handle: handle, Service: "plain", Objective: now + time.Second, Abandon: now + 2*time.Second, Remote: remote, Domain: "a"}
-	for _, d := range s.Submit(now, j) {
-		if d.Endpoint == nil {
-			return d.Reason
-		}
-		return d.Endpoint.ID
+	out := s.Submit(now, j)
+	switch {
+	case len(out) == 0:
+		return ""
+	case out[0].Endpoint == nil:
+		return out[0].Reason
 	}
-	return ""
+	return out[0].Endpoint.ID
 }
 
 // Guards against requests of this VM to an endpoint that asked it for rest, also where no other is left.
