Soak: servers name limits, say that they leave and ask for rest, and count what reaches them

A server that reads nothing for a while is excused by its own name, since the checks of limits and rest are not excused by faults of the store.

--- a/history/deployment.go
+++ b/history/deployment.go
@@ -85,6 +85,11 @@
 	// empty name are everybody's. Planned work is not among Unplanned.
 	Disturbed map[string][]Span
 	Unplanned []Span
+	// Frozen is when VMs stood still, as Disturbed. Words are what endpoints said of themselves in their answers,
+	// Needs the times for which they named limits.
+	Frozen map[string][]Span
+	Words  []Word
+	Needs  []Need
 	// LeftAt is when the store accepted that an endpoint leaves.
 	LeftAt map[string]time.Duration
 	// Published is when each version was, by number.
@@ -124,6 +129,7 @@
 	c.allowances()
 	c.repeats()
 	c.versions()
+	c.notices()
 	slices.SortFunc(c.out, func(a, b Breach) int { return strings.Compare(a.String(), b.String()) })
 	return c.out
 }
--- a/history/deployment_test.go
+++ b/history/deployment_test.go
@@ -1,6 +1,7 @@
 package history
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -31,6 +32,16 @@
 		return Sending{ID: "p", VM: "v", Service: "plain", Timeout: time.Second, Span: Span{from, from}, Status: status, Whole: true, Probes: version, Left: false}
 	}
 	disturbed := map[string][]Span{"v": {{9 * time.Second, 9 * time.Second}}}
+	// told is a request whose answer says something of the endpoint, after is one sent later.
+	told := s(func(v *Sending) { v.Status = 503 })[0]
+	after := func(later time.Duration) Sending {
+		v := s(nil)[0]
+		v.ID, v.From, v.To = "b", 10*time.Second+later, 10*time.Second+later
+		return v
+	}
+	runs := func(later time.Duration) []Run {
+		return []Run{{ID: "b", Endpoint: "e", Service: "plain", Span: Span{10*time.Second + later, 10*time.Second + later}}}
+	}
 	cases := []struct {
 		name string
 		d    Deployment
@@ -55,6 +66,11 @@
 		{"still in force", Deployment{Sendings: []Sending{probe(1, 9*time.Second, 500)}, Published: map[int]time.Duration{2: 5 * time.Second}}, []Promise{InForce}},
 		{"went back", Deployment{Sendings: []Sending{probe(2, time.Second, 500), probe(1, 2*time.Second, 500)}}, []Promise{InForce}},
 		{"no version known yet", Deployment{Sendings: []Sending{probe(2, time.Second, 503), probe(1, 2*time.Second, 503)}}, nil},
+		{"sent to one that said that it leaves", Deployment{Sendings: []Sending{told, after(7 * time.Second)}, Runs: runs(7 * time.Second), Arrivals: runs(7 * time.Second), Words: []Word{{ID: "a", Endpoint: "e", At: 11 * time.Second, Leaving: true}}, DrainWithin: 2 * time.Second}, []Promise{Leaving}},
+		{"sent by a VM that stood still since", Deployment{Sendings: []Sending{told, after(7 * time.Second)}, Runs: runs(7 * time.Second), Arrivals: runs(7 * time.Second), Words: []Word{{ID: "a", Endpoint: "e", At: 11 * time.Second, Leaving: true}}, DrainWithin: 2 * time.Second, Frozen: map[string][]Span{"v": {{12 * time.Second, 12 * time.Second}}}}, nil},
+		{"no rest", Deployment{Sendings: []Sending{told, after(2 * time.Second)}, Runs: runs(2 * time.Second), Arrivals: slices.Repeat(runs(2*time.Second), 3), RepeatSlack: 9, MaxEndpoints: 9, Words: []Word{{ID: "a", Endpoint: "e", At: 11 * time.Second, Rest: 3 * time.Second}}}, []Promise{Rests}},
+		{"beyond a limit", Deployment{Sendings: []Sending{told, after(7 * time.Second)}, Runs: runs(7 * time.Second), Arrivals: slices.Repeat(runs(7*time.Second), 12), RepeatSlack: 99, MaxEndpoints: 99, Words: []Word{{ID: "a", Endpoint: "e", At: 11 * time.Second, Limited: true}}, Needs: []Need{{Endpoint: "e", PerSecond: 1, Span: Span{10 * time.Second, 20 * time.Second}}}}, []Promise{Limited}},
+		{"within a limit", Deployment{Sendings: []Sending{told, after(7 * time.Second)}, Runs: runs(7 * time.Second), Arrivals: slices.Repeat(runs(7*time.Second), 11), RepeatSlack: 99, MaxEndpoints: 99, Words: []Word{{ID: "a", Endpoint: "e", At: 11 * time.Second, Limited: true}}, Needs: []Need{{Endpoint: "e", PerSecond: 1, Span: Span{10 * time.Second, 20 * time.Second}}}}, nil},
 		{"all well", Deployment{Sendings: s(nil), Runs: []Run{one}, Arrivals: []Run{one}}, nil},
 		{"excused by faults", Deployment{Sendings: s(func(v *Sending) { v.Whole, v.Status, v.To = false, 0, 13*time.Second }), Unplanned: []Span{{9 * time.Second, 9 * time.Second}}, Disturbed: disturbed}, nil},
 	}
