What endpoints say is told a bounded number of times, what binds all VMs first

Notes told each change for a second, and a rest, which comes with each 503 under overload, set off notes to all at once: at ten 503 a second some 300 datagrams a second for each VM. Now three notes tell a change, 16 changes a note, limits and leaving before rests, and a rest waits for the next note, since it binds the VM that was asked alone.

--- a/core/notice/ledger.go
+++ b/core/notice/ledger.go
@@ -11,8 +11,8 @@
 	// settle is by how much what another VM saw counts as older: the word of it may have been under way for
 	// as long, and must not pass for later than what was said since.
 	settle = 500 * time.Millisecond
-	// hotFor is how long every note tells of a change.
-	hotFor = time.Second
+	// mostTells is how many notes tell of a change before it is told in turn alone: few datagrams are lost.
+	mostTells = 3
 	// mostRecords bounds the incarnations that are remembered.
 	mostRecords = 1 << 14
 	// oldest bounds ages.
@@ -79,8 +79,9 @@
 	// rest is when the rest for which it asked this VM ends, others when that for which it asked
 	// another does.
 	rest, others time.Duration
-	// changed is when what holds changed last, listed when the registry was last seen to list it.
+	// changed is when what holds changed last, tells how many notes told of that, listed when the registry was last seen to list it.
 	changed time.Duration
+	tells   int
 	listed  stamp
 }
 
@@ -158,7 +159,7 @@
 	if e.holds() == before && e.rest == rest && e.others == others {
 		return false
 	}
-	e.changed = now
+	e.changed, e.tells = now, 0
 	return true
 }
 
@@ -218,9 +219,14 @@
 	return Record{Endpoint: endpoint, Limit: e.limit, Asked: e.asked.ago(now), Named: e.named.ago(now), Lifted: e.lifted.ago(now), Leaving: e.leaving, Rest: max(0, e.rest-now)}
 }
 
-// Hot are at most n records that changed lately, the latest first.
+// Hot are at most n records that changed lately, for one note: those by which something holds for all VMs
+// first, then those that fewer notes told.
 func (l *Ledger) Hot(now time.Duration, n int) []Record {
-	return l.first(now, n, func(e *entry) bool { return now-e.changed <= hotFor })
+	list := l.first(now, n, func(e *entry) bool { return e.tells < mostTells })
+	for _, r := range list {
+		l.entries[r.Endpoint].tells++
+	}
+	return list
 }
 
 // Holding are at most n records by which something holds.
@@ -228,6 +234,14 @@
 	return l.first(now, n, func(e *entry) bool { return e.holds() != Notice{} || e.rest > now })
 }
 
+// weight is 1 where something holds for all VMs, 0 for a rest.
+func (e *entry) weight() int {
+	if e.holds() == (Notice{}) {
+		return 0
+	}
+	return 1
+}
+
 func (l *Ledger) first(now time.Duration, n int, which func(*entry) bool) []Record {
 	var names []uint64
 	for name, e := range l.entries {
@@ -236,7 +250,8 @@
 		}
 	}
 	slices.SortFunc(names, func(a, b uint64) int {
-		return cmp.Or(cmp.Compare(l.entries[b].changed, l.entries[a].changed), cmp.Compare(a, b))
+		ea, eb := l.entries[a], l.entries[b]
+		return cmp.Or(cmp.Compare(eb.weight(), ea.weight()), cmp.Compare(ea.tells, eb.tells), cmp.Compare(eb.changed, ea.changed), cmp.Compare(a, b))
 	})
 	var list []Record
 	for _, name := range names[:min(n, len(names))] {
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// hotNotices bounds the records of what changed lately in each note, and those in turn in each tenth.
-	hotNotices = 8
+	// hotNotices bounds the records of what changed lately in each note, turnNotices those in turn in each
+	// tenth.
+	hotNotices  = 16
+	turnNotices = 8
 	// startNotices bounds what a VM that has just started is told at once by each that hears of it.
 	startNotices = 64
 	// unreadableEvery bounds the log lines on headers that cannot be understood.
@@ -69,10 +71,15 @@
 		return
 	}
 	name := dispatch.NameOf(ep.Key())
+	before := n.ledger.Holds(name)
 	if !n.ledger.Hear(n.d.now(), sent, name, reply.Notice) {
 		return
 	}
 	n.changed(name, ep.ID, noticeSeen)
+	if n.ledger.Holds(name) == before {
+		// A rest binds this VM alone: others hear of it with the next note.
+		return
+	}
 	select {
 	case n.fresh <- struct{}{}:
 	default:
@@ -145,7 +152,7 @@
 	defer n.mu.Unlock()
 	list := n.ledger.Hot(n.d.now(), hotNotices)
 	if inTurn {
-		list = append(list, n.ledger.Turn(n.d.now(), hotNotices)...)
+		list = append(list, n.ledger.Turn(n.d.now(), turnNotices)...)
 	}
 	return noticesOf(list)
 }
