Stand-in engine: a cut stream has what was written before the cut

TestBrokenStreamShows failed once: the read of a stream that was cut ended without an error. Traced: the stand-in's engine cut the connection with what it had written still in its buffer. Where it looks at the model only once more than five tokens are there, as on a busy machine, nothing of the stream left; the daemon had begun no answer and refused with a status, which is whole, and true. Ruled out: the daemon's own cut, which sends its error event before it aborts.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -287,6 +287,8 @@
 		}
 		for ; offset < written; offset++ {
 			if cut > 0 && offset >= cut {
+				// What was written before the cut has left: else nothing tells it from a refusal.
+				_ = flusher.Flush()
 				panic(http.ErrAbortHandler)
 			}
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", offset, s.chunk(offset))
--- /dev/null
+++ b/standin/engine_test.go
@@ -0,0 +1,35 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/chivefield/chivefield/engine"
+)
+
+// Guards against a cut that takes along what was written before it, where that is all there already.
+func TestCutStreamHasWhatCameBefore(t *testing.T) {
+	is := is.New(t)
+	e := NewEngine("e", engine.Config{Slots: 1, PrefillSpeed: 8000, OutputSpeed: 8000, CacheBlocks: 10})
+	server := httptest.NewServer(e.Handler())
+	defer server.Close()
+	req, err := http.NewRequest("POST", server.URL+"/v1/completions", strings.NewReader(`{"model":"m","prompt":"p","max_tokens":10,"stream":true}`))
+	is.NoErr(err)
+	req.Header.Set("X-Stream-Id", "s")
+	whole, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	_, err = io.ReadAll(whole.Body)
+	is.NoErr(err)
+	e.SetFaults(EngineFaults{CutAfter: 5})
+	resp, err := http.Get(server.URL + "/v1/streams/s?offset=0")
+	is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	is.True(err != nil)
+	is.Equal(strings.Count(string(body), "id: "), 5)
+}
