VMs forget what endpoints said that are gone

VMs that forget a minute after an incarnation left the registry were told of it again by others that had not yet, and told those in turn: with 12,000 endpoints that are replaced the records would have reached their bound in time, and no limit been taken in any more. Now a VM tells others only of incarnations that its registry lists or that it heard itself within 20 s.

Besides, an answer whose header on a limit cannot be understood, or that has no id, ends no limit also where it says something else; words of others' rests are not logged.

--- a/core/dispatch/rests.go
+++ b/core/dispatch/rests.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// rests says whether an endpoint wants nothing from this VM.
+// wantsRest says whether an endpoint wants nothing from this VM.
 func (s *Scheduler) wantsRest(now time.Duration, e *endpoint) bool { return now < s.rests[e.name].own }
 
 // restingCost is what the rest of an endpoint counts for a job.
--- a/core/members/members.go
+++ b/core/members/members.go
@@ -67,7 +67,9 @@
 	returned  time.Duration
 	everAway  bool
 	byService map[string][]*Endpoint
-	version   uint64
+	// names are the short names of those known; nil if they changed.
+	names   map[uint64]bool
+	version uint64
 	// latest is the last start known of each id, also of those that are gone: a record
 	// of an earlier incarnation may come late, from a VM that lags.
 	latest     map[string]int64
@@ -313,13 +315,15 @@
 	return list
 }
 
-// Keys are the incarnations that are known, leaving ones too.
-func (s *Set) Keys() []string {
-	keys := make([]string, 0, len(s.known))
-	for _, e := range s.known {
-		keys = append(keys, e.Key())
+// Lists says whether an incarnation is known, by its short name, also one that leaves.
+func (s *Set) Lists(name uint64) bool {
+	if s.names == nil {
+		s.names = make(map[uint64]bool, len(s.known))
+		for _, e := range s.known {
+			s.names[NameOf(e.Key())] = true
+		}
 	}
-	return keys
+	return s.names[name]
 }
 
 // Serving says whether the registry lists an incarnation that does not leave.
@@ -347,7 +351,7 @@
 
 func (s *Set) changed() {
 	s.version++
-	s.byService = nil
+	s.byService, s.names = nil, nil
 }
 
 // Usable returns the endpoints of a service that may get new requests, by id.
--- a/core/notice/ledger.go
+++ b/core/notice/ledger.go
@@ -15,6 +15,9 @@
 	mostTells = 3
 	// mostRecords bounds the incarnations that are remembered.
 	mostRecords = 1 << 14
+	// toldFor is how long after an incarnation was last listed or heard here others are told of it. Else VMs would
+	// remind each other for ever of those that are gone.
+	toldFor = 20 * time.Second
 	// oldest bounds ages.
 	oldest = 365 * 24 * time.Hour
 )
@@ -79,10 +82,11 @@
 	// rest is when the rest for which it asked this VM ends, others when that for which it asked
 	// another does.
 	rest, others time.Duration
-	// changed is when what holds changed last, tells how many notes told of that, listed when the registry was last seen to list it.
+	// changed is when what holds changed last, tells how many notes told of that.
 	changed time.Duration
 	tells   int
-	listed  stamp
+	// listed is when the registry was last seen to list it, heard when an answer of it last came here.
+	listed, heard stamp
 }
 
 func (e *entry) holds() Notice {
@@ -110,15 +114,19 @@
 // request that was sent later, or the lower one if its answer came later.
 func (l *Ledger) Hear(now, sent time.Duration, endpoint uint64, n Notice) bool {
 	e := l.entries[endpoint]
-	if e == nil && n == (Notice{}) {
+	if e == nil && !n.HasLimit && !n.Leaving && n.Rest == 0 {
 		return false
 	}
 	return l.change(now, endpoint, func(e *entry) {
+		e.heard = stamp{now, true}
 		e.leaving = e.leaving || n.Leaving
 		if n.Rest > 0 {
 			e.rest = max(e.rest, now+n.Rest)
 		}
-		if !n.HasLimit {
+		switch {
+		case n.LimitUnknown:
+			return
+		case !n.HasLimit:
 			e.lift(stamp{sent, true})
 			return
 		}
@@ -163,9 +171,22 @@
 	return true
 }
 
-// Merge takes in what another VM knows, and reports whether what holds has changed.
-func (l *Ledger) Merge(now time.Duration, r Record) bool {
+// holds says whether something does by a record.
+func (r Record) holds() bool {
+	limited := r.Named >= 0 && (r.Lifted < 0 || r.Lifted >= r.Named)
+	return limited || r.Leaving || r.Rest > 0
+}
+
+// Merge takes in what another VM knows, and reports whether what holds has changed. listed says that the
+// registry lists the incarnation, as far as this VM knows.
+func (l *Ledger) Merge(now time.Duration, r Record, listed bool) bool {
+	if l.entries[r.Endpoint] == nil && !listed && !r.holds() {
+		return false
+	}
 	return l.change(now, r.Endpoint, func(e *entry) {
+		if listed {
+			e.listed = stamp{now, true}
+		}
 		if asked := stampOf(now, r.Asked).settled(); asked.after(e.asked) {
 			e.asked, e.limit = asked, r.Limit
 		}
@@ -222,7 +243,7 @@
 // Hot are at most n records that changed lately, for one note: those by which something holds for all VMs
 // first, then those that fewer notes told.
 func (l *Ledger) Hot(now time.Duration, n int) []Record {
-	list := l.first(now, n, func(e *entry) bool { return e.tells < mostTells })
+	list := l.first(now, n, func(e *entry) bool { return e.tells < mostTells && e.told(now) })
 	for _, r := range list {
 		l.entries[r.Endpoint].tells++
 	}
@@ -231,7 +252,12 @@
 
 // Holding are at most n records by which something holds.
 func (l *Ledger) Holding(now time.Duration, n int) []Record {
-	return l.first(now, n, func(e *entry) bool { return e.holds() != Notice{} || e.rest > now })
+	return l.first(now, n, func(e *entry) bool { return (e.holds() != Notice{} || e.rest > now) && e.told(now) })
+}
+
+// told says whether others are told of it.
+func (e *entry) told(now time.Duration) bool {
+	return e.listed.was && now-e.listed.at <= toldFor || e.heard.was && now-e.heard.at <= toldFor
 }
 
 // weight is 1 where something holds for all VMs, 0 for a rest.
@@ -263,8 +289,10 @@
 // Turn are the next n records, so that all come up equally often.
 func (l *Ledger) Turn(now time.Duration, n int) []Record {
 	names := make([]uint64, 0, len(l.entries))
-	for name := range l.entries {
-		names = append(names, name)
+	for name, e := range l.entries {
+		if e.told(now) {
+			names = append(names, name)
+		}
 	}
 	slices.Sort(names)
 	from, _ := slices.BinarySearch(names, l.turn)
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -57,25 +57,17 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.logUnreadable(ep, reply.Unreadable)
-	if reply.Notice.HasLimit {
-		n.d.count("answers_naming_a_limit")
-	}
-	if reply.Notice.Leaving {
-		n.d.count("answers_saying_leaving")
-	}
-	if reply.Notice.Rest > 0 {
-		n.d.count("answers_asking_for_rest")
-	}
-	if reply.Notice == (notice.Notice{}) && (reply.ID == "" || len(reply.Unreadable) > 0) {
-		// An answer without an id may be none of the incarnation's own: it ends nothing.
-		return
-	}
+	said := reply.Notice
+	// An answer without an id may be none of the incarnation's own: it ends nothing.
+	said.LimitUnknown = said.LimitUnknown || reply.ID == "" && !said.HasLimit
+	n.count(said)
 	name := dispatch.NameOf(ep.Key())
 	before := n.ledger.Holds(name)
-	if !n.ledger.Hear(n.d.now(), sent, name, reply.Notice) {
+	if !n.ledger.Hear(n.d.now(), sent, name, said) {
 		return
 	}
-	n.changed(name, ep.ID, noticeSeen)
+	n.apply(name)
+	n.logChange(name, ep.ID, noticeSeen)
 	if n.ledger.Holds(name) == before {
 		// A rest binds this VM alone: others hear of it with the next note.
 		return
@@ -86,6 +78,19 @@
 	}
 }
 
+// count counts what answers say.
+func (n *notices) count(said notice.Notice) {
+	if said.HasLimit {
+		n.d.count("answers_naming_a_limit")
+	}
+	if said.Leaving {
+		n.d.count("answers_saying_leaving")
+	}
+	if said.Rest > 0 {
+		n.d.count("answers_asking_for_rest")
+	}
+}
+
 // told takes in what another VM knows.
 func (n *notices) told(list []*schema.EndpointNotice) {
 	if len(list) == 0 {
@@ -99,22 +104,32 @@
 			n.d.countImpossible(1)
 			continue
 		}
-		if n.ledger.Merge(n.d.now(), r) {
-			n.changed(r.Endpoint, "", noticeTold)
+		before := n.ledger.Holds(r.Endpoint)
+		if !n.ledger.Merge(n.d.now(), r, n.d.sched.lists(r.Endpoint)) {
+			continue
+		}
+		n.apply(r.Endpoint)
+		if n.ledger.Holds(r.Endpoint) != before {
+			n.logChange(r.Endpoint, "", noticeTold)
 		}
 	}
 }
 
-// changed passes on what an incarnation says of itself now. id is empty where it is not at hand. The lock
-// is held.
-func (n *notices) changed(name uint64, id, learned string) {
+// apply tells the scheduler what an incarnation says of itself now. The lock is held.
+func (n *notices) apply(name uint64) {
 	holds := n.ledger.Holds(name)
-	n.d.sched.setLimit(name, holds)
 	own, others := n.ledger.Rests(name)
+	n.d.sched.setLimit(name, holds)
 	n.d.sched.setRest(name, n.spread(name, own), others)
 	if holds.Leaving {
 		n.d.sched.leave(name)
 	}
+}
+
+// logChange logs what an incarnation says of itself now; id is empty where it is not at hand. The lock is held.
+func (n *notices) logChange(name uint64, id, learned string) {
+	holds := n.ledger.Holds(name)
+	own, _ := n.ledger.Rests(name)
 	n.d.log.Info().Str("endpoint", id).Uint64("endpoint_hash", name).Str("learned", learned).
 		Dur("rest", max(0, own-n.d.now())).Bool("limited", holds.HasLimit).Float64("per_second", holds.Limit).Bool("leaving", holds.Leaving).Msg("endpoint_notice")
 }
@@ -140,8 +155,7 @@
 		return
 	}
 	n.forgotAt = now
-	listed := n.d.sched.listed()
-	for _, name := range n.ledger.Forget(now, unlistedFor, func(name uint64) bool { return listed[name] }) {
+	for _, name := range n.ledger.Forget(now, unlistedFor, n.d.sched.lists) {
 		n.d.sched.forget(name)
 	}
 }
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -279,15 +279,11 @@
 	s.sched.SetReach(s.now(), heard, known)
 }
 
-// listed are the short names of the incarnations that the registry lists.
-func (s *scheduling) listed() map[uint64]bool {
+// lists says whether the registry lists an incarnation, by its short name.
+func (s *scheduling) lists(endpoint uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	names := make(map[uint64]bool)
-	for _, key := range s.members.Keys() {
-		names[dispatch.NameOf(key)] = true
-	}
-	return names
+	return s.members.Lists(endpoint)
 }
 
 // doubt says that nothing listens at an endpoint's address.
