--- a/core/dispatch/rests.go
+++ b/core/dispatch/rests.go
@@ -46,6 +46,9 @@
 
 // RestWait is how long all endpoints of a service that were not tried want nothing from this VM; 0 if one does.
 func (s *Scheduler) RestWait(now time.Duration, service string, tried []uint64) time.Duration {
+	if len(s.rests) == 0 {
+		return 0
+	}
 	least := time.Duration(-1)
 	for _, e := range s.service(service).list {
 		if slices.Contains(tried, e.name) {
@@ -63,7 +66,7 @@
 
 // restWait is that for a job of this VM; other VMs know their own.
 func (s *Scheduler) restWait(now time.Duration, sv *service, j *Job) time.Duration {
-	if j.Remote || len(s.rests) == 0 {
+	if j.Remote {
 		return 0
 	}
 	return s.RestWait(now, sv.name, j.Tried)
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -189,9 +189,7 @@
 }
 
 func noticeRecord(m *schema.EndpointNotice) notice.Record {
-	return notice.Record{Endpoint: m.Endpoint, Limit: m.Limit, Asked: agoIn(m.AskedMs), Named: agoIn(m.NamedMs), Lifted: agoIn(m.LiftedMs), Leaving: m.Leaving,
-		Rest: time.Duration(min(m.RestMs, uint64(longestQuiet.Milliseconds()))) * time.Millisecond,
-	}
+	return notice.Record{Endpoint: m.Endpoint, Limit: m.Limit, Asked: agoIn(m.AskedMs), Named: agoIn(m.NamedMs), Lifted: agoIn(m.LiftedMs), Leaving: m.Leaving, Rest: toldTime(m.RestMs)}
 }
 
 // agoOf is an age as notes tell it: one more than its ms, 0 for never.
@@ -207,7 +205,7 @@
 	if ms == 0 {
 		return notice.Never
 	}
-	return time.Duration(min(ms-1, uint64(longestQuiet.Milliseconds()))) * time.Millisecond
+	return toldTime(ms - 1)
 }
 
 // logUnreadable counts headers that cannot be understood and logs one now and then. The lock is held.
--- a/entry/suspect_notes.go
+++ b/entry/suspect_notes.go
@@ -52,9 +52,13 @@
 // longestQuiet bounds what others say; longer would wrap.
 const longestQuiet = 365 * 24 * time.Hour
 
+// toldTime is a time in ms that another VM tells, within bounds.
+func toldTime(ms uint64) time.Duration {
+	return time.Duration(min(ms, uint64(longestQuiet.Milliseconds()))) * time.Millisecond
+}
+
 func recordOf(m *schema.Suspect) suspect.Record {
-	quiet := min(m.QuietMs, uint64(longestQuiet.Milliseconds()))
-	r := suspect.Record{Digest: digestOf(m.Digest), Cleared: int(m.Cleared), Quiet: time.Duration(quiet) * time.Millisecond}
+	r := suspect.Record{Digest: digestOf(m.Digest), Cleared: int(m.Cleared), Quiet: toldTime(m.QuietMs)}
 	for _, s := range m.Sightings {
 		r.Sightings = append(r.Sightings, suspect.Sighting{
 			Endpoint: s.Endpoint, Generation: int(s.Generation), EndedAt: int(s.EndedAt), AliveAt: int(s.AliveAt),
