Grants: a repeated datagram is credited once

What callers saw: nothing yet; by reading, an organisation could get more than its allowance over all VMs.

Cause: the receiver credited the amounts of every note that came, and nothing remembered a note. The heartbeat's number, which an old comment took for that, is 0 in notes with grants.

Change: a transfer has a number in its sender's incarnation and names the receiver's incarnation and the latest uptime that the receiver stated. Refused is logged and lost, as a lost datagram is. What a request gives back that did not run goes to the holder that was heard last in place of the nearest: an older stamp would be refused.

Ruled out: a window of numbers by sender alone. The windows of processes that ended would have to be kept for as long as a network may repeat, and a restarted receiver would have none.

Other notes with amounts: permits for repeats and limits are not handed out, a rest binds to its latest end, evidence on versions is cumulative by process, so a repeated note changes none of them.

While VMs of the build before run beside, grants from them are refused: units lost, none doubled.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -5,8 +5,8 @@
 // few VMs, its holders, chosen by hash from all VMs ever seen, reachable or not. Each holder
 // refills at its share of the rate and holds at most its share of burst and tolerance; other VMs
 // request units from the holders. The sender of units deducts them from its balance before it
-// sends them, so a lost note loses units and can never double them. The receiver returns what
-// it cannot use.
+// sends them, so a lost note loses units, and the receiver credits each Transfer once, so that a
+// repeated note does not multiply them. The receiver returns what it cannot use.
 //
 // A process has no record of what its predecessor, or VMs that it has not seen, spent a moment
 // ago. It therefore starts with an empty balance, also when the whole deployment starts for the
--- a/entry/allowances.go
+++ b/entry/allowances.go
@@ -20,6 +20,8 @@
 
 	mu      sync.Mutex
 	limiter *allowance.Limiter
+	// receipts are the transfers received from other VMs.
+	receipts *allowance.Receipts
 	// vms are all VMs, empty until they are known; holders are the VMs that hold a share of an
 	// organisation's allowance.
 	vms     []allowance.VM
@@ -31,10 +33,11 @@
 	grantArrived chan struct{}
 }
 
-func newSharedAllowances(set *settings.Entry, now func() time.Duration) *sharedAllowances {
+// newSharedAllowances returns the allowances of the process with the given incarnation.
+func newSharedAllowances(set *settings.Entry, incarnation uint64, now func() time.Duration) *sharedAllowances {
 	tol := allowance.Tolerance{Window: set.AllowanceWindow, Over: set.Bounds.AllowanceOver, Slack: set.Bounds.AllowanceSlack}
 	return &sharedAllowances{
-		now: now, settings: set, limiter: allowance.New(tol),
+		now: now, settings: set, limiter: allowance.New(tol), receipts: allowance.NewReceipts(incarnation),
 		pending: make(map[string]float64), grantArrived: make(chan struct{}), holders: make(map[string][]allowance.VM),
 	}
 }
@@ -151,6 +154,13 @@
 	return s.limiter.Grant(s.now(), want)
 }
 
+// accept reports whether a transfer may be credited; it is then not accepted again.
+func (s *sharedAllowances) accept(t allowance.Transfer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.receipts.Accept(s.now(), t)
+}
+
 // receiveGrant credits an amount granted by another VM and returns the excess to send back.
 func (s *sharedAllowances) receiveGrant(got allowance.Amount) (back float64) {
 	s.mu.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -140,8 +140,8 @@
 	d.sched.filterUsable = d.rollouts.usableEndpoints
 	d.sched.onDepartures = d.suspects.recordDepartures
 	d.sched.setPlacer(d.settings.Listen.Peers, false)
-	d.shares, d.retryBudgets = newSharedAllowances(d.settings, d.now), newRetryBudgets(d)
 	d.peers = newPeers(d)
+	d.shares, d.retryBudgets = newSharedAllowances(d.settings, d.peers.incarnation, d.now), newRetryBudgets(d)
 	return d
 }
 
--- a/entry/grants.go
+++ b/entry/grants.go
@@ -64,34 +64,93 @@
 // another holder.
 func (p *peers) refund(a allowance.Amount) {
 	back := p.d.shares.refund(a)
-	if holders := p.holdersByDistance(a.Organisation); back > 0 && len(holders) > 0 {
-		p.returnUnits(a.Organisation, back, holders[0].addr)
+	if back <= 0 {
+		return
 	}
+	if addr, stamp := p.latestSeenHolder(a.Organisation); addr != nil {
+		p.returnUnits(a.Organisation, back, stamp, addr)
+	}
+}
+
+// latestSeenHolder returns the holder of an organisation's allowance whose stamp is the most recent;
+// nil if this VM has heard from none.
+func (p *peers) latestSeenHolder(organisation string) (*net.UDPAddr, allowance.Stamp) {
+	list := p.d.shares.holdersOf(organisation)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var latest *peer
+	for _, v := range list {
+		if pe := p.byAddress[v.Address]; pe != nil && pe.lastSeen > 0 && (latest == nil || pe.lastSeen > latest.lastSeen) {
+			latest = pe
+		}
+	}
+	if latest == nil {
+		return nil, allowance.Stamp{}
+	}
+	return latest.addr, latest.stamp
 }
 
-// returnUnits sends an unused amount back to a VM.
-func (p *peers) returnUnits(organisation string, units float64, to *net.UDPAddr) {
+// returnUnits sends an unused amount back to a VM, whose latest stamp is given.
+func (p *peers) returnUnits(organisation string, units float64, to allowance.Stamp, addr *net.UDPAddr) {
 	n := p.newNote()
 	n.Returned = true
-	n.Grants = []*schema.AllowanceGrant{{Organisation: organisation, Amount: units}}
-	p.send(n, to)
+	p.sendGrants(n, []*schema.AllowanceGrant{{Organisation: organisation, Amount: units}}, to, addr)
+}
+
+// sendGrants sends amounts to a VM in a note.
+func (p *peers) sendGrants(n *schema.PeerNote, grants []*schema.AllowanceGrant, to allowance.Stamp, addr *net.UDPAddr) {
+	n.Grants = grants
+	n.Transfer = &schema.Transfer{Number: p.transfers.Add(1), Receiver: to.Incarnation, ReceiverUptimeMs: uint64(to.At.Milliseconds())}
+	p.send(n, addr)
+}
+
+// stampOf returns the stamp of a note's sender.
+func stampOf(n *schema.PeerNote) allowance.Stamp {
+	return allowance.Stamp{Incarnation: n.Incarnation, At: millis(n.UptimeMs)}
+}
+
+// transferOf returns the transfer of the amounts in a note.
+func transferOf(n *schema.PeerNote) allowance.Transfer {
+	t := n.GetTransfer()
+	return allowance.Transfer{
+		Sender: n.Incarnation, Number: t.GetNumber(),
+		Receiver: allowance.Stamp{Incarnation: t.GetReceiver(), At: millis(t.GetReceiverUptimeMs())},
+	}
+}
+
+// receiveGrants credits the amounts in a note and returns the excess.
+func (p *peers) receiveGrants(n *schema.PeerNote, from *net.UDPAddr) {
+	if len(n.Grants) == 0 {
+		return
+	}
+	if !p.d.shares.accept(transferOf(n)) {
+		p.d.count("grants_refused")
+		p.d.log.Info().Str("from", n.Address).Uint64("sender", n.Incarnation).Uint64("number", n.GetTransfer().GetNumber()).
+			Uint64("receiver", n.GetTransfer().GetReceiver()).Uint64("receiver_uptime_ms", n.GetTransfer().GetReceiverUptimeMs()).Msg("grant_refused")
+		return
+	}
+	for _, g := range n.Grants {
+		back := p.d.shares.receiveGrant(allowance.Amount{Organisation: g.Organisation, Units: g.Amount})
+		// A returned amount is not returned again, or it would go back and forth.
+		if back > 0 && !n.Returned {
+			p.returnUnits(g.Organisation, back, stampOf(n), from)
+		}
+	}
 }
 
 func allowanceRequest(w *schema.AllowanceGrant) allowance.Request {
 	return allowance.Request{Amount: allowance.Amount{Organisation: w.Organisation, Units: w.Amount}, Reserve: w.Reserve}
 }
 
-// grantWants grants what this VM can spare of the requested amounts.
-func (p *peers) grantWants(wants []*schema.AllowanceGrant, to *net.UDPAddr) {
+// grantWants grants what this VM can spare of the amounts that a note requests.
+func (p *peers) grantWants(n *schema.PeerNote, from *net.UDPAddr) {
 	var grants []*schema.AllowanceGrant
-	for _, w := range wants {
+	for _, w := range n.Wants {
 		if units := p.d.shares.grant(allowanceRequest(w)); units > 0 {
 			grants = append(grants, &schema.AllowanceGrant{Organisation: w.Organisation, Amount: units})
 		}
 	}
 	if len(grants) > 0 {
-		n := p.newNote()
-		n.Grants = grants
-		p.send(n, to)
+		p.sendGrants(p.newNote(), grants, stampOf(n), from)
 	}
 }
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -33,7 +33,10 @@
 }
 
 func (p *peers) newNote() *schema.PeerNote {
-	n := &schema.PeerNote{Vm: p.d.settings.Vm.Name, Incarnation: p.incarnation, Address: p.d.settings.Listen.Peers, FailureDomain: p.d.settings.Vm.FailureDomain}
+	n := &schema.PeerNote{
+		Vm: p.d.settings.Vm.Name, Incarnation: p.incarnation, UptimeMs: uint64(p.d.now().Milliseconds()),
+		Address: p.d.settings.Listen.Peers, FailureDomain: p.d.settings.Vm.FailureDomain,
+	}
 	if t := p.d.table.Load(); t != nil {
 		n.ConfigVersion = t.Document.Version
 	}
@@ -208,7 +211,7 @@
 	started := false
 	if pe != nil {
 		started = pe.incarnation != n.Incarnation
-		pe.incarnation, pe.name = n.Incarnation, n.Vm
+		pe.incarnation, pe.name, pe.stamp = n.Incarnation, n.Vm, stampOf(n)
 		pe.recordContact(p.d.now())
 	}
 	if len(n.Vms) > 0 {
@@ -240,14 +243,8 @@
 	if n.Loads {
 		p.d.sched.applyPeerLoads(n)
 	}
-	for _, g := range n.Grants {
-		back := p.d.shares.receiveGrant(allowance.Amount{Organisation: g.Organisation, Units: g.Amount})
-		// A returned amount is not returned again, or it would go back and forth.
-		if back > 0 && !n.Returned {
-			p.returnUnits(g.Organisation, back, from)
-		}
-	}
-	p.grantWants(n.Wants, from)
+	p.receiveGrants(n, from)
+	p.grantWants(n, from)
 }
 
 // endpointLoads returns this VM's load at the endpoints it uses. With withGaps it includes the
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -37,6 +37,8 @@
 	d           *Daemon
 	conn        net.PacketConn
 	incarnation uint64
+	// transfers counts the transfers of allowance that this process has sent.
+	transfers atomic.Uint64
 
 	// relays carries registry changes relayed by other VMs, configHints newer configuration
 	// versions that other VMs serve.
@@ -82,6 +84,8 @@
 	learnedAt time.Duration
 	// incarnation identifies the peer's process; 0 if no note of it was received.
 	incarnation uint64
+	// stamp is the latest that the peer stated.
+	stamp allowance.Stamp
 	// lastSeen is when the last note arrived, 0 for never.
 	lastSeen time.Duration
 	// usualInterval is the usual time between two notes of the peer.
--- a/entry/placement.go
+++ b/entry/placement.go
@@ -329,6 +329,8 @@
 
 func micros(us uint64) time.Duration { return time.Duration(us) * time.Microsecond }
 
+func millis(ms uint64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
 // setAvoidUntil excludes a VM from selection as placer until a time.
 func (p *peers) setAvoidUntil(pe *peer, until time.Duration) {
 	p.mu.Lock()
