members: a removal that comes twice keeps an incarnation out

Change: only a record that lists an endpoint ends the tombstone. Before: TestRepeatedRemovalKeepsIncarnationOut uses the endpoint again; after: it stays out.

--- a/core/members/members.go
+++ b/core/members/members.go
@@ -154,9 +154,12 @@
 	}
 }
 
-// Apply applies one record that was written to the registry since the last one.
+// Apply applies one record that was written to the registry since the last one. A removal may come
+// twice; only a listed endpoint ends the tombstone of its id.
 func (s *Set) Apply(now time.Duration, c Change) {
-	delete(s.tombstones, c.ID)
+	if c.Endpoint != nil {
+		delete(s.tombstones, c.ID)
+	}
 	s.apply(now, c)
 }
 
--- a/core/members/members_test.go
+++ b/core/members/members_test.go
@@ -169,3 +169,17 @@
 	s.Replace(3*time.Minute, []Change{written(ep("gone", false), 12), written(ep("stays", false), 13)})
 	is.Equal(ids(s), []string{"gone", "stays"})
 }
+
+// Guards against an incarnation that left and is used again after a restore because its removal was
+// read twice.
+func TestRepeatedRemovalKeepsIncarnationOut(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	s.Replace(0, []Change{ep("left", false), ep("stays", false)})
+	s.Apply(0, ep("left", true))
+	s.Apply(0, Change{ID: "left"})
+	s.Apply(0, Change{ID: "left"})
+	s.MarkRegistryRestored(time.Minute)
+	s.Replace(time.Minute, []Change{ep("left", false), ep("stays", false)})
+	is.Equal(ids(s), []string{"stays"})
+}
