registry: ignore a relayed difference of an era that was already read

Cause: both VMs read the restored registry in the same moment and relay the difference to their copy. The receiver's era is the relay's already, so applyRelay took it for an ordinary one, and Apply ends the tombstone and lists the copy's record. Change: such a relay holds nothing that a VM of the same era, at its offset or beyond, has not read itself, and is passed over. Other feeds: configurations only rise in version, the list of VMs only grows, and convictions and verdicts are merged, so a relay of an older state changes none of them.

--- a/entry/registry.go
+++ b/entry/registry.go
@@ -271,7 +271,9 @@
 		// The sender has not yet seen that the store was restored from a backup.
 		return true
 	case c.known && r.Era == c.next.Era && r.From <= c.next.Offset:
-		if !next.Before(c.next) {
+		// A difference to the registry before the restore lists what this VM may have seen leave; it
+		// holds nothing that this VM has not read itself in the new era.
+		if r.Before == nil && !next.Before(c.next) {
 			c.next = next
 			d.applyEndpoints(readResult{records: recordsFromRelay(r.Records, r.Era)}, next)
 		}
