suspect: incarnations that ended before a process started convict nobody

Cause, from its logs: another request ended the three plain endpoints at 19.62 and 19.70 s; all four VMs were killed and started at 20.03 to 20.16 s. The processes before had served the page at every endpoint up to 19.68 s and had it exempt for 10 s; the new ones knew neither that nor that the endpoints were gone, whose relays still accept connections. They sent the page there, it was cut at plain-0-1 and plain-2-2 (20.14 s), and when the registry dropped these two and one more endpoint ended with the page on it (20.83 s), three ends were counted against the page. No plain endpoint answered anything between 19.68 and 22.58 s. So not the busy machine: a kill of all VMs while a request ends endpoints is enough.

Change: a process takes what the registry lists at its start for unseen until it answers, or for 10 s, in which the registry drops what is silent. A cut at an unseen incarnation stays at this VM and counts only towards quarantine; it counts in full if the incarnation is found to end (a connection is refused right after the cut) or another VM saw it alive, and is dropped if the incarnation is merely gone.

Ruled out: passing on which requests are exempt (all processes were new), and no convictions for 10 s after a start (the requests that do end endpoints would go on; TestPoisonRequestIsRefusedAfterThreeCrashes starts its VMs a moment before). Before: the new tests convict (level 3) and count the incarnation that was gone; after: level 0, and what was seen alive counts. The tests of whole VMs on requests that end endpoints pass (35 s).

--- a/entry/registry.go
+++ b/entry/registry.go
@@ -358,7 +358,9 @@
 		m.Expire(now)
 	})
 	d.logEndpointChanges(logged)
-	d.endpointsLoaded.Store(true)
+	if !d.endpointsLoaded.Swap(true) {
+		d.suspects.setUnseen(changes)
+	}
 	d.markInitialised()
 	return changed
 }
