daemon: a document that was not appended is answered at once

An operator who submits a configuration while the append queue is full waited 5 s for a verdict that could not come, and was told 'unknown'. The append's result went into a channel that nobody read. It is read now: a full queue is answered 503 with the verdict not_appended; any other error still leaves open whether the log has the document, so the wait goes on. The new test takes 5 s and gets 'unknown' on the code before.

--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -69,6 +70,8 @@
 	// document.
 	verdictTimeout = 5 * time.Second
 	unknownVerdict = "unknown"
+	// notAppendedVerdict is for a document that was not sent to the log.
+	notAppendedVerdict = "not_appended"
 )
 
 // submitConfig appends a document to the log and waits until it has been judged
@@ -96,6 +99,8 @@
 	status := http.StatusOK
 	switch sub.Verdict {
 	case string(config.Accepted):
+	case notAppendedVerdict:
+		status = http.StatusServiceUnavailable
 	case unknownVerdict:
 		status = http.StatusGatewayTimeout
 	default:
@@ -112,11 +117,23 @@
 	d.queueAppend(&appendJob{record: rec, done: done})
 	bound, cancel := context.WithTimeout(ctx, verdictTimeout)
 	defer cancel()
-	select {
-	case v := <-verdict:
-		sub.Verdict, sub.Version, sub.Faults = string(v.Judgement), v.Version, faultTexts(v.Faults)
-	case <-bound.Done():
-		sub.Verdict = unknownVerdict
+	for {
+		select {
+		case err := <-done:
+			var full *QueueFullError
+			if errors.As(err, &full) {
+				sub.Verdict = notAppendedVerdict
+				return
+			}
+			// Any other error leaves open whether the log has the document.
+			done = nil
+		case v := <-verdict:
+			sub.Verdict, sub.Version, sub.Faults = string(v.Judgement), v.Version, faultTexts(v.Faults)
+			return
+		case <-bound.Done():
+			sub.Verdict = unknownVerdict
+			return
+		}
 	}
 }
 
