Leftovers found by reading: names, unused fields, comments that told history

maxAttempts allowed seven attempts since it bounds the retries: it is maxRetries now. A restart grant above the capacity was cut at the next refill, before anything could spend it: the function says so and cuts at once.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -119,14 +119,14 @@
 	return l.tol.Over*(b.limit.Rate*l.tol.Window.Seconds()+b.limit.Burst) + l.tol.Slack
 }
 
-// AddRestartGrant adds this VM's share of the restart allowance. It must not be called twice
-// within the window for one VM, over all its processes.
+// AddRestartGrant adds this VM's share of the restart allowance, up to its capacity. It must not be
+// called twice within the window for one VM, over all its processes.
 func (l *Limiter) AddRestartGrant(now time.Duration) {
 	for _, b := range l.buckets {
 		l.refill(now, b)
 		grant := b.share * restartShare * l.toleratedUnits(b)
-		b.balance += grant
-		b.accrued += grant
+		b.balance = min(b.balance+grant, max(b.balance, l.capacity(b)))
+		b.accrued = min(b.accrued+grant, l.capacity(b))
 	}
 }
 
--- a/core/dispatch/latency.go
+++ b/core/dispatch/latency.go
@@ -149,9 +149,8 @@
 // those queued ahead of it, took the time to the event as a multiple of the event gap. Long
 // prompts measure the prefill time, short ones what the first event takes beyond it. Each
 // subtracts the other's part, and long prompts are at least six times as long, so both converge
-// from any start. An earlier version attributed each observation to whichever part was
-// estimated as the larger: two placers of six then kept to a tenth of the real prefill time for
-// long prompts for as long as they ran.
+// from any start. Attributing each observation to whichever part is estimated as the larger does not:
+// an estimate of a tenth of the real prefill time for long prompts then stays so.
 func (m *latencyModel) observePrompt(prompt int, tokens, took float64) {
 	size := promptSize(prompt)
 	longPrompts := &m.prefillRatio[1]
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -22,8 +22,8 @@
 const (
 	// maxResponseBytes limits the size of a response that is not a stream.
 	maxResponseBytes = 16 << 20
-	// maxAttempts limits the retries, including those after attempts in which no byte was sent.
-	maxAttempts = 6
+	// maxRetries includes retries after attempts in which no byte was sent.
+	maxRetries = 6
 )
 
 // attemptResult is the outcome of one attempt at an endpoint.
@@ -76,7 +76,7 @@
 			c.fail(s, reasonEndsEndpoints, 0)
 			return
 		}
-		if last.rolloutBlocked && try < maxAttempts {
+		if last.rolloutBlocked && try < maxRetries {
 			c.avoided = append(c.avoided, dispatch.EndpointHash(dec.Endpoint.Key()))
 			continue
 		}
@@ -112,7 +112,7 @@
 
 // mayRetry reports whether another endpoint may be tried.
 func (c *callerRequest) mayRetry(last attemptResult, try int) bool {
-	if try >= maxAttempts {
+	if try >= maxRetries {
 		return false
 	}
 	if last.outcome == dispatch.Unreachable {
--- a/load/sim.go
+++ b/load/sim.go
@@ -49,14 +49,13 @@
 // run is one dispatch of a request. endpoint is the index of its engine, or -1 for
 // a plain service.
 type run struct {
-	a              *arrival
-	vm             int
-	handle         uint64
-	endpoint       int
-	stream         string
-	uncachedTokens int
-	ended          bool
-	done           bool
+	a        *arrival
+	vm       int
+	handle   uint64
+	endpoint int
+	stream   string
+	ended    bool
+	done     bool
 }
 
 // event is an action scheduled for a time; seq orders those with the same time.
@@ -301,7 +300,6 @@
 // recordPrefill counts and prices the prompt tokens that an engine prefilled, and counts
 // those in blocks that some engine had prefilled before.
 func (s *sim) recordPrefill(r *run, uncachedTokens int) {
-	r.uncachedTokens = uncachedTokens
 	s.results[r.a.id].prefilledTokens += uncachedTokens
 	s.report.PrefillPaid += uncachedTokens
 	s.report.Price += float64(uncachedTokens) * s.engineKinds[r.endpoint].prefillPrice / 1e6
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -74,12 +74,6 @@
 	return fmt.Sprintf("received %d responses to other requests", e.Count)
 }
 
-// EarlyResponseError reports a response that arrived before its request was written.
-type EarlyResponseError struct{}
-
-// Error implements error.
-func (e *EarlyResponseError) Error() string { return "response arrived before the request was written" }
-
 // Request is a request that is sent unchanged.
 type Request struct {
 	Method, Target, Host string
