stall: a VM that was paused does not take its endpoints for stalled

What callers see: a VM that is frozen, or starved of processor time, for over a second has all timeouts of its running requests expire the moment it runs again, before it reads what has arrived meanwhile. Each request that may be repeated is cut at its endpoint and sent again elsewhere, and spends a repeat. Found by reading after TestEndpointBackoffIsRespected and TestEndpointLimitHoldsAcrossPlacers, where callers got 502 and 504 after 1.3 to 8 s beside heavy load; that this is their cause is not shown. Change: after the timeout 100 ms more must pass with nothing read. Test: an event that is read 50 ms after the timeout, three times; before it counts as stalled, after it does not, and a silent endpoint is still found, after 1.1 s.

--- a/entry/stall.go
+++ b/entry/stall.go
@@ -21,6 +21,9 @@
 	firstEventTimeoutFactor = 4
 	// nextEventTimeout is the timeout between two events of a stream.
 	nextEventTimeout = time.Second
+	// stallConfirmation is how much longer nothing must arrive. When this process was paused, all
+	// timers expire at once, before what has arrived meanwhile is read.
+	stallConfirmation = 100 * time.Millisecond
 )
 
 // stallWatchdog cancels an attempt at an endpoint that has stopped responding, if the request may
@@ -29,6 +32,8 @@
 	mu       sync.Mutex
 	timer    *time.Timer
 	timedOut bool
+	// expired is set once the timeout has passed and stallConfirmation runs.
+	expired bool
 	// stopped is set once the attempt is over, permit is the retry acquired when the attempt
 	// timed out.
 	stopped bool
@@ -43,9 +48,7 @@
 		return w
 	}
 	tried := append(slices.Clone(c.tried), dispatch.EndpointHash(dec.Endpoint.Key()))
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(max(firstEventTimeout, firstEventTimeoutFactor*dec.Predicted), func() {
+	w.start(max(firstEventTimeout, firstEventTimeoutFactor*dec.Predicted), func() {
 		if time.Until(c.deadline) < shortRetryAfter || !c.d.sched.hasAlternative(c.service, tried) {
 			return
 		}
@@ -62,6 +65,32 @@
 	return w
 }
 
+// start has stalled called if no event arrives within a timeout and stallConfirmation after it.
+func (w *stallWatchdog) start(timeout time.Duration, stalled func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(timeout, func() {
+		if w.confirmed() {
+			stalled()
+		}
+	})
+}
+
+// confirmed reports whether stallConfirmation has passed too; if not, it begins.
+func (w *stallWatchdog) confirmed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return false
+	}
+	if !w.expired {
+		w.expired = true
+		w.timer.Reset(stallConfirmation)
+		return false
+	}
+	return true
+}
+
 // markTimedOut records that the endpoint stopped responding and that a retry was acquired. It
 // returns false if the attempt is already over.
 func (w *stallWatchdog) markTimedOut(permit budget.Permit) bool {
@@ -79,6 +108,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.timer != nil && !w.timedOut {
+		w.expired = false
 		w.timer.Reset(nextEventTimeout)
 	}
 }
--- /dev/null
+++ b/entry/stall_test.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a VM that was paused, or got no processor time, and takes its endpoints for stalled:
+// when it runs again all timeouts have passed, and what arrived meanwhile is read a moment later.
+func TestPausedProcessDoesNotTakeEndpointsForStalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var w stallWatchdog
+		var stalls atomic.Int32
+		w.start(firstEventTimeout, func() { stalls.Add(1) })
+		for range 3 {
+			time.Sleep(nextEventTimeout + stallConfirmation/2)
+			w.recordEvent()
+		}
+		synctest.Wait()
+		is.Equal(stalls.Load(), int32(0))
+		time.Sleep(nextEventTimeout + stallConfirmation)
+		synctest.Wait()
+		is.Equal(stalls.Load(), int32(1))
+		w.stop()
+	})
+}
