Responses for callers that read slowly are bounded

What callers and operators see: a VM read each response that is no stream whole, up to 16 MB, and held it until its caller had taken it; nothing counted these bytes, so that some tens of callers that read slowly end the smallest VM (136 MB), and a caller that takes nothing holds its response for good. A response over 16 MB was cut there and sent as complete.

Change: a response of up to 256 KB is read whole within a fifth of the VM's memory, as before; what is larger, or has no memory left, is forwarded as it arrives, so its endpoint waits for the caller. One that breaks off ends with the connection. A caller that takes no 4 KB of a response or stream for 10 s is given up.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -90,6 +90,10 @@
 	if d.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	// A connection that is used again may have the deadline of the response before.
+	if err := http.NewResponseController(w).SetWriteDeadline(time.Time{}); err != nil {
+		d.log.Error().Err(err).Msg("write_deadline_failed")
+	}
 	c := &callerRequest{d: d, w: w, r: r, arrived: time.Now(), reqHeaders: d.codec.ParseRequest(r.Header)}
 	if denied := c.admit(); denied != nil {
 		c.refuse(*denied)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -95,8 +95,10 @@
 	pool         *upstream.Pool
 	idleConns    *idleConnCloser
 	bodyMemory   *memoryBudget
-	metrics      metrics.Registry
-	peers        *peers
+	// responseMemory is for responses that are read before they are forwarded.
+	responseMemory *memoryBudget
+	metrics        metrics.Registry
+	peers          *peers
 }
 
 const (
@@ -130,6 +132,7 @@
 	}
 	d.pool = upstream.NewPool(opts.Dial, maxIdlePerEndpoint)
 	d.bodyMemory = newMemoryBudget(int64(float64(d.settings.Limits.MemoryMb) * bodyMemoryShare * (1 << 20)))
+	d.responseMemory = newMemoryBudget(int64(float64(d.settings.Limits.MemoryMb) * responseMemoryShare * (1 << 20)))
 	d.sched = newSharedScheduler(d.settings.Vm.Name, d.settings.Vm.FailureDomain, d.settings.Disabled, d.now)
 	d.sched.probe, d.sched.logEjection, d.sched.countInvalid = d.probe, d.logEjection, d.countInvalid
 	d.lastHandle.Store(rand.Uint64())
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -20,8 +20,8 @@
 }
 
 const (
-	// maxResponseBytes limits the size of a response that is not a stream.
-	maxResponseBytes = 16 << 20
+	// maxDiscardedBytes limits how much is read of a response that is not forwarded.
+	maxDiscardedBytes = 16 << 20
 	// maxRetries includes retries after attempts in which no byte was sent.
 	maxRetries = 6
 )
@@ -31,6 +31,8 @@
 	outcome dispatch.Outcome
 	// delivered is set if the caller has received its final response, complete or broken off.
 	delivered bool
+	// brokenOff is set if the caller's connection must end, since part of a response was delivered.
+	brokenOff bool
 	// retryDenied is set if the retry was not sent because the retry budget does not cover it
 	// now.
 	retryDenied bool
@@ -69,6 +71,9 @@
 		}
 		last = c.tryEndpoint(ctx, dec, s)
 		c.d.placement.endRun(dec.Handle, last.outcome)
+		if last.brokenOff {
+			panic(http.ErrAbortHandler)
+		}
 		if last.delivered {
 			return
 		}
@@ -282,7 +287,7 @@
 // forwardResponse checks a response and forwards it if it is valid.
 func (c *callerRequest) forwardResponse(ctx context.Context, handle uint64, resp *upstream.Response, headers ResponseHeaders, s *eventStream, watchdog *stallWatchdog) attemptResult {
 	if headers.NotExecuted {
-		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxResponseBytes))
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDiscardedBytes))
 		if headers.Replaced {
 			return attemptResult{outcome: dispatch.Replaced, err: &RejectedError{Status: resp.StatusCode}}
 		}
@@ -299,13 +304,18 @@
 	if s != nil && s.headersSent {
 		return attemptResult{outcome: dispatch.Broken, err: &UntrustedResponseError{Status: resp.StatusCode}}
 	}
-	body, err := io.ReadAll(io.LimitReader(resp, maxResponseBytes))
+	held := c.d.responseMemory.reserveUpTo(bufferFor(resp.ContentLength))
+	defer c.d.responseMemory.release(held)
+	body, err := io.ReadAll(io.LimitReader(resp, held))
 	if err != nil {
 		if ctx.Err() != nil {
 			return attemptResult{outcome: dispatch.CallerDisconnected, err: err}
 		}
 		return attemptResult{outcome: dispatch.Broken, connectionLost: isConnectionBroken(err), err: err}
 	}
+	if int64(len(body)) == held {
+		return c.forwardUnbuffered(ctx, handle, resp, body)
+	}
 	c.d.suspects.recordSuccess(c.digest, resp)
 	if resp.StatusCode >= http.StatusInternalServerError && c.route.Retryable() && c.sendCount < c.route.MaxEndpoints &&
 		time.Until(c.deadline) > shortRetryAfter && c.retryPermit.acquire() {
@@ -325,11 +335,15 @@
 	copyHeaders(c.w.Header(), resp.Header)
 	c.w.Header().Set("Content-Length", itoa(len(body)))
 	c.w.WriteHeader(resp.StatusCode)
-	_, err := c.w.Write(body)
+	c.logAnswer(resp.StatusCode, c.writeToCaller(body))
+}
+
+// logAnswer logs a response that was sent to the caller, or the error that ended it.
+func (c *callerRequest) logAnswer(status int, err error) {
 	took := time.Since(c.arrived)
 	c.d.count("answers")
 	c.d.observe("answer", took)
-	c.d.log.Info().Str("request", c.reqHeaders.ID).Int("status", resp.StatusCode).Dur("took", took).
+	c.d.log.Info().Str("request", c.reqHeaders.ID).Int("status", status).Dur("took", took).
 		Bool("late", took > c.route.Objective).Int("sent", c.sendCount).Err(err).Msg("answered")
 }
 
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// memoryBudget limits the total size of request bodies held in memory, in bytes.
+// memoryBudget limits the total size of request bodies, or of responses, held in memory, in bytes.
 type memoryBudget struct {
 	available atomic.Int64
 }
@@ -27,6 +27,17 @@
 	return true
 }
 
+// reserveUpTo reserves n bytes or what is left, and at least forwardBufferSize, and returns how many.
+func (b *memoryBudget) reserveUpTo(n int64) int64 {
+	for {
+		left := b.available.Load()
+		got := max(min(n, left), min(n, forwardBufferSize))
+		if b.available.CompareAndSwap(left, left-got) {
+			return got
+		}
+	}
+}
+
 func (b *memoryBudget) release(n int64) { b.available.Add(n) }
 
 // idleConnCloser closes callers' connections that are idle for longer than the configured
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -101,7 +101,7 @@
 		s.writeHeaders(resp)
 	}
 	s.recordEvent()
-	if _, err := s.c.w.Write(events); err != nil {
+	if err := s.c.writeToCaller(events); err != nil {
 		return err
 	}
 	if s.splitter.LastID != "" {
