An idle VM's round does not grow with the deployment

Cause: every 100 ms each VM built a list of all others for the recipients of its notes, sorted the addresses, and went through all of them again for the willing placers (twice) and the coverage. Change: addresses are kept sorted as VMs become known; those with a role, a few, are kept in two sets that the notes update; a round looks at these and at the five that get a heartbeat. A VM with a role that comes up in the rotation is left out of that round, where the rotation skipped it before. What grows still are the VMs that place, one in 64.

--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -107,7 +107,7 @@
 	}
 	received := make(map[string]int)
 	for i := range uint64(100) {
-		r := ChooseRecipients(peers, i, false)
+		r := ChooseRecipients(neighbours(peers), i, false)
 		is.True(len(r.Heartbeats) <= maxHeartbeatsSameDomain+maxHeartbeatsOtherDomains)
 		is.Equal(r.Loads, []string{ownPlacer})
 		for _, a := range r.Heartbeats {
@@ -164,3 +164,16 @@
 		is.Equal(region[ChoosePlacer(v, fleetOf(v, vms), vms, "")], v.Region)
 	}
 }
+
+// neighbours returns peers as Neighbours.
+func neighbours(peers []Peer) Neighbours {
+	n := Neighbours{WithRole: peers}
+	for _, p := range peers {
+		if p.SameDomain {
+			n.Near = append(n.Near, p.Address)
+		} else {
+			n.Far = append(n.Far, p.Address)
+		}
+	}
+	return n
+}
--- a/core/cell/recipients.go
+++ b/core/cell/recipients.go
@@ -1,11 +1,8 @@
 package cell
 
-import (
-	"slices"
-	"strings"
-)
+import "slices"
 
-// Peer is another VM, as a candidate recipient.
+// Peer is another VM that has a role for this one.
 type Peer struct {
 	Address string
 	// SameDomain reports whether it is in this VM's failure domain.
@@ -17,6 +14,15 @@
 	SameCell, Successor bool
 }
 
+// Neighbours are the other VMs of the deployment.
+type Neighbours struct {
+	// WithRole are those that place requests or belong to this VM's cell, in any order.
+	WithRole []Peer
+	// Near and Far are the addresses of all others in this VM's failure domain and elsewhere, with or
+	// without a role. Their order must not change while no VM is added.
+	Near, Far []string
+}
+
 // Recipients are the addresses that receive one peer note.
 type Recipients struct {
 	// Loads receive the full state with loads. State receive it without loads: they are members
@@ -36,12 +42,13 @@
 )
 
 // ChooseRecipients returns the recipients of the i-th note. Where there are too many it rotates
-// through them, so that the traffic of a VM does not grow with the deployment. selfIsPlacer
-// reports whether the sender places requests itself, so that others need its loads.
-func ChooseRecipients(peers []Peer, i uint64, selfIsPlacer bool) Recipients {
-	var sameDomain, otherDomains, sameDomainRest, otherDomainsRest []string
+// through them, so that neither the traffic of a VM nor the time to choose grows with the deployment.
+// selfIsPlacer reports whether the sender places requests itself, so that others need its loads.
+func ChooseRecipients(n Neighbours, i uint64, selfIsPlacer bool) Recipients {
+	var sameDomain, otherDomains []string
 	var r Recipients
-	for _, p := range peers {
+	skip := make(map[string]bool, len(n.WithRole))
+	for _, p := range n.WithRole {
 		switch {
 		case p.SameCell && !selfIsPlacer, selfIsPlacer && p.Successor:
 			r.Loads = append(r.Loads, p.Address)
@@ -51,27 +58,27 @@
 			sameDomain = append(sameDomain, p.Address)
 		case selfIsPlacer && p.IsPlacer:
 			otherDomains = append(otherDomains, p.Address)
-		case p.SameDomain:
-			sameDomainRest = append(sameDomainRest, p.Address)
 		default:
-			otherDomainsRest = append(otherDomainsRest, p.Address)
+			continue
 		}
+		skip[p.Address] = true
 	}
-	r.Loads = append(r.Loads, rotate(sameDomain, maxLoadsSameDomain, i)...)
-	r.Loads = append(r.Loads, rotate(otherDomains, maxLoadsOtherDomains, i)...)
-	r.Heartbeats = append(rotate(sameDomainRest, maxHeartbeatsSameDomain, i), rotate(otherDomainsRest, maxHeartbeatsOtherDomains, i)...)
+	slices.Sort(sameDomain)
+	slices.Sort(otherDomains)
+	r.Loads = rotate(r.Loads, sameDomain, maxLoadsSameDomain, i, nil)
+	r.Loads = rotate(r.Loads, otherDomains, maxLoadsOtherDomains, i, nil)
+	r.Heartbeats = rotate(r.Heartbeats, n.Near, maxHeartbeatsSameDomain, i, skip)
+	r.Heartbeats = rotate(r.Heartbeats, n.Far, maxHeartbeatsOtherDomains, i, skip)
 	return r
 }
 
-// rotate returns n entries of list for round i, so that all are returned equally often.
-func rotate(list []string, n int, i uint64) []string {
-	if len(list) <= n {
-		return list
-	}
-	slices.SortFunc(list, strings.Compare)
-	picked := make([]string, 0, n)
-	for k := range n {
-		picked = append(picked, list[(i*uint64(n)+uint64(k))%uint64(len(list))])
+// rotate appends the n entries of list for round i, less those to skip, so that all come up equally
+// often.
+func rotate(picked, list []string, n int, i uint64, skip map[string]bool) []string {
+	for k := range min(n, len(list)) {
+		if a := list[(i*uint64(n)+uint64(k))%uint64(len(list))]; !skip[a] {
+			picked = append(picked, a)
+		}
 	}
 	return picked
 }
--- a/core/cell/stability_test.go
+++ b/core/cell/stability_test.go
@@ -138,7 +138,7 @@
 		asks := f.step-v.lastAsked[o.Address] < livenessSteps/3 && v.lastAsked[o.Address] > 0
 		peers = append(peers, Peer{Address: o.Address, SameDomain: o.Domain == v.Domain, IsPlacer: v.peers[j].at > 0 && !v.peers[j].asks, SameCell: o.Address == v.placer || places && asks})
 	}
-	r := ChooseRecipients(peers, f.step+uint64(i)*7919, places)
+	r := ChooseRecipients(neighbours(peers), f.step+uint64(i)*7919, places)
 	state := peerState{at: f.step, members: v.members(f.step), asks: !places, willing: v.ready(f.step)}
 	for _, list := range [][]string{r.Loads, r.State, r.Heartbeats} {
 		for _, a := range list {
--- a/core/notice/fleet_test.go
+++ b/core/notice/fleet_test.go
@@ -25,7 +25,7 @@
 	t.Helper()
 	type vm struct {
 		tracker *notice.Tracker
-		peers   []cell.Peer
+		others  cell.Neighbours
 		asks    bool
 		offset  uint64
 	}
@@ -42,7 +42,15 @@
 			near, places := k/perDomain == i/perDomain, k%perDomain < placers
 			own := near && places && k%perDomain == i%placers
 			asksMe := near && !places && !v.asks && (k%perDomain)%placers == i%perDomain
-			v.peers = append(v.peers, cell.Peer{Address: strconv.Itoa(k), SameDomain: near, IsPlacer: places, SameCell: v.asks && own || asksMe})
+			address := strconv.Itoa(k)
+			if sameCell := v.asks && own || asksMe; sameCell || places {
+				v.others.WithRole = append(v.others.WithRole, cell.Peer{Address: address, SameDomain: near, IsPlacer: places, SameCell: sameCell})
+			}
+			if near {
+				v.others.Near = append(v.others.Near, address)
+			} else {
+				v.others.Far = append(v.others.Far, address)
+			}
 		}
 	}
 	source := &vms[len(vms)-1]
@@ -60,7 +68,7 @@
 			if len(records) == 0 {
 				continue
 			}
-			to := cell.ChooseRecipients(v.peers, n+v.offset, !v.asks)
+			to := cell.ChooseRecipients(v.others, n+v.offset, !v.asks)
 			for _, list := range [][]string{to.Loads, to.State, to.Heartbeats} {
 				for _, address := range list {
 					k, err := strconv.Atoi(address)
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -61,15 +61,20 @@
 			continue
 		case <-t.C:
 		}
-		p.d.remoteJobs.expireRequesters()
-		p.updatePlacerRole()
-		p.d.placement.updatePlacer()
-		p.d.sched.setCoverage(p.coverage())
-		p.d.rollouts.step()
-		p.sendRound(i)
+		p.step(i)
 	}
 }
 
+// step does the i-th round: it updates this VM's role in its cell and sends notes.
+func (p *peers) step(i uint64) {
+	p.d.remoteJobs.expireRequesters()
+	p.updatePlacerRole()
+	p.d.placement.updatePlacer()
+	p.d.sched.setCoverage(p.coverage())
+	p.d.rollouts.step()
+	p.sendRound(i)
+}
+
 // newHeartbeat returns the i-th note, without loads.
 func (p *peers) newHeartbeat(i uint64) *schema.PeerNote {
 	n := p.newNote()
@@ -134,16 +139,35 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.updateShares()
-	peers := make([]cell.Peer, 0, len(p.byAddress))
-	for a, pe := range p.byAddress {
-		peers = append(peers, cell.Peer{
-			Address: a, SameDomain: pe.domain == p.d.settings.Vm.FailureDomain, IsPlacer: pe.placesRequests(now),
-			SameCell: pe == placer || placer == nil && members[a], Successor: slices.Contains(next, a),
+	withRole := make(map[*peer]bool, len(p.placing)+len(members)+len(next)+1)
+	for pe := range p.placing {
+		if !pe.placesRequests(now) {
+			delete(p.placing, pe)
+			continue
+		}
+		withRole[pe] = true
+	}
+	if placer != nil {
+		withRole[placer] = true
+	} else {
+		for a := range members {
+			withRole[p.byAddress[a]] = true
+		}
+	}
+	for _, a := range next {
+		withRole[p.byAddress[a]] = true
+	}
+	delete(withRole, nil)
+	n := cell.Neighbours{WithRole: make([]cell.Peer, 0, len(withRole)), Near: p.near, Far: p.far}
+	for pe := range withRole {
+		n.WithRole = append(n.WithRole, cell.Peer{
+			Address: pe.address, SameDomain: pe.domain == p.d.settings.Vm.FailureDomain, IsPlacer: pe.placesRequests(now),
+			SameCell: pe == placer || placer == nil && members[pe.address], Successor: slices.Contains(next, pe.address),
 		})
 	}
 	// Each VM starts the rotation at another offset: otherwise a VM would receive notes from all
 	// others at once and then from none for a while.
-	return cell.ChooseRecipients(peers, i+p.offset, placer == nil)
+	return cell.ChooseRecipients(n, i+p.offset, placer == nil)
 }
 
 // rotationOffsetRange bounds rotation offsets; it exceeds the rotation length of any list in use.
@@ -222,11 +246,13 @@
 		pe.followsConfig, pe.storeLost = n.FollowsConfig, n.StoreLost
 		if placer := p.byAddress[n.Placer]; placer != nil {
 			placer.namedAt = p.d.now()
+			p.placing[placer] = true
 		}
 		if n.Number > 0 {
 			pe.placesForOthers, pe.cpuShare, pe.asksPlacer, pe.members = n.Places, n.CpuShare, n.Placer != "", int(n.Members)
 			pe.registryPosition = Position{Era: n.RegistryEra, Offset: n.Registry}
 		}
+		p.updateIndex(pe)
 	}
 	p.mu.Unlock()
 	if n.Registry > 0 {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -57,8 +57,13 @@
 	followsConfig atomic.Bool
 
 	mu sync.Mutex
-	// byAddress holds all VMs ever learned of except this one.
+	// byAddress holds all VMs ever learned of except this one; near and far are their addresses in
+	// this VM's failure domain and in others, sorted.
 	byAddress map[string]*peer
+	near, far []string
+	// placing holds the peers that do not ask a placer or were named as one, willing those that offer
+	// to place requests for others: a few in a large deployment, of which each round looks at all.
+	placing, willing map[*peer]bool
 	// counts is the number of known VMs in this VM's region and failure domain, itself included.
 	counts cell.FleetSize
 	// listIsComplete is set once the whole list of VMs was read, from the store or from a VM that
@@ -76,7 +81,8 @@
 const newcomerTimeout = 5 * time.Second
 
 type peer struct {
-	addr *net.UDPAddr
+	address string
+	addr    *net.UDPAddr
 	// name is empty while unknown.
 	name   string
 	domain string
@@ -123,13 +129,7 @@
 func (p *peers) domainAddresses() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var list []string
-	for a, pe := range p.byAddress {
-		if pe.domain == p.d.settings.Vm.FailureDomain {
-			list = append(list, a)
-		}
-	}
-	return list
+	return slices.Clone(p.near)
 }
 
 // relay is a batch of registry changes relayed by the VM at address from.
@@ -151,7 +151,7 @@
 
 func newPeers(d *Daemon) *peers {
 	return &peers{
-		d: d, incarnation: uint64(time.Now().UnixNano()), byAddress: make(map[string]*peer), counts: cell.FleetSize{Region: 1, Domain: 1}, offset: rotationOffset(d.settings.Listen.Peers),
+		d: d, incarnation: uint64(time.Now().UnixNano()), byAddress: make(map[string]*peer), placing: make(map[*peer]bool), willing: make(map[*peer]bool), counts: cell.FleetSize{Region: 1, Domain: 1}, offset: rotationOffset(d.settings.Listen.Peers),
 		relays: make(chan relay, relayBuffer), configHints: make(chan configHint, hintBuffer),
 		client: &http.Client{Transport: &http.Transport{DialContext: d.opts.Dial, DisableKeepAlives: true}},
 	}
@@ -316,9 +316,31 @@
 		p.d.log.Warn().Str("address", v.Address).Err(err).Msg("peer_address_refused")
 		return nil
 	}
-	pe := &peer{addr: net.UDPAddrFromAddrPort(ap), domain: v.Domain, learnedAt: p.d.now()}
+	pe := &peer{address: v.Address, addr: net.UDPAddrFromAddrPort(ap), domain: v.Domain, learnedAt: p.d.now()}
 	p.byAddress[v.Address] = pe
+	if v.Domain == p.d.settings.Vm.FailureDomain {
+		p.near = insertSorted(p.near, v.Address)
+	} else {
+		p.far = insertSorted(p.far, v.Address)
+	}
 	p.countVM(v.Domain)
 	p.d.log.Info().Str("address", v.Address).Str("peer_domain", v.Domain).Int("vms", len(p.byAddress)+1).Msg("peer_known")
 	return pe
 }
+
+func insertSorted(list []string, address string) []string {
+	i, _ := slices.BinarySearch(list, address)
+	return slices.Insert(list, i, address)
+}
+
+// updateIndex updates the sets of peers with a role after a note of the peer.
+func (p *peers) updateIndex(pe *peer) {
+	if pe.placesForOthers {
+		p.willing[pe] = true
+	} else {
+		delete(p.willing, pe)
+	}
+	if !pe.asksPlacer {
+		p.placing[pe] = true
+	}
+}
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -132,9 +132,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for a, pe := range p.byAddress {
-		if pe.placesForOthers && pe.isAlive(now) && now >= pe.avoidUntil && !pe.wentSilent {
-			willing = append(willing, cell.VM{Address: a, Domain: pe.domain, Region: p.d.settings.Region(pe.domain), CPUShare: pe.cpuShare, Members: pe.members})
+	for pe := range p.willing {
+		if pe.isAlive(now) && now >= pe.avoidUntil && !pe.wentSilent {
+			willing = append(willing, cell.VM{Address: pe.address, Domain: pe.domain, Region: p.d.settings.Region(pe.domain), CPUShare: pe.cpuShare, Members: pe.members})
 		}
 	}
 	return self, willing
--- a/entry/placer_test.go
+++ b/entry/placer_test.go
@@ -48,6 +48,7 @@
 	other := d.peers.addVM(allowance.VM{Address: "127.0.0.1:9", Domain: "a"})
 	other.recordContact(d.now())
 	other.placesForOthers, other.members = true, 7
+	d.peers.updateIndex(other)
 	d.peers.updatePlacerRole()
 	is.True(!d.remoteJobs.acceptsJobs())
 	other.members = 0
--- a/entry/rollout_notes.go
+++ b/entry/rollout_notes.go
@@ -69,7 +69,7 @@
 		return 0, 0
 	}
 	served = 1 + len(members)
-	for _, pe := range p.byAddress {
+	for pe := range p.placing {
 		if pe.isAlive(now) && !pe.asksPlacer {
 			served += 1 + pe.members
 		}
