bootstrap: a starting VM takes the registry from its failure domain

Cause: each VM reads the whole registry from the store. n VMs read n times a state that grows with n; at 80 MB/s it takes 986 VMs 15 s, and calls time out and are repeated meanwhile (worked out). Change: three VMs of each failure domain read, the others fetch along a tree of fan-out 3, ranked by hash over the list of VMs (core/bootstrap, pure). A source holds the call until its own copy is there and passes on what it was sent as it is, compressed; one that lost the store recently passes nothing on. Whoever finds no source in 3 s reads the store. A failure domain of up to three VMs reads as before. Experiments can switch it off (bootstrap). Ruled out: waiting for the list of VMs at a first start (requests of the first half second would be refused where the store is slow; TestFirstRequestsOfAProcessWaitForItsConfiguration); the list itself is still read whole by each VM.

--- a/core/mechanism/mechanism.go
+++ b/core/mechanism/mechanism.go
@@ -41,12 +41,14 @@
 	StallRetry
 	// Trials: requests that may crash endpoints are placed like all others.
 	Trials
+	// Bootstrap: each process reads the registry of endpoints from the store when it starts.
+	Bootstrap
 )
 
 // names are the names in settings, indexed by Mechanism.
 var names = [...]string{
 	"turns", "stale_cost", "near_first", "scarce_slow_first", "short_first", "hopeless", "ejection",
-	"peer_doubts", "cells", "tier_reserve", "restart_allowance", "start_wait", "stall_retry", "trials",
+	"peer_doubts", "cells", "tier_reserve", "restart_allowance", "start_wait", "stall_retry", "trials", "bootstrap",
 }
 
 // String returns the name of the mechanism in settings.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -68,6 +68,8 @@
 	// has succeeded since.
 	registryLostAt atomic.Int64
 	registry       registryCache
+	// startList receives the addresses of the VMs of this failure domain at the start.
+	startList chan []string
 	// invalidEntries holds the registry entries that cannot be decoded, with their errors. It is
 	// used only by the goroutine that follows the registry.
 	invalidEntries map[string]string
@@ -128,7 +130,7 @@
 	}
 	d := &Daemon{
 		opts: opts, settings: opts.Settings, log: opts.Log, codec: opts.Codec, start: time.Now(),
-		metrics: metrics.NewRegistry(), eras: newEraTracker(), startedAt: time.Now(), idleConns: newIdleConnCloser(), invalidEntries: make(map[string]string), initialised: make(chan struct{}),
+		metrics: metrics.NewRegistry(), eras: newEraTracker(), startedAt: time.Now(), idleConns: newIdleConnCloser(), invalidEntries: make(map[string]string), initialised: make(chan struct{}), startList: make(chan []string, 1),
 	}
 	d.pool = upstream.NewPool(opts.Dial, maxIdlePerEndpoint)
 	d.bodyMemory = newMemoryBudget(int64(float64(d.settings.Limits.MemoryMb) * bodyMemoryShare * (1 << 20)))
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -1,120 +1,21 @@
 package entry
 
 import (
-	"bytes"
 	"context"
-	"maps"
 	"math/rand/v2"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/chivefield/chivefield/core/members"
 	"github.com/chivefield/chivefield/schema"
 )
 
-// registryCache holds this VM's copy of the endpoint registry. It serves snapshots to VMs that the
-// store refuses: they have no other source for changes that they missed.
-type registryCache struct {
-	mu      sync.Mutex
-	records map[string]Record
-	// next is the position to read from next; complete reports whether the records are the whole
-	// registry.
-	next     Position
-	complete bool
-	// transfers counts the snapshots being sent to other VMs.
-	transfers int
-}
-
-const (
-	// maxTransfers limits how many VMs fetch a snapshot from one VM at the same time, since links
-	// are narrow; the others ask another VM.
-	maxTransfers = 2
-	// maxSources is the number of VMs asked before falling back to the store.
-	maxSources = 3
-)
-
-// apply merges records into the cache; full means that they replace its content.
-func (g *registryCache) apply(records []Record, full bool, next Position) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if full {
-		g.records = make(map[string]Record, len(records))
-		g.complete = true
-	}
-	if !g.complete {
-		return
-	}
-	g.next = next
-	for _, r := range records {
-		if len(r.Value) == 0 {
-			delete(g.records, r.Key)
-			continue
-		}
-		g.records[r.Key] = r
-	}
-}
-
-// invalidate marks the cache as incomplete: changes may have been missed.
-func (g *registryCache) invalidate() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.complete = false
-}
-
-// position returns the position up to which the cache is complete, zero if it is incomplete.
-func (g *registryCache) position() Position {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !g.complete {
-		return Position{}
-	}
-	return g.next
-}
-
-// acquireSnapshot returns a snapshot of the registry and counts a transfer. It returns nil if the
-// cache is incomplete or maxTransfers are under way.
-func (g *registryCache) acquireSnapshot() *schema.EndpointsReply {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !g.complete || g.transfers >= maxTransfers {
-		return nil
-	}
-	g.transfers++
-	reply := &schema.EndpointsReply{Known: true, Next: g.next.Offset, Era: g.next.Era}
-	for _, r := range g.records {
-		reply.Records = append(reply.Records, &schema.StoreRecord{Key: r.Key, Value: r.Value, Written: r.wireOffset(g.next.Era)})
-	}
-	return reply
-}
-
-func (g *registryCache) releaseSnapshot() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.transfers--
-}
-
-// Endpoints implements schema.Relay.
-func (s *relayServer) Endpoints(_ context.Context, _ *schema.EndpointsRequest) (*schema.EndpointsReply, error) {
-	reply := s.d.registry.acquireSnapshot()
-	if reply == nil {
-		return &schema.EndpointsReply{}, nil
-	}
-	// The response is written after this method returns; transferTime stands for the duration of
-	// that write.
-	time.AfterFunc(transferTime, s.d.registry.releaseSnapshot)
-	return reply, nil
-}
-
-// transferTime is how long one snapshot is assumed to be in transfer.
-const transferTime = 50 * time.Millisecond
-
 // fetchEndpoints fetches a snapshot of the registry as of position at or later from a VM that has
 // one. The announcer, which announced that position, is one of the candidates.
 func (p *peers) fetchEndpoints(ctx context.Context, at Position, announcer string) ([]Record, Position, error) {
 	err := error(&NoSourceError{At: at})
 	for _, address := range p.registrySources(at, announcer) {
-		records, next, ferr := p.fetchEndpointsFrom(ctx, address)
+		records, next, ferr := p.fetchEndpointsFrom(ctx, address, &schema.EndpointsRequest{AcceptsPacked: true})
 		if ferr == nil && !next.Before(at) {
 			return records, next, nil
 		}
@@ -125,17 +26,25 @@
 	return nil, Position{}, err
 }
 
-func (p *peers) fetchEndpointsFrom(ctx context.Context, address string) ([]Record, Position, error) {
-	ctx, cancel := context.WithTimeout(ctx, configFetchTimeout)
+// fetchEndpointsFrom fetches a snapshot of the registry from a VM.
+func (p *peers) fetchEndpointsFrom(ctx context.Context, address string, r *schema.EndpointsRequest) ([]Record, Position, error) {
+	ctx, cancel := context.WithTimeout(ctx, configFetchTimeout+millis(r.WaitMs))
 	defer cancel()
-	reply, err := schema.NewRelayProtobufClient("http://"+address, p.client).Endpoints(ctx, &schema.EndpointsRequest{})
+	reply, err := schema.NewRelayProtobufClient("http://"+address, p.client).Endpoints(ctx, r)
 	if err != nil {
 		return nil, Position{}, err
 	}
 	if !reply.Known {
 		return nil, Position{}, &NoSourceError{Address: address}
 	}
-	return recordsFromRelay(reply.Records, reply.Era), Position{Era: reply.Era, Offset: reply.Next}, nil
+	if err := unpackSnapshot(reply); err != nil {
+		return nil, Position{}, err
+	}
+	at := Position{Era: reply.Era, Offset: reply.Next}
+	if len(reply.Packed) > 0 {
+		p.d.registry.keepPacked(reply.Packed, at)
+	}
+	return recordsFromRelay(reply.Records, reply.Era), at, nil
 }
 
 // registrySources returns, in random order, up to maxSources VMs of this VM's failure domain whose
@@ -162,6 +71,9 @@
 	var delay backoff
 	read := time.NewTimer(0)
 	defer read.Stop()
+	if d.bootstrapEndpoints(ctx, &c) {
+		read.Reset(jitter(d.relaySilence()))
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -219,38 +131,6 @@
 	return splitParts(before.Offset, next, got.records, changed)
 }
 
-// restoreDiff returns the difference between the cached registry and the one read after the store
-// was restored from a backup. It is for VMs with the same cached position: without it all of them
-// would read the whole registry in the same second. A difference too large for one note is replaced
-// by the position alone, and the receivers read the store.
-func (g *registryCache) restoreDiff(records []Record, before, next Position) *schema.EndpointRelay {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	relay := &schema.EndpointRelay{From: next.Offset, Next: next.Offset, Era: next.Era}
-	if !g.complete || g.next != before {
-		return relay
-	}
-	missing := maps.Clone(g.records)
-	size := 0
-	for _, r := range records {
-		if known, ok := missing[r.Key]; !ok || !bytes.Equal(known.Value, r.Value) {
-			relay.Records = append(relay.Records, &schema.StoreRecord{Key: r.Key, Value: r.Value, Written: r.wireOffset(next.Era)})
-			size += len(r.Key) + len(r.Value)
-		}
-		delete(missing, r.Key)
-	}
-	for key := range missing {
-		relay.Records = append(relay.Records, &schema.StoreRecord{Key: key})
-		size += len(key)
-	}
-	if size > relayPartBytes {
-		relay.Records = nil
-		return relay
-	}
-	relay.Before = &schema.StorePosition{Era: before.Era, Offset: before.Offset}
-	return relay
-}
-
 // readFailureWindow is how long after a failed read of the registry a VM leaves the role of its
 // failure domain's reader to others.
 const readFailureWindow = 5 * time.Second
@@ -293,14 +173,19 @@
 		d.log.Info().Str("from", r.from).Uint64("era", next.Era).Uint64("offset", r.Next).Err(err).Msg("registry_fetch_failed")
 		return c.known
 	}
-	restored := c.readBefore && fetched.Era > c.next.Era
-	c.next, c.known, c.readBefore = fetched, true, true
-	d.observeEra(fetched.Era)
-	d.applyEndpoints(readResult{records: records, full: true, restored: restored}, fetched)
+	d.applyFetched(c, records, fetched)
 	d.log.Info().Uint64("era", fetched.Era).Uint64("offset", fetched.Offset).Int("endpoints", len(records)).Msg("registry_fetched")
 	return true
 }
 
+// applyFetched applies a snapshot of the registry that another VM sent.
+func (d *Daemon) applyFetched(c *feedCursor, records []Record, at Position) {
+	restored := c.readBefore && at.Era > c.next.Era
+	c.next, c.known, c.readBefore = at, true, true
+	d.observeEra(at.Era)
+	d.applyEndpoints(readResult{records: records, full: true, restored: restored}, at)
+}
+
 // recordsFromRelay decodes relayed records; their positions are of the given era.
 func recordsFromRelay(list []*schema.StoreRecord, era uint64) []Record {
 	records := make([]Record, 0, len(list))
--- a/entry/registry_test.go
+++ b/entry/registry_test.go
@@ -63,7 +63,7 @@
 }
 
 // stateCodec decodes the records of a registryLog.
-type stateCodec struct{ Codec }
+type stateCodec struct{ noStatuses }
 
 func (stateCodec) DecodeEndpoint(r Record) (members.Change, error) {
 	c := members.Change{ID: r.Key}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -112,8 +112,17 @@
 	if err != nil {
 		return nil, err
 	}
+	packed, err := deflate(b, flate.DefaultCompression)
+	if err != nil {
+		return nil, err
+	}
+	return &schema.EndpointRelay{From: part.From, Next: part.Next, Era: part.Era, Before: part.Before, Packed: packed}, nil
+}
+
+// deflate compresses with DEFLATE.
+func deflate(b []byte, level int) ([]byte, error) {
 	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.DefaultCompression)
+	w, err := flate.NewWriter(&out, level)
 	if err != nil {
 		return nil, err
 	}
@@ -123,7 +132,12 @@
 	if err := w.Close(); err != nil {
 		return nil, err
 	}
-	return &schema.EndpointRelay{From: part.From, Next: part.Next, Era: part.Era, Before: part.Before, Packed: out.Bytes()}, nil
+	return out.Bytes(), nil
+}
+
+// inflate decompresses up to limit bytes.
+func inflate(packed []byte, limit int64) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), limit))
 }
 
 // unpackPart decompresses the records of a part in place.
@@ -131,7 +145,7 @@
 	if len(part.Packed) == 0 {
 		return nil
 	}
-	b, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(part.Packed)), maxUnpackedBytes))
+	b, err := inflate(part.Packed, maxUnpackedBytes)
 	if err != nil {
 		return err
 	}
--- a/entry/vm_list.go
+++ b/entry/vm_list.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/chivefield/chivefield/core/bootstrap"
 	"github.com/chivefield/chivefield/core/mechanism"
 )
 
@@ -26,6 +27,7 @@
 		list, err := d.listVMs(ctx, &written)
 		d.recordStoreResult(&health, "vms", err)
 		if err != nil {
+			d.offerStartList(nil)
 			sleepJittered(ctx, delay.next(d.maxRetryPause()))
 			continue
 		}
@@ -63,6 +65,9 @@
 		}
 	}
 	records, next, err := d.opts.Store.Snapshot(ctx, FeedVMs)
+	if err == nil {
+		d.offerStartList(d.domainAddresses(records))
+	}
 	return vmList{records, next.Era}, err
 }
 
@@ -77,6 +82,15 @@
 	}
 	self.era = next.Era
 	last, found := d.previousRecord(before)
+	listed := slices.ContainsFunc(before, d.isOwnRecord)
+	switch addresses := d.domainAddresses(before); {
+	case listed:
+		// The write may take seconds when many VMs start.
+		d.offerStartList(addresses)
+	case len(addresses) < bootstrap.Readers:
+		// The deployment is small, or starts for the first time and this VM is among the first.
+		time.AfterFunc(firstListWait-d.now(), func() { d.offerStartList(addresses) })
+	}
 	if err := d.opts.Store.Write(ctx, Record{Key: d.settings.Vm.Name, Value: []byte(self.String())}); err != nil {
 		return nil, err
 	}
@@ -84,7 +98,7 @@
 	d.noRecentPredecessor = found && mayClaimRestart(last, self, d.settings.RetryWindow) || !found && next.Era == 0
 	d.log.Info().Bool("started_before", found).Dur("since_last_start", self.started.Sub(last.started)).Bool("claims", d.restartClaimed).
 		Bool("apart", d.noRecentPredecessor).Msg("previous_start")
-	if slices.ContainsFunc(before, d.isOwnRecord) {
+	if listed {
 		d.peers.setListedBefore()
 		return &vmList{before, next.Era}, nil
 	}
