allowance: shares are worked out for the organisations that a VM serves

Between the first and the last change since the last use nothing accrues, so the sum over all VMs stays within its bound (TestTotalSpendingStaysWithinTolerance). Test: 333 organisations, 100 changes: 33,300 shares before, none until one is used after.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -56,14 +56,20 @@
 	tol Tolerance
 	// shareOf returns this VM's share of an organisation's allowance, from 0 to 1.
 	shareOf func(organisation string) float64
-	buckets map[string]*bucket
+	// sharesChangedAt are the times of the calls of SetShares.
+	sharesChangedAt []time.Duration
+	buckets         map[string]*bucket
 }
 
 type bucket struct {
-	limit      Limit
-	share      float64
-	balance    float64
-	refilledAt time.Duration
+	limit Limit
+	share float64
+	// shareVersion is the number of calls of SetShares that share takes into account; shareKnown is
+	// set once the bucket was used.
+	shareVersion int
+	shareKnown   bool
+	balance      float64
+	refilledAt   time.Duration
 	// accrued is the number of units refilled since the bucket was created, up to its capacity.
 	accrued float64
 	// overCapacityUntil is the time until which the balance may exceed the capacity, for a
@@ -77,14 +83,28 @@
 }
 
 // SetShares sets the function that returns this VM's share of each organisation's allowance: 0
-// where it holds none or its share is not known yet.
+// where it holds none or its share is not known yet. It is called when an organisation's allowance
+// is used next: most of them seldom are at one VM.
 func (l *Limiter) SetShares(now time.Duration, shareOf func(organisation string) float64) {
 	l.shareOf = shareOf
-	for name, b := range l.buckets {
-		l.refill(now, b)
-		b.share = shareOf(name)
-		b.balance = min(b.balance, l.capacity(b))
+	l.sharesChangedAt = append(l.sharesChangedAt, now)
+}
+
+// updateShare applies the calls of SetShares since the bucket was last used. Between the first and
+// the last of them nothing accrues, since the shares of that time are not known.
+func (l *Limiter) updateShare(b *bucket) {
+	changes := l.sharesChangedAt[b.shareVersion:]
+	if b.shareKnown && len(changes) == 0 {
+		return
 	}
+	if len(changes) > 0 {
+		if b.shareKnown {
+			l.accrue(changes[0], b)
+		}
+		b.refilledAt = max(b.refilledAt, changes[len(changes)-1])
+	}
+	b.share, b.shareKnown, b.shareVersion = l.shareOf(b.limit.Organisation), true, len(l.sharesChangedAt)
+	b.balance = min(b.balance, l.capacity(b))
 }
 
 // SetLimits replaces the limits of all organisations.
@@ -94,7 +114,10 @@
 		present[limit.Organisation] = true
 		b := l.buckets[limit.Organisation]
 		if b == nil {
-			l.buckets[limit.Organisation] = &bucket{limit: limit, share: l.shareOf(limit.Organisation), refilledAt: now}
+			l.buckets[limit.Organisation] = &bucket{limit: limit, shareVersion: len(l.sharesChangedAt), refilledAt: now}
+			continue
+		}
+		if b.limit == limit {
 			continue
 		}
 		l.refill(now, b)
@@ -130,7 +153,14 @@
 	}
 }
 
+// refill brings a bucket up to date.
 func (l *Limiter) refill(now time.Duration, b *bucket) {
+	l.updateShare(b)
+	l.accrue(now, b)
+}
+
+// accrue adds what the bucket's share has accrued until now.
+func (l *Limiter) accrue(now time.Duration, b *bucket) {
 	if b.share == 0 {
 		b.refilledAt = now
 		if now > b.overCapacityUntil {
--- a/core/allowance/allowance_test.go
+++ b/core/allowance/allowance_test.go
@@ -235,7 +235,7 @@
 	for i := range n {
 		all = append(all, VM{Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: fmt.Sprint(i % domains)})
 	}
-	holders := Holders("o", all)
+	holders := NewFleet(all).Holders("o")
 	is.Equal(len(holders), targetHolderCount)
 	vms := make(map[string]*Limiter)
 	for _, v := range all {
@@ -272,13 +272,54 @@
 	for i := range 40 {
 		all = append(all, VM{Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: fmt.Sprint(i % 5)})
 	}
-	k := Holders("o", all)
+	k := NewFleet(all).Holders("o")
 	in := map[string]int{}
 	for _, v := range k {
 		in[v.Domain]++
 	}
 	is.Equal(len(in), 5)
 	slices.Reverse(all)
-	is.Equal(Holders("o", all), k)
-	is.Equal(len(Holders("o", all[:3])), 3)
+	is.Equal(NewFleet(all).Holders("o"), k)
+	is.Equal(len(NewFleet(all[:3]).Holders("o")), 3)
+}
+
+// Guards against processor time for organisations that a VM does not serve: whenever a VM was added,
+// each VM ranked all VMs for each of hundreds of organisations.
+func TestSharesAreWorkedOutWhenUsed(t *testing.T) {
+	is := is.New(t)
+	l := New(Tolerance{Window: 8 * time.Second})
+	var limits []Limit
+	for i := range 333 {
+		limits = append(limits, Limit{Organisation: fmt.Sprint("o", i), Rate: 800, Burst: 800})
+	}
+	l.SetLimits(0, limits)
+	asked := 0
+	for i := range 100 {
+		l.SetShares(time.Duration(i)*time.Millisecond, func(string) float64 {
+			asked++
+			return 0.5
+		})
+	}
+	l.SetLimits(time.Second, limits)
+	is.Equal(asked, 0)
+	// What accrued since the last change is there at the first use, and nothing from before it.
+	is.True(l.Spend(time.Second+99*time.Millisecond, Request{Amount: Amount{"o7", 400}}).OK)
+	is.True(!l.Spend(time.Second+99*time.Millisecond, Request{Amount: Amount{"o7", 1}}).OK)
+	is.Equal(asked, 1)
+}
+
+// BenchmarkHolders measures the choice of the VMs that hold shares of one organisation's allowance.
+func BenchmarkHolders(b *testing.B) {
+	for _, n := range []int{986, 1972} {
+		b.Run(fmt.Sprint("vms=", n), func(b *testing.B) {
+			var all []VM
+			for i := range n {
+				all = append(all, VM{Address: fmt.Sprintf("10.0.%d.%d:7600", i/250, i%250), Domain: fmt.Sprint(i % 6)})
+			}
+			f := NewFleet(all)
+			for b.Loop() {
+				f.Holders("o")
+			}
+		})
+	}
 }
--- a/entry/allowances.go
+++ b/entry/allowances.go
@@ -25,6 +25,7 @@
 	// vms are all VMs, empty until they are known; holders are the VMs that hold a share of an
 	// organisation's allowance.
 	vms     []allowance.VM
+	fleet   allowance.Fleet
 	holders map[string][]allowance.VM
 	// reserves is the balance, by tier, that requests of the tier must leave.
 	reserves map[int]float64
@@ -67,7 +68,7 @@
 	if len(vms) == len(s.vms) {
 		return
 	}
-	s.vms = vms
+	s.vms, s.fleet = vms, allowance.NewFleet(vms)
 	s.holders = make(map[string][]allowance.VM)
 	s.limiter.SetShares(s.now(), s.shareOf)
 }
@@ -82,7 +83,7 @@
 func (s *sharedAllowances) holdersLocked(organisation string) []allowance.VM {
 	holders, ok := s.holders[organisation]
 	if !ok {
-		holders = allowance.Holders(organisation, s.vms)
+		holders = s.fleet.Holders(organisation)
 		s.holders[organisation] = holders
 	}
 	return holders
