peers: a VM without power is passed over after 300 ms

A VM that starts asked its sources in the registry's tree for up to 1.4 s each, also one that has no power and answers nothing, so two of those took all of its 3 s. The model of the tree takes 300 ms for granted.

--- a/entry/bootstrap_test.go
+++ b/entry/bootstrap_test.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -116,3 +118,23 @@
 	is.NoErr(err)
 	is.True(reply.Known)
 }
+
+// Guards against a starting VM that waits for a VM without power, which accepts no connection and
+// refuses none, and has no time left to ask the others.
+func TestSourceWithoutPowerIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	source, address := sourceVM(t)
+	source.applyEndpoints(oneEndpoint, Position{Offset: 5})
+	d := startingVM(t, address)
+	dial := d.opts.Dial
+	d.opts.Dial = func(ctx context.Context, network, to string) (net.Conn, error) {
+		if to == address {
+			return dial(ctx, network, to)
+		}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	start := time.Now()
+	is.True(d.bootstrapEndpoints(t.Context(), &feedCursor{feed: FeedEndpoints}))
+	is.True(time.Since(start) < 1500*time.Millisecond)
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"maps"
 	"net"
 	"net/http"
@@ -153,10 +154,21 @@
 	return &peers{
 		d: d, incarnation: uint64(time.Now().UnixNano()), byAddress: make(map[string]*peer), placing: make(map[*peer]bool), willing: make(map[*peer]bool), counts: cell.FleetSize{Region: 1, Domain: 1}, offset: rotationOffset(d.settings.Listen.Peers),
 		relays: make(chan relay, relayBuffer), configHints: make(chan configHint, hintBuffer),
-		client: &http.Client{Transport: &http.Transport{DialContext: d.opts.Dial, DisableKeepAlives: true}},
+		client: &http.Client{Transport: &http.Transport{DialContext: d.dialPeer, DisableKeepAlives: true}},
 	}
 }
 
+// peerDialTimeout limits the time to connect to another VM, a hundred round trips: one without power
+// does not answer, and others can be asked.
+const peerDialTimeout = 300 * time.Millisecond
+
+// dialPeer opens a connection to another VM.
+func (d *Daemon) dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
+	defer cancel()
+	return d.opts.Dial(ctx, network, address)
+}
+
 func (p *peers) listen() (err error) {
 	p.conn, err = p.d.opts.ListenPacket(p.d.settings.Listen.Peers)
 	return err
