bootstrap: not at the first start of a deployment

That was the start along a tree, which waited for the list until 100 ms. A restarted process still reads the list first: one call more in a row, 200 ms on a slow store.

--- a/core/bootstrap/bootstrap.go
+++ b/core/bootstrap/bootstrap.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// Readers is the number of VMs of a failure domain that read the store: more than one, since
+	// readers is the number of VMs of a failure domain that read the store: more than one, since
 	// some may be gone.
-	Readers = 3
+	readers = 3
 	// fanOut is the number of VMs that fetch from one VM. A few copies of the state fit through a
 	// narrow link in the time of one more level of the tree.
 	fanOut = 3
@@ -43,15 +43,15 @@
 	}
 	slices.SortFunc(ranked, func(a, b string) int { return rendezvous.Compare(hashKey, a, b) })
 	rank := slices.Index(ranked, self)
-	if rank < Readers {
+	if rank < readers {
 		return Plan{ReadsStore: true}
 	}
 	var p Plan
-	for rank >= Readers {
+	for rank >= readers {
 		rank = parent(rank)
 		p.Sources = append(p.Sources, ranked[rank])
 	}
-	for i := range Readers {
+	for i := range readers {
 		if i != rank {
 			p.Sources = append(p.Sources, ranked[i])
 		}
@@ -61,4 +61,4 @@
 
 // parent returns the rank of the VM from which the VM of a rank fetches. Each VM has fanOut
 // children; the first readers have none above them.
-func parent(rank int) int { return (rank - Readers) / fanOut }
+func parent(rank int) int { return (rank - readers) / fanOut }
--- a/core/bootstrap/bootstrap_test.go
+++ b/core/bootstrap/bootstrap_test.go
@@ -21,7 +21,7 @@
 
 // Each VM has ancestors that end at a reader, and no VM serves more than its fan-out.
 func TestTree(t *testing.T) {
-	for _, n := range []int{1, 2, Readers, Readers + 1, 8, 24, 164, 328} {
+	for _, n := range []int{1, 2, readers, readers + 1, 8, 24, 164, 328} {
 		is := is.New(t)
 		domain := addresses(n)
 		children := make(map[string]int)
@@ -36,9 +36,9 @@
 			children[p.Sources[0]]++
 			is.True(!slices.Contains(p.Sources, self))
 			is.True(New(p.Sources[len(p.Sources)-1], domain).ReadsStore)
-			is.True(len(p.Sources) <= Readers+5)
+			is.True(len(p.Sources) <= readers+5)
 		}
-		is.Equal(readsStore, min(n, Readers))
+		is.Equal(readsStore, min(n, readers))
 		for _, c := range children {
 			is.True(c <= fanOut)
 		}
@@ -71,16 +71,16 @@
 	decode := time.Duration(n) * decodeTimePerVM
 	perTransfer := time.Duration(packed / linkBytesPerSecond * float64(time.Second))
 	storeFree := time.Duration(0)
+	domain := addresses(n / domains)
+	plans := make(map[string]Plan)
+	for _, a := range domain {
+		plans[a] = New(a, domain)
+	}
 	for range domains {
-		domain := addresses(n / domains)
 		isGone := make(map[string]bool)
 		for _, a := range domain {
 			isGone[a] = rng.Float64() < gone
 		}
-		plans := make(map[string]Plan)
-		for _, a := range domain {
-			plans[a] = New(a, domain)
-		}
 		// has is when a VM can pass the state on, linkFree when its link has sent the copies so far.
 		has, linkFree := make(map[string]time.Duration), make(map[string]time.Duration)
 		var queue events
@@ -147,7 +147,7 @@
 		if last > 3*time.Second || lastTwice > 3*time.Second {
 			t.Errorf("state after %v and %v, want 3 s", last, lastTwice)
 		}
-		if reads > 6*(Readers+fanOut) || readsTwice > 6*(Readers+fanOut) {
+		if reads > 6*(readers+fanOut) || readsTwice > 6*(readers+fanOut) {
 			t.Errorf("%d and %d reads of the store", reads, readsTwice)
 		}
 	}
--- a/entry/bootstrap.go
+++ b/entry/bootstrap.go
@@ -13,9 +13,6 @@
 	// startListTimeout is how long a starting process waits for the list of VMs before it reads the
 	// registry from the store.
 	startListTimeout = 2 * time.Second
-	// firstListWait is the uptime until which a process that finds next to no other VMs listed waits
-	// for the list as of after its own write, which takes some ms unless many VMs start.
-	firstListWait = 100 * time.Millisecond
 	// sourceWait is how long a source may hold a request until its own copy is complete. Along a
 	// chain of sources that start together each waits for the one above it.
 	sourceWait = 700 * time.Millisecond
@@ -49,9 +46,10 @@
 }
 
 // bootstrapEndpoints fetches the registry from other VMs at the start of the process. It returns
-// false if the store should be read.
+// false if the store should be read: also when the whole deployment starts for the first time, since
+// the registry is still being written then and no VM is listed.
 func (d *Daemon) bootstrapEndpoints(ctx context.Context, c *feedCursor) bool {
-	if d.settings.Disabled.Has(mechanism.Bootstrap) {
+	if d.settings.Disabled.Has(mechanism.Bootstrap) || d.settings.Vm.FirstStart {
 		return false
 	}
 	var domain []string
--- a/entry/vm_list.go
+++ b/entry/vm_list.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/chivefield/chivefield/core/bootstrap"
 	"github.com/chivefield/chivefield/core/mechanism"
 )
 
@@ -83,13 +82,9 @@
 	self.era = next.Era
 	last, found := d.previousRecord(before)
 	listed := slices.ContainsFunc(before, d.isOwnRecord)
-	switch addresses := d.domainAddresses(before); {
-	case listed:
+	if listed {
 		// The write may take seconds when many VMs start.
-		d.offerStartList(addresses)
-	case len(addresses) < bootstrap.Readers:
-		// The deployment is small, or starts for the first time and this VM is among the first.
-		time.AfterFunc(firstListWait-d.now(), func() { d.offerStartList(addresses) })
+		d.offerStartList(d.domainAddresses(before))
 	}
 	if err := d.opts.Store.Write(ctx, Record{Key: d.settings.Vm.Name, Value: []byte(self.String())}); err != nil {
 		return nil, err
