A large response is not cut for a caller that reads slowly

What callers would have seen, with the change that forwards large responses as they arrive: on routes that may be repeated, a response over 256 KB broke off after a second if another endpoint could serve the request, since the attempt's watchdog still ran and its endpoint waited for the caller. Change: the watchdog is stopped before the first byte goes to the caller; if it has just fired, nothing was sent and the request goes on elsewhere. Test: a caller that begins to read 8 MB after 2.5 s gets all of it; unexpected EOF before.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -314,6 +314,9 @@
 		return attemptResult{outcome: dispatch.Broken, connectionLost: isConnectionBroken(err), err: err}
 	}
 	if int64(len(body)) == held {
+		if watchdog.stop() {
+			return attemptResult{outcome: dispatch.Broken, err: context.Cause(ctx)}
+		}
 		return c.forwardUnbuffered(ctx, handle, resp, body)
 	}
 	c.d.suspects.recordSuccess(c.digest, resp)
