--- a/entry/bootstrap_test.go
+++ b/entry/bootstrap_test.go
@@ -110,7 +110,7 @@
 	source, _ := sourceVM(t)
 	source.applyEndpoints(oneEndpoint, Position{Offset: 5})
 	for range maxTransfers {
-		reply, _ := source.registry.acquireSnapshot()
+		reply, _ := source.registry.acquireSnapshot(true)
 		is.True(reply != nil)
 	}
 	time.AfterFunc(50*time.Millisecond, source.registry.releaseSnapshot)
@@ -138,3 +138,20 @@
 	is.True(d.bootstrapEndpoints(t.Context(), &feedCursor{feed: FeedEndpoints}))
 	is.True(time.Since(start) < 1500*time.Millisecond)
 }
+
+// BenchmarkSnapshot measures what a source does for one VM that starts, with 3,000 endpoints.
+func BenchmarkSnapshot(b *testing.B) {
+	var g registryCache
+	var records []Record
+	for i := range 3000 {
+		records = append(records, Record{Key: fmt.Sprint("e", i), Value: make([]byte, 250)})
+	}
+	g.apply(records, true, Position{Offset: 1})
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := g.awaitSnapshot(b.Context(), true); err != nil {
+			b.Fatal(err)
+		}
+		g.releaseSnapshot()
+	}
+}
--- a/entry/registry_cache.go
+++ b/entry/registry_cache.go
@@ -104,13 +104,15 @@
 // ctx ends before.
 func (g *registryCache) awaitSnapshot(ctx context.Context, packed bool) (*schema.EndpointsReply, error) {
 	for {
-		reply, available := g.acquireSnapshot()
+		reply, available := g.acquireSnapshot(packed)
 		if reply != nil {
-			sent, err := g.pack(reply, packed)
-			if err != nil {
-				g.releaseSnapshot()
+			if packed && len(reply.Packed) == 0 {
+				if err := g.pack(reply); err != nil {
+					g.releaseSnapshot()
+					return nil, err
+				}
 			}
-			return sent, err
+			return reply, nil
 		}
 		select {
 		case <-available:
@@ -120,9 +122,10 @@
 	}
 }
 
-// acquireSnapshot returns a snapshot of the registry and counts a transfer. If the cache is
-// incomplete or maxTransfers are under way it returns a channel that is closed when that changes.
-func (g *registryCache) acquireSnapshot() (*schema.EndpointsReply, <-chan struct{}) {
+// acquireSnapshot returns a snapshot of the registry, packed if that is accepted and one is kept, and
+// counts a transfer. If the cache is incomplete or maxTransfers are under way it returns a channel
+// that is closed when that changes.
+func (g *registryCache) acquireSnapshot(packed bool) (*schema.EndpointsReply, <-chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.complete || g.transfers >= maxTransfers {
@@ -133,35 +136,29 @@
 	}
 	g.transfers++
 	reply := &schema.EndpointsReply{Known: true, Next: g.next.Offset, Era: g.next.Era}
+	if packed && g.packedAt == g.next && len(g.packed) > 0 {
+		reply.Packed = g.packed
+		return reply, nil
+	}
 	for _, r := range g.records {
 		reply.Records = append(reply.Records, &schema.StoreRecord{Key: r.Key, Value: r.Value, Written: r.wireOffset(g.next.Era)})
 	}
 	return reply, nil
 }
 
-// pack compresses the records of a snapshot unless the receiver does not accept that.
-func (g *registryCache) pack(reply *schema.EndpointsReply, accepted bool) (*schema.EndpointsReply, error) {
-	if !accepted {
-		return reply, nil
+// pack compresses the records of a snapshot in place, and keeps the result.
+func (g *registryCache) pack(reply *schema.EndpointsReply) error {
+	b, err := proto.Marshal(&schema.EndpointsReply{Records: reply.Records})
+	if err != nil {
+		return err
 	}
-	at := Position{Era: reply.Era, Offset: reply.Next}
-	g.mu.Lock()
-	packed := g.packed
-	if g.packedAt != at {
-		packed = nil
-	}
-	g.mu.Unlock()
-	if packed == nil {
-		b, err := proto.Marshal(&schema.EndpointsReply{Records: reply.Records})
-		if err != nil {
-			return nil, err
-		}
-		if packed, err = deflate(b, flate.BestSpeed); err != nil {
-			return nil, err
-		}
-		g.keepPacked(packed, at)
+	packed, err := deflate(b, flate.BestSpeed)
+	if err != nil {
+		return err
 	}
-	return &schema.EndpointsReply{Known: true, Next: reply.Next, Era: reply.Era, Packed: packed}, nil
+	g.keepPacked(packed, Position{Era: reply.Era, Offset: reply.Next})
+	reply.Packed, reply.Records = packed, nil
+	return nil
 }
 
 func (g *registryCache) releaseSnapshot() {
