--- a/entry/registry.go
+++ b/entry/registry.go
@@ -243,9 +243,7 @@
 		m.Expire(now)
 	})
 	d.logEndpointChanges(logged)
-	if !d.endpointsLoaded.Swap(true) {
-		d.suspects.setUnseen(changes)
-	}
+	d.endpointsLoaded.Store(true)
 	d.markInitialised()
 	return changed
 }
