config: what arrived of a fetch, when a version was heard of, and whence it came

Now: config_heard at the first word of a version, config_in_force with source, size, time since it was heard of and time to apply, config_fetch_failed with how much of how much had come. No decision changes; the code of the configuration moved from watch.go and relay.go to three files by job. Tests of transfer, entry and TestConfigurationIsFetchedFromPeer pass.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -59,6 +59,7 @@
 	// the current one.
 	configMu     sync.Mutex
 	configRecord atomic.Pointer[Record]
+	configNews   configNews
 	// endpointsLoaded is set once the registry was read.
 	endpointsLoaded atomic.Bool
 	// initialised is closed once configuration, endpoints and the states of rollouts are loaded.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -16,6 +16,7 @@
 	"github.com/chivefield/chivefield/core/allowance"
 	"github.com/chivefield/chivefield/core/cell"
 	"github.com/chivefield/chivefield/schema"
+	"github.com/chivefield/chivefield/transfer"
 )
 
 const (
@@ -154,7 +155,7 @@
 	return &peers{
 		d: d, incarnation: uint64(time.Now().UnixNano()), byAddress: make(map[string]*peer), placing: make(map[*peer]bool), willing: make(map[*peer]bool), counts: cell.FleetSize{Region: 1, Domain: 1}, offset: rotationOffset(d.settings.Listen.Peers),
 		relays: make(chan relay, relayBuffer), configHints: make(chan configHint, hintBuffer),
-		client: &http.Client{Transport: &http.Transport{DialContext: d.dialPeer, DisableKeepAlives: true}},
+		client: &http.Client{Transport: &transfer.Transport{Next: &http.Transport{DialContext: d.dialPeer, DisableKeepAlives: true}}},
 	}
 }
 
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"compress/flate"
-	"context"
 	"io"
 	"net/http"
 	"time"
@@ -25,8 +24,6 @@
 	unseenTimeout = 4 * time.Second
 	// intervalWeight is the weight of the latest interval between notes in the moving average.
 	intervalWeight = 0.2
-	// configFetchTimeout limits the time to fetch a configuration from another VM.
-	configFetchTimeout = 700 * time.Millisecond
 	// readerHashKey is hashed with the VMs' addresses to choose the reader.
 	readerHashKey = "store-reader"
 )
@@ -195,8 +192,8 @@
 	}
 }
 
-// handleRelay processes what a note contains from the store. Whatever does not fit into the
-// buffers is dropped and later read from the store.
+// handleRelay processes what a note contains from the store. A relay that does not fit into the
+// buffer is dropped and later read from the store.
 func (p *peers) handleRelay(n *schema.PeerNote) {
 	if n.Endpoints != nil {
 		if err := unpackPart(n.Endpoints); err != nil {
@@ -210,42 +207,10 @@
 			p.d.count("relays_dropped")
 		}
 	}
-	t := p.d.table.Load()
-	if n.ConfigVersion == 0 || t != nil && t.Document.Version >= n.ConfigVersion {
-		return
-	}
-	select {
-	case p.configHints <- configHint{n.Address, n.ConfigVersion}:
-	default:
-	}
-}
-
-// fetchConfig fetches the current configuration of another VM.
-func (p *peers) fetchConfig(ctx context.Context, h configHint) (*Record, []*schema.Rollout, error) {
-	ctx, cancel := context.WithTimeout(ctx, configFetchTimeout)
-	defer cancel()
-	var current uint64
-	if t := p.d.table.Load(); t != nil {
-		current = t.Document.Version
-	}
-	client := schema.NewRelayProtobufClient("http://"+h.address, p.client)
-	reply, err := client.Config(ctx, &schema.ConfigRequest{NewerThan: current})
-	if err != nil || reply.Record == nil {
-		return nil, reply.GetRollouts(), err
-	}
-	return &Record{Key: reply.Record.Key, Value: reply.Record.Value}, reply.Rollouts, nil
+	p.d.hearOfConfig(configHint{n.Address, n.ConfigVersion})
 }
 
 // relayServer serves requests of other VMs.
 type relayServer struct{ d *Daemon }
 
 func (p *peers) relayHandler() http.Handler { return schema.NewRelayServer(&relayServer{p.d}) }
-
-// Config implements schema.Relay.
-func (s *relayServer) Config(_ context.Context, r *schema.ConfigRequest) (*schema.ConfigReply, error) {
-	t, rec := s.d.table.Load(), s.d.configRecord.Load()
-	if t == nil || rec == nil || t.Document.Version <= r.NewerThan {
-		return &schema.ConfigReply{}, nil
-	}
-	return &schema.ConfigReply{Record: &schema.StoreRecord{Key: rec.Key, Value: rec.Value}, Rollouts: s.d.rollouts.forNote()}, nil
-}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -5,19 +5,9 @@
 	"errors"
 	"math/rand/v2"
 	"time"
-
-	"github.com/chivefield/chivefield/core/routing"
 )
 
 const (
-	// configWaitShare is the fraction of the time within which a configuration must be applied
-	// that a read of it waits for a change, and minConfigWait the minimum. The remainder is the
-	// margin for noticing a connection that fell silent.
-	configWaitShare = 0.75
-	minConfigWait   = 2 * time.Second
-	// followCheckInterval is how often a VM checks whether another VM still reads the
-	// configuration.
-	followCheckInterval = 300 * time.Millisecond
 	// relaySilenceShare and endpointsIntervalShare are fractions of the time after which a leaving
 	// endpoint must get no more requests: how long a VM waits for a relay of registry changes
 	// before it reads the store, up to a quarter more with jitter, and how often the reader reads.
@@ -40,11 +30,6 @@
 	return time.Duration(share * float64(of))
 }
 
-// configWait returns how long a read of the configuration waits for a change.
-func (d *Daemon) configWait() time.Duration {
-	return max(minConfigWait, fraction(configWaitShare, d.settings.ConfigApplyBound))
-}
-
 // relaySilence returns how long a VM waits for a relay before it reads the registry itself.
 func (d *Daemon) relaySilence() time.Duration {
 	return min(maxRelaySilence, fraction(relaySilenceShare, d.settings.DrainBound))
@@ -170,91 +155,3 @@
 		d.count("store_errors")
 	}
 }
-
-// followConfig keeps this VM's configuration up to date. One VM of each failure domain reads the
-// store; the others learn of a new version from any VM's notes and fetch it there. A VM that knows
-// of no reader reads the store. Before the first version is written the other VMs wait in the same
-// way: otherwise all VMs of a starting deployment would read, one call every two seconds each.
-func (d *Daemon) followConfig(ctx context.Context) error {
-	c := feedCursor{store: d.opts.Store, feed: FeedConfig}
-	var health storeHealth
-	var delay backoff
-	readBefore := false
-	for ctx.Err() == nil {
-		if readBefore && !d.peers.isStoreReader() && d.peers.configWatched() {
-			c.known = false
-			d.peers.setFollowsConfig(false)
-			sleepJittered(ctx, followCheckInterval)
-			continue
-		}
-		got, err := c.read(ctx, d.configWait())
-		d.recordStoreResult(&health, "config", err)
-		d.peers.setFollowsConfig(err == nil)
-		if err != nil {
-			sleepJittered(ctx, delay.next(d.maxRetryPause()))
-			continue
-		}
-		delay.reset()
-		readBefore = true
-		// Orders come first: a service with a rollout order must not use its new endpoints before
-		// the order is known.
-		d.rollouts.applyOrders(got.records)
-		d.observeEra(c.next.Era)
-		for _, r := range got.records {
-			d.applyConfig(r)
-		}
-		if d.table.Load() == nil {
-			sleepJittered(ctx, minRetryPause)
-		}
-	}
-	return nil
-}
-
-// fetchConfigs fetches newer versions of the configuration from VMs whose notes announce them.
-func (d *Daemon) fetchConfigs(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case h := <-d.peers.configHints:
-			if t := d.table.Load(); t != nil && t.Document.Version >= h.version {
-				continue
-			}
-			r, orders, err := d.peers.fetchConfig(ctx, h)
-			if err != nil {
-				d.log.Warn().Str("from", h.address).Uint64("version", h.version).Err(err).Msg("config_fetch_failed")
-				continue
-			}
-			d.rollouts.mergeRemote(orders)
-			if r != nil {
-				d.applyConfig(*r)
-			}
-		}
-	}
-}
-
-// applyConfig applies a configuration document if it is newer than the current one.
-func (d *Daemon) applyConfig(r Record) {
-	doc, err := d.codec.DecodeConfig(r)
-	if err != nil {
-		d.log.Error().Err(err).Msg("config_unreadable")
-		return
-	}
-	if doc == nil {
-		return
-	}
-	d.configMu.Lock()
-	defer d.configMu.Unlock()
-	if t := d.table.Load(); t != nil && doc.Version <= t.Document.Version {
-		return
-	}
-	t := routing.NewTable(doc)
-	d.configRecord.Store(&r)
-	d.shares.setTable(t)
-	d.sched.setTable(t)
-	d.idleConns.setTimeout(doc.Limits.IdleTimeout)
-	d.table.Store(t)
-	d.markInitialised()
-	d.log.Info().Uint64("version", doc.Version).Int("routes", len(doc.Routes)).
-		Int("organisations", len(doc.Organisations)).Msg("config_in_force")
-}
