--- a/entry/config.go
+++ b/entry/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/chivefield/chivefield/core/routing"
@@ -50,13 +51,8 @@
 		}
 		delay.reset()
 		readBefore = true
-		// Orders come first: a service with a rollout order must not use its new endpoints before
-		// the order is known.
-		d.rollouts.applyOrders(got.records)
 		d.observeEra(c.next.Era)
-		for _, r := range got.records {
-			d.applyConfig(r, fromStore)
-		}
+		d.applyConfigRecords(got.records, fromStore)
 		if d.table.Load() == nil {
 			sleepJittered(ctx, minRetryPause)
 		}
@@ -64,6 +60,18 @@
 	return nil
 }
 
+// applyConfigRecords applies what was read of the operator's feed. Orders come first: a service with a
+// rollout order must not use its new endpoints before the order is known.
+func (d *Daemon) applyConfigRecords(records []Record, from string) {
+	d.rollouts.applyOrders(records)
+	// Decoding takes a small VM a tenth of a second, so earlier versions are passed over.
+	for _, r := range slices.Backward(records) {
+		if d.applyConfig(r, from) {
+			return
+		}
+	}
+}
+
 // configVersion returns the version of the configuration in force, 0 if there is none.
 func (d *Daemon) configVersion() uint64 {
 	t := d.table.Load()
@@ -74,30 +82,34 @@
 }
 
 // applyConfig applies a configuration document if it is newer than the current one. from is the
-// address of the VM that sent it, or fromStore.
-func (d *Daemon) applyConfig(r Record, from string) {
+// address of the VM that sent it, or fromStore. It returns false if the record holds no valid
+// configuration.
+func (d *Daemon) applyConfig(r Record, from string) bool {
 	start := time.Now()
 	doc, err := d.codec.DecodeConfig(r)
 	if err != nil {
 		d.log.Error().Err(err).Msg("config_unreadable")
-		return
+		return false
 	}
 	if doc == nil {
-		return
+		return false
 	}
 	d.configMu.Lock()
 	defer d.configMu.Unlock()
-	if t := d.table.Load(); t != nil && doc.Version <= t.Document.Version {
-		return
+	if doc.Version <= d.configVersion() {
+		return true
 	}
 	t := routing.NewTable(doc)
-	d.configRecord.Store(&r)
 	d.shares.setTable(t)
 	d.sched.setTable(t)
 	d.idleConns.setTimeout(doc.Limits.IdleTimeout)
 	d.table.Store(t)
 	d.markInitialised()
+	sinceHeard := d.configFetcher.applied(doc.Version)
 	d.log.Info().Uint64("version", doc.Version).Int("routes", len(doc.Routes)).
 		Int("organisations", len(doc.Organisations)).Str("from", from).Int("bytes", len(r.Value)).
-		Dur("since_heard", d.configNews.sinceHeard(doc.Version, d.now())).Dur("apply", time.Since(start)).Msg("config_in_force")
+		Dur("since_heard", sinceHeard).Dur("apply", time.Since(start)).Msg("config_in_force")
+	d.configSource.setCurrent(&r, doc.Version)
+	d.peers.announceConfig()
+	return true
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,11 +55,10 @@
 	start    time.Time
 
 	table atomic.Pointer[routing.Table]
-	// configMu serialises the loading of configurations; configRecord is the store's record of
-	// the current one.
-	configMu     sync.Mutex
-	configRecord atomic.Pointer[Record]
-	configNews   configNews
+	// configMu serialises the loading of configurations.
+	configMu      sync.Mutex
+	configFetcher *configFetcher
+	configSource  *configSource
 	// endpointsLoaded is set once the registry was read.
 	endpointsLoaded atomic.Bool
 	// initialised is closed once configuration, endpoints and the states of rollouts are loaded.
@@ -147,6 +146,7 @@
 	d.sched.onDepartures = d.suspects.recordDepartures
 	d.sched.setPlacer(d.settings.Listen.Peers, false)
 	d.peers = newPeers(d)
+	d.configFetcher, d.configSource = newConfigFetcher(d), newConfigSource(d)
 	d.shares, d.retryBudgets = newSharedAllowances(d.settings, d.peers.incarnation, d.now), newRetryBudgets(d)
 	return d
 }
@@ -193,7 +193,7 @@
 	group.Go(func() error { return d.peers.receiveNotes(workCtx) })
 	group.Go(func() error { return d.peers.sendNotes(workCtx) })
 	group.Go(func() error { return d.followConfig(workCtx) })
-	group.Go(func() error { return d.fetchConfigs(workCtx) })
+	group.Go(func() error { return d.configFetcher.run(workCtx) })
 	group.Go(func() error { return d.followEndpoints(workCtx) })
 	group.Go(func() error { return d.followVMs(workCtx) })
 	group.Go(func() error { return d.suspects.processStoreQueue(workCtx) })
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -16,7 +16,6 @@
 	"github.com/chivefield/chivefield/core/allowance"
 	"github.com/chivefield/chivefield/core/cell"
 	"github.com/chivefield/chivefield/schema"
-	"github.com/chivefield/chivefield/transfer"
 )
 
 const (
@@ -42,11 +41,9 @@
 	// transfers counts the transfers of allowance that this process has sent.
 	transfers atomic.Uint64
 
-	// relays carries registry changes relayed by other VMs, configHints newer configuration
-	// versions that other VMs serve.
-	relays      chan relay
-	configHints chan configHint
-	client      *http.Client
+	// relays carries registry changes relayed by other VMs.
+	relays    chan relay
+	transport http.RoundTripper
 	// offset is this VM's starting point in the rotation of recipients.
 	offset uint64
 	// surplus decides, in the goroutine that sends notes, when this VM steps down as a placer;
@@ -140,22 +137,12 @@
 	from string
 }
 
-// configHint names a VM that serves a newer configuration version.
-type configHint struct {
-	address string
-	version uint64
-}
-
-const (
-	relayBuffer = 32
-	hintBuffer  = 8
-)
+const relayBuffer = 32
 
 func newPeers(d *Daemon) *peers {
 	return &peers{
 		d: d, incarnation: uint64(time.Now().UnixNano()), byAddress: make(map[string]*peer), placing: make(map[*peer]bool), willing: make(map[*peer]bool), counts: cell.FleetSize{Region: 1, Domain: 1}, offset: rotationOffset(d.settings.Listen.Peers),
-		relays: make(chan relay, relayBuffer), configHints: make(chan configHint, hintBuffer),
-		client: &http.Client{Transport: &transfer.Transport{Next: &http.Transport{DialContext: d.dialPeer, DisableKeepAlives: true}}},
+		relays: make(chan relay, relayBuffer), transport: &http.Transport{DialContext: d.dialPeer, DisableKeepAlives: true},
 	}
 }
 
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -207,7 +207,7 @@
 			p.d.count("relays_dropped")
 		}
 	}
-	p.d.hearOfConfig(configHint{n.Address, n.ConfigVersion})
+	p.d.configFetcher.hear(n.Address, n.ConfigVersion, n.FailureDomain == p.d.settings.Vm.FailureDomain)
 }
 
 // relayServer serves requests of other VMs.
--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -1,9 +1,11 @@
-// Package transfer observes the responses of HTTP requests while they arrive: what was received is
-// known also when a transfer fails.
+// Package transfer receives HTTP responses of any size over links of any speed: a transfer is given
+// up when it makes no progress, not after a fixed time. What was received is known also when it
+// fails.
 package transfer
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -33,30 +35,86 @@
 	return context.WithValue(ctx, progressKey{}, p)
 }
 
-// Transport records the progress of responses to requests whose context has a Progress.
-type Transport struct{ Next http.RoundTripper }
+// StalledError reports a transfer that was given up since nothing arrived for some time.
+type StalledError struct {
+	Timeout time.Duration
+	// Received is how many bytes of the body had arrived.
+	Received int64
+}
+
+// Error implements error.
+func (e *StalledError) Error() string {
+	return fmt.Sprintf("nothing arrived for %s after %d bytes", e.Timeout, e.Received)
+}
+
+// Client sends requests and gives up those whose responses make no progress.
+type Client struct {
+	HTTP *http.Client
+	// Response is how long the server may take to begin its response, Stall how long nothing may
+	// arrive of a response that has begun.
+	Response, Stall time.Duration
+}
 
-// RoundTrip implements http.RoundTripper.
-func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.Next.RoundTrip(r)
+// Do sends a request. The body of the response must be closed.
+func (c *Client) Do(r *http.Request) (*http.Response, error) {
 	p, _ := r.Context().Value(progressKey{}).(*Progress)
-	if err != nil || p == nil {
-		return resp, err
+	if p == nil {
+		p = &Progress{start: time.Now()}
+	}
+	ctx, cancel := context.WithCancelCause(r.Context())
+	b := &body{progress: p, stall: c.Stall, ctx: ctx, cancel: cancel}
+	b.timer = time.AfterFunc(c.Response, func() { cancel(&StalledError{Timeout: c.Response}) })
+	resp, err := c.HTTP.Do(r.WithContext(ctx))
+	if err != nil {
+		defer b.release()
+		return nil, b.cause(err)
 	}
 	p.size.Store(max(0, resp.ContentLength))
-	resp.Body = &body{ReadCloser: resp.Body, progress: p}
+	b.timer.Stop()
+	b.timer = time.AfterFunc(c.Stall, func() { cancel(&StalledError{Timeout: c.Stall, Received: p.Received()}) })
+	b.ReadCloser = resp.Body
+	resp.Body = b
 	return resp, nil
 }
 
-// body counts what is read of a response's body.
+// body is the body of a response, whose transfer is given up if it stalls.
 type body struct {
 	io.ReadCloser
 	progress *Progress
+	stall    time.Duration
+	timer    *time.Timer
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
 }
 
 // Read implements io.Reader.
 func (b *body) Read(to []byte) (int, error) {
 	n, err := b.ReadCloser.Read(to)
 	b.progress.received.Add(int64(n))
+	if n > 0 {
+		b.timer.Reset(b.stall)
+	}
+	if err != nil && err != io.EOF {
+		err = b.cause(err)
+	}
 	return n, err
 }
+
+// Close implements io.Closer.
+func (b *body) Close() error {
+	defer b.release()
+	return b.ReadCloser.Close()
+}
+
+func (b *body) release() {
+	b.timer.Stop()
+	b.cancel(nil)
+}
+
+// cause returns why the transfer was given up, or the given error if it was not.
+func (b *body) cause(err error) error {
+	if stalled, ok := context.Cause(b.ctx).(*StalledError); ok {
+		return stalled
+	}
+	return err
+}
--- a/transfer/transfer_test.go
+++ b/transfer/transfer_test.go
@@ -1,34 +1,82 @@
 package transfer
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
 
+// fetch receives the response of a handler.
+func fetch(t *testing.T, c *Client, handler http.HandlerFunc) (string, *Progress, error) {
+	t.Helper()
+	s := httptest.NewServer(handler)
+	t.Cleanup(s.Close)
+	var p Progress
+	r, err := http.NewRequestWithContext(WithProgress(t.Context(), &p), http.MethodGet, s.URL, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := c.Do(r)
+	if err != nil {
+		return "", &p, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return string(b), &p, err
+}
+
+func sendPart(w http.ResponseWriter) {
+	_, _ = io.WriteString(w, strings.Repeat("x", 100))
+	w.(http.Flusher).Flush()
+}
+
 // A transfer that breaks off says how much had arrived of how much.
 func TestProgressOfBrokenTransfer(t *testing.T) {
 	is := is.New(t)
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	_, p, err := fetch(t, &Client{HTTP: http.DefaultClient, Response: time.Minute, Stall: time.Minute}, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", "1000")
-		_, _ = io.WriteString(w, strings.Repeat("x", 300))
-		w.(http.Flusher).Flush()
+		sendPart(w)
 		panic(http.ErrAbortHandler)
-	}))
-	defer s.Close()
-	var p Progress
-	r, err := http.NewRequestWithContext(WithProgress(t.Context(), &p), http.MethodGet, s.URL, nil)
-	is.NoErr(err)
-	resp, err := (&Transport{Next: http.DefaultTransport}).RoundTrip(r)
-	is.NoErr(err)
-	_, err = io.ReadAll(resp.Body)
+	})
 	is.True(err != nil)
-	is.NoErr(resp.Body.Close())
-	is.Equal(p.Received(), int64(300))
+	is.Equal(p.Received(), int64(100))
 	is.Equal(p.Size(), int64(1000))
 	is.True(p.Elapsed() > 0)
 }
+
+// Guards against a transfer that is cut although it makes progress: a large body on a narrow link.
+func TestSlowTransferIsNotCut(t *testing.T) {
+	is := is.New(t)
+	const stall = 150 * time.Millisecond
+	got, _, err := fetch(t, &Client{HTTP: http.DefaultClient, Response: stall, Stall: stall}, func(w http.ResponseWriter, _ *http.Request) {
+		for range 10 {
+			sendPart(w)
+			time.Sleep(stall / 3)
+		}
+	})
+	is.NoErr(err)
+	is.Equal(len(got), 1000)
+}
+
+// A connection that has gone silent is given up, before and amid a response.
+func TestStalledTransferIsGivenUp(t *testing.T) {
+	const stall = 50 * time.Millisecond
+	for _, parts := range []int{0, 3} {
+		is := is.New(t)
+		_, _, err := fetch(t, &Client{HTTP: http.DefaultClient, Response: stall, Stall: stall}, func(w http.ResponseWriter, r *http.Request) {
+			for range parts {
+				sendPart(w)
+			}
+			<-r.Context().Done()
+		})
+		var stalled *StalledError
+		is.True(errors.As(err, &stalled))
+		is.Equal(stalled.Received, int64(100*parts))
+	}
+}
