config: a VM that knows of a newer version gives no final refusal by the older one

What callers saw: 404 for a route that had been added, from a VM to which others had announced the version; no caller repeats a 404. What the older version allows goes on; once the bound has passed and half of the failure domain has the newer one, the VM is not ready and answers 503, so that callers reach the others; if most VMs are late, a refusal would make an outage of a late change.

--- a/core/catchup/catchup_test.go
+++ b/core/catchup/catchup_test.go
@@ -209,3 +209,22 @@
 	is.True(!behind)
 	is.True(tr.Hear(2*time.Hour, near("vm1", 7)))
 }
+
+// Guards against a VM that answers without an end by rules that no longer hold, and against an outage
+// where a change is late on most VMs.
+func TestOverdueOnlyIfOthersAreCurrent(t *testing.T) {
+	is := is.New(t)
+	const bound = 3 * time.Second
+	domain := func() Standing { return Standing{Size: 10} }
+	for _, current := range []int{1, 4, 5, 9} {
+		tr := NewTracker("self", bound)
+		for i := range current {
+			tr.Hear(time.Hour, near(fmt.Sprint("vm", i), 7))
+		}
+		tr.Hear(time.Hour, Announcement{Holder: "far", Version: 7})
+		is.True(!tr.Overdue(time.Hour+bound, domain))
+		is.Equal(tr.Overdue(time.Hour+bound+time.Millisecond, domain), current >= 5)
+		tr.Applied(7)
+		is.True(!tr.Overdue(time.Hour+bound+time.Second, domain))
+	}
+}
--- a/core/catchup/tracker.go
+++ b/core/catchup/tracker.go
@@ -173,6 +173,23 @@
 	return t.pending[0].at, true
 }
 
+// Overdue reports whether the bound has passed since this VM heard of a newer version, and at least
+// half of its failure domain has it: then callers are better served by the others. If most VMs were
+// late, to refuse requests would turn a late change into an outage.
+func (t *Tracker) Overdue(now time.Duration, standing func() Standing) bool {
+	since, behind := t.BehindSince(now)
+	if !behind || now-since <= t.bound {
+		return false
+	}
+	current := 0
+	for _, h := range t.holders {
+		if h.near {
+			current++
+		}
+	}
+	return 2*current >= standing().Size
+}
+
 // forget drops holders that have not announced their version for long. A version that nobody
 // announces any more is gone: its holders, or the store that had it, were lost.
 func (t *Tracker) forget(now time.Duration) {
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -132,16 +132,8 @@
 	if !strings.HasPrefix(c.r.RequestURI, "/") {
 		return &refusal{status: http.StatusBadRequest, reason: "bad_target"}
 	}
-	path, _, _ := strings.Cut(c.r.RequestURI, "?")
-	c.route = t.Route(c.r.Host, path)
-	if c.route == nil {
-		return &refusal{status: http.StatusNotFound, reason: "no_route"}
-	}
-	if t.NeedsKeys() {
-		c.org = t.Organisation(c.reqHeaders.Key)
-		if c.org == nil && !c.route.Public {
-			return &refusal{status: http.StatusUnauthorized, reason: "unknown_key"}
-		}
+	if denied := c.checkConfig(); denied != nil {
+		return denied
 	}
 	c.service = c.route.PickService(xxhash.Sum64String(c.reqHeaders.ID))
 	c.setDeadline()
--- a/entry/config_fetch.go
+++ b/entry/config_fetch.go
@@ -35,6 +35,8 @@
 	tracker *catchup.Tracker
 	// cancels ends the requests under way, by holder.
 	cancels map[string]context.CancelFunc
+	// caughtUp is closed when no newer version is known any more; nil while none is known.
+	caughtUp chan struct{}
 	// wholeOnly is set after an update did not fit: the next request asks for a whole record.
 	wholeOnly bool
 }
@@ -61,6 +63,9 @@
 	if !f.tracker.Hear(f.d.now(), catchup.Announcement{Holder: holder, Version: version, Near: near}) {
 		return
 	}
+	if f.caughtUp == nil {
+		f.caughtUp = make(chan struct{})
+	}
 	f.d.log.Info().Uint64("version", version).Uint64("current", f.d.configVersion()).Str("from", holder).Msg("config_heard")
 	f.wake()
 }
@@ -79,10 +84,19 @@
 		for _, cancel := range f.cancels {
 			cancel()
 		}
+		f.signalLocked()
 	}
 	return sinceHeard
 }
 
+// signalLocked wakes those who wait for the newest version.
+func (f *configFetcher) signalLocked() {
+	if f.caughtUp != nil {
+		close(f.caughtUp)
+		f.caughtUp = nil
+	}
+}
+
 // behindSince returns since when this VM has known of a newer version than the one in force; ok is
 // false if it knows of none.
 func (f *configFetcher) behindSince() (since time.Duration, ok bool) {
@@ -122,7 +136,11 @@
 func (f *configFetcher) next() (catchup.Action, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.tracker.Next(f.d.now(), f.d.peers.standing)
+	action, wait := f.tracker.Next(f.d.now(), f.d.peers.standing)
+	if wait == 0 && action == (catchup.Action{}) {
+		f.signalLocked()
+	}
+	return action, wait
 }
 
 // fetch asks a holder for its configuration and applies it.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -241,7 +241,7 @@
 // ready reports whether this VM can serve requests. An outage of the store does not change that:
 // the last known state stays in use.
 func (d *Daemon) ready() bool {
-	return !d.draining.Load() && d.hasInitialState()
+	return !d.draining.Load() && d.hasInitialState() && !d.configFetcher.overdue()
 }
 
 // initialisationWait is the uptime until which requests wait for configuration and endpoints to
