--- a/entry/bootstrap.go
+++ b/entry/bootstrap.go
@@ -16,7 +16,8 @@
 	// sourceWait is how long a source may hold a request until its own copy is complete. Along a
 	// chain of sources that start together each waits for the one above it.
 	sourceWait = 700 * time.Millisecond
-	// sourcesTimeout is how long sources are asked before the store is read.
+	// sourcesTimeout is how long sources are asked before the store is read. A transfer that has begun
+	// goes on: its time grows with the registry.
 	sourcesTimeout = 3 * time.Second
 	// sourcesPause is the pause after all sources were asked in vain: they may be starting.
 	sourcesPause = 100 * time.Millisecond
@@ -64,11 +65,13 @@
 	if plan.ReadsStore {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, sourcesTimeout)
-	defer cancel()
+	start := time.Now()
 	request := &schema.EndpointsRequest{AcceptsPacked: true, Current: true, WaitMs: uint64(sourceWait.Milliseconds())}
-	for asked := 0; ctx.Err() == nil; sleepJittered(ctx, sourcesPause) {
+	for asked := 0; ctx.Err() == nil && time.Since(start) < sourcesTimeout; sleepJittered(ctx, sourcesPause) {
 		for _, source := range plan.Sources {
+			if time.Since(start) >= sourcesTimeout {
+				break
+			}
 			asked++
 			records, at, err := d.peers.fetchEndpointsFrom(ctx, source, request)
 			if err != nil {
--- a/entry/bootstrap_test.go
+++ b/entry/bootstrap_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http/httptest"
 	"slices"
@@ -155,3 +156,40 @@
 		g.releaseSnapshot()
 	}
 }
+
+// slowConn is a connection that receives a number of bytes a second.
+type slowConn struct {
+	net.Conn
+	bytesPerSecond int
+}
+
+func (c *slowConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b[:min(len(b), c.bytesPerSecond/50)])
+	time.Sleep(time.Duration(n) * time.Second / time.Duration(c.bytesPerSecond))
+	return n, err
+}
+
+// Guards against a registry that never arrives over a narrow link: cut at a fixed time and begun again.
+func TestLargeRegistryOverNarrowLink(t *testing.T) {
+	is := is.New(t)
+	source, address := sourceVM(t)
+	random := rand.NewChaCha8([32]byte{})
+	var records []Record
+	for i := range 1000 {
+		value := make([]byte, 100)
+		_, _ = random.Read(value)
+		records = append(records, Record{Key: fmt.Sprint("e", i), Value: value})
+	}
+	source.registry.apply(records, true, Position{Offset: 5})
+	d := startingVM(t, address)
+	dial := d.opts.Dial
+	d.opts.Dial = func(ctx context.Context, network, to string) (net.Conn, error) {
+		c, err := dial(ctx, network, to)
+		if err != nil {
+			return nil, err
+		}
+		return &slowConn{c, 25_000}, nil
+	}
+	is.True(d.bootstrapEndpoints(t.Context(), &feedCursor{feed: FeedEndpoints}))
+	is.Equal(d.registry.position(), Position{Offset: 5})
+}
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -26,13 +26,8 @@
 	return nil, Position{}, err
 }
 
-// registryFetchTimeout limits the time to fetch a snapshot of the registry from another VM.
-const registryFetchTimeout = 700 * time.Millisecond
-
 // fetchEndpointsFrom fetches a snapshot of the registry from a VM.
 func (p *peers) fetchEndpointsFrom(ctx context.Context, address string, r *schema.EndpointsRequest) ([]Record, Position, error) {
-	ctx, cancel := context.WithTimeout(ctx, registryFetchTimeout+millis(r.WaitMs))
-	defer cancel()
 	reply, err := p.newRelayClient(address, millis(r.WaitMs)).Endpoints(ctx, r)
 	if err != nil {
 		return nil, Position{}, err
