--- a/history/deployment.go
+++ b/history/deployment.go
@@ -332,10 +332,15 @@
 	return float64(max(current, previous))
 }
 
+// maxUnavailableProbes is how many requests for the newest version a process may answer with 503
+// without having served one.
+const maxUnavailableProbes = 5
+
 // checkVersions checks that configurations are applied in time and never reverted.
 // Each version has a route of its own, so a status other than 404 shows that it is
-// applied. Status 503 is ignored: a VM that has just started and has no
-// configuration yet returns it too.
+// applied. A single status 503 is ignored: a VM that has just started and has no
+// configuration yet returns it too, and one that is overloaded. A process that answers
+// only 503 long after a version was published has not applied it.
 func (c *deploymentCheck) checkVersions() {
 	type vmProcess struct {
 		vm          string
@@ -346,6 +351,25 @@
 		at      time.Duration
 	}
 	newest := make(map[vmProcess]servedVersion)
+	unavailable := make(map[vmProcess]int)
+	applied := make(map[vmProcess]bool)
+	for i := range c.Requests {
+		req := &c.Requests[i]
+		if req.ProbedVersion == 0 || req.Disconnected || !c.mustServeProbed(req) {
+			continue
+		}
+		switch process := (vmProcess{req.VM, req.Incarnation}); req.Status {
+		case 200:
+			applied[process] = true
+		case 503:
+			unavailable[process]++
+		}
+	}
+	for process, n := range unavailable {
+		if n >= maxUnavailableProbes && !applied[process] {
+			c.addViolation(ConfigApplied, process.vm, "answered 503 to %d requests for the newest version and served none", n)
+		}
+	}
 	probes := make([]*CallerRequest, 0, len(c.Requests))
 	for i := range c.Requests {
 		if req := &c.Requests[i]; req.ProbedVersion > 0 && req.Status != 0 && req.Status != 503 && !req.Disconnected {
--- a/history/deployment_test.go
+++ b/history/deployment_test.go
@@ -32,6 +32,8 @@
 	probe := func(version int, from time.Duration, status int) CallerRequest {
 		return CallerRequest{ID: "p", VM: "v", Service: "plain", Timeout: time.Second, Span: Span{from, from}, Status: status, Complete: true, ProbedVersion: version, Disconnected: false}
 	}
+	servedProbe := probe(1, 10*time.Second, 200)
+	servedProbe.ID = "q"
 	disturbed := map[string][]Span{"v": {{9 * time.Second, 9 * time.Second}}}
 	// notified is a request whose response contains a notice of the endpoint,
 	// sentAfter returns a request sent later.
@@ -55,6 +57,8 @@
 		{"answered without having run", Deployment{Requests: requests(nil)}, []Invariant{CompleteResponse}},
 		{"never valid key", Deployment{Requests: requests(func(req *CallerRequest) { req.Forbidden = true }), Runs: []Run{normal}}, []Invariant{Unsolicited}},
 		{"changed in transit", Deployment{Requests: requests(nil), Runs: []Run{changedBody}}, []Invariant{Unsolicited}},
+		{"newest version pending for long", Deployment{Requests: slices.Repeat([]CallerRequest{probe(1, 10*time.Second, 503)}, maxUnavailableProbes), Published: map[int]time.Duration{1: 0}, ConfigWithin: 3 * time.Second}, []Invariant{ConfigApplied}},
+		{"newest version served beside refusals", Deployment{Requests: append(slices.Repeat([]CallerRequest{probe(1, 10*time.Second, 503)}, maxUnavailableProbes), servedProbe), Runs: []Run{{ID: "q", Endpoint: "e", Service: "plain", Span: Span{10 * time.Second, 10 * time.Second}}}, Published: map[int]time.Duration{1: 0}, ConfigWithin: 3 * time.Second}, nil},
 		{"another service", Deployment{Requests: requests(nil), Runs: []Run{otherService}}, []Invariant{Unsolicited}},
 		{"never sent", Deployment{Arrivals: []Run{neverSent}}, []Invariant{Unsolicited}},
 		{"too many endpoints", Deployment{Requests: requests(nil), Runs: []Run{normal}, Arrivals: []Run{normal, normal, normal}, RetrySlack: 9}, []Invariant{BoundedRetries}},
