suspect: a cut counts if the endpoint showed a sign of life after the process started

Now a heartbeat written to the registry since the process's start counts as well. Only the VM that reads the registry sees all of them; the others ask it at once and ten times a second about the endpoints they doubt, by datagram, a few bytes, in their first ten seconds only. Ruled out: reading the registry at each doubtful cut (all VMs of a start would), relaying all heartbeats (96 KB a second to each VM at 12,000 endpoints).

--- a/core/suspect/doc.go
+++ b/core/suspect/doc.go
@@ -14,6 +14,9 @@
 // requests that an endpoint runs are cut off when it terminates, and most of them did not cause
 // it. The cause is identified as follows:
 //
+//   - A process that has just started knows neither which incarnations are still alive nor which
+//     requests got responses before it started. A cut at an incarnation that it has never seen
+//     alive is unverified, and counts only if the incarnation terminates afterwards.
 //   - Sightings have generations. A copy that is sent when n generations are known and is cut off
 //     belongs to generation n+1. Copies that run concurrently have the same generation, so
 //     endpoints that terminate at the same moment, as those of one rack do, count once. No clock
--- a/core/suspect/gossip.go
+++ b/core/suspect/gossip.go
@@ -23,7 +23,7 @@
 	}
 	var recent []candidate
 	for d, e := range t.entries {
-		if now-e.changedAt < recentFor {
+		if now-e.changedAt < recentFor && !e.unverified() {
 			recent = append(recent, candidate{d, e.status(), e.changedAt})
 		}
 	}
--- a/core/suspect/record.go
+++ b/core/suspect/record.go
@@ -85,6 +85,8 @@
 type sighting struct {
 	Sighting
 	cutAt time.Duration
+	// unverified is set while nothing shows that the incarnation was alive at the time of the cut.
+	unverified bool
 }
 
 // status computes the status of the request.
@@ -150,9 +152,24 @@
 	return list
 }
 
+// unverified reports whether the entry holds nothing for other VMs.
+func (e *entry) unverified() bool {
+	for _, s := range e.sightings {
+		if !s.unverified {
+			return false
+		}
+	}
+	return e.cleared == 0
+}
+
 // record returns the entry as a Record for other VMs.
 func (e *entry) record(now time.Duration, d Digest) Record {
-	list := e.list()
+	list := make([]Sighting, 0, len(e.sightings))
+	for _, s := range e.sightings {
+		if !s.unverified {
+			list = append(list, s.Sighting)
+		}
+	}
 	slices.SortFunc(list, func(a, b Sighting) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	return Record{Digest: d, Sightings: list, Cleared: e.cleared, Age: now - e.lastSighting}
 }
--- a/core/suspect/tracker.go
+++ b/core/suspect/tracker.go
@@ -103,6 +103,18 @@
 // such a copy met an endpoint that had already terminated. Behind a relay, connections to such
 // an endpoint still open, and then break.
 func (t *Tracker) RecordCut(now, sent time.Duration, d Digest, endpoint uint64, generation int) {
+	t.recordCut(now, sent, d, endpoint, generation, false)
+}
+
+// RecordUnverifiedCut is RecordCut for an incarnation that may have terminated before this process
+// started: behind a relay, connections to it still open. The sighting stays at this VM, and is
+// dropped if the incarnation turns out to be gone without a sign that it lived at the time of the
+// cut.
+func (t *Tracker) RecordUnverifiedCut(now, sent time.Duration, d Digest, endpoint uint64, generation int) {
+	t.recordCut(now, sent, d, endpoint, generation, true)
+}
+
+func (t *Tracker) recordCut(now, sent time.Duration, d Digest, endpoint uint64, generation int, unverified bool) {
 	if sent > t.recordFirstCut(now, endpoint) {
 		return
 	}
@@ -116,16 +128,60 @@
 		// The incarnation responded after an earlier cut; this cut is a later one.
 		cut.Generation = max(cut.Generation, s.Generation+1)
 	}
+	known := e.sightings[endpoint] != nil
 	t.mergeSighting(now, d, e, cut)
+	if s := e.sightings[endpoint]; s != nil && !known {
+		s.unverified = unverified
+	}
 }
 
-// RecordEnd records that an incarnation terminated without announcing that it leaves.
+// RecordEnd records that an incarnation terminated without announcing that it leaves, and that it
+// was alive until then.
 func (t *Tracker) RecordEnd(now time.Duration, endpoint uint64) {
 	t.updateSightings(now, endpoint, func(s *sighting) Sighting {
+		s.unverified = false
 		return Sighting{Endpoint: endpoint, Generation: s.Generation, EndedAt: s.Generation}
 	})
 }
 
+// RecordAlive records that an incarnation was alive when requests were cut off there, as far as that
+// was not known.
+func (t *Tracker) RecordAlive(now time.Duration, endpoint uint64) {
+	for d, e := range t.entries {
+		if s := e.sightings[endpoint]; s != nil && s.unverified {
+			s.unverified = false
+			e.changedAt = now
+			t.recordChange(d, e)
+		}
+	}
+}
+
+// Unverified returns the incarnations of which it is not known whether they were alive when requests
+// were cut off there, n at most.
+func (t *Tracker) Unverified(n int) []uint64 {
+	var list []uint64
+	for _, e := range t.entries {
+		for endpoint, s := range e.sightings {
+			if s.unverified && len(list) < n && !slices.Contains(list, endpoint) {
+				list = append(list, endpoint)
+			}
+		}
+	}
+	return list
+}
+
+// RecordGone records that an incarnation has terminated, at an unknown time, without announcing
+// that it leaves.
+func (t *Tracker) RecordGone(now time.Duration, endpoint uint64) {
+	for _, e := range t.entries {
+		if s := e.sightings[endpoint]; s != nil && s.unverified {
+			delete(e.sightings, endpoint)
+			t.watchedStale = true
+		}
+	}
+	t.RecordEnd(now, endpoint)
+}
+
 // RecordLeaving records that an incarnation announced that it leaves. Earlier cuts there have
 // another cause, since it survived them.
 func (t *Tracker) RecordLeaving(now time.Duration, endpoint uint64) {
@@ -212,6 +268,9 @@
 				t.recordFirstCut(now, s.Endpoint)
 			}
 		}
+		if known := e.sightings[s.Endpoint]; known != nil {
+			known.unverified = false
+		}
 	}
 	if !changed {
 		return false
--- a/core/suspect/tracker_test.go
+++ b/core/suspect/tracker_test.go
@@ -275,3 +275,60 @@
 	}
 	is.Equal(len(seen), 20)
 }
+
+// Guards against refusing a page that all callers read after processes restart while endpoints
+// terminate. The new process sends the page to incarnations that are gone, behind relays that still
+// accept connections, and later learns one by one that they are gone.
+func TestIncarnationsGoneBeforeTheStartDoNotConvict(t *testing.T) {
+	is := is.New(t)
+	tr := New()
+	d := digestOf(1)
+	for i := range uint64(3) {
+		now := time.Duration(i) * time.Second
+		tr.RecordUnverifiedCut(now, now, d, i, tr.Status(d).Generation)
+		is.Equal(len(tr.Recent(now, 8)), 0)
+	}
+	for i := range uint64(3) {
+		tr.RecordGone(4*time.Second, i)
+	}
+	is.Equal(tr.Status(d).Level, 0)
+}
+
+// Incarnations that are seen alive before they terminate count, also for a process that has just
+// started.
+func TestUnverifiedCutsCountOnceConfirmed(t *testing.T) {
+	is := is.New(t)
+	tr, other := New(), New()
+	d := digestOf(1)
+	tr.RecordUnverifiedCut(0, 0, d, 0, tr.Status(d).Generation)
+	tr.RecordEnd(0, 0)
+	is.Equal(tr.Status(d).Level, 1)
+	tr.RecordUnverifiedCut(time.Second, time.Second, d, 1, tr.Status(d).Generation)
+	other.RecordCut(time.Second, time.Second, d, 1, tr.Status(d).Generation)
+	for _, r := range other.Recent(time.Second, 8) {
+		tr.Merge(time.Second, r)
+	}
+	tr.RecordGone(5*time.Second, 1)
+	is.Equal(tr.Status(d).Level, 2)
+	is.Equal(len(tr.Recent(5*time.Second, 8)[0].Sightings), 2)
+}
+
+// Guards against endpoints that a request ends without being counted, since the process that sent it
+// there had just started: a sign of life makes the cut count.
+func TestUnverifiedCutsCountOnceSeenAlive(t *testing.T) {
+	is := is.New(t)
+	tr := New()
+	d := digestOf(1)
+	for i := range uint64(3) {
+		at := time.Duration(i) * time.Second
+		tr.RecordUnverifiedCut(at, at, d, i, tr.Status(d).Generation)
+		is.Equal(tr.Unverified(8), []uint64{i})
+		tr.RecordAlive(at, i)
+		is.Equal(len(tr.Unverified(8)), 0)
+	}
+	is.Equal(len(tr.Recent(2*time.Second, 8)[0].Sightings), 3)
+	for i := range uint64(3) {
+		tr.RecordGone(4*time.Second, i)
+	}
+	is.True(tr.Status(d).Convicted())
+}
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -73,6 +73,7 @@
 	p.d.sched.setCoverage(p.coverage())
 	p.d.rollouts.step()
 	p.sendRound(i)
+	p.sendDoubts()
 }
 
 // newHeartbeat returns the i-th note, without loads.
@@ -266,6 +267,7 @@
 		p.sendStartState(pe)
 	}
 	p.handleRelay(n)
+	p.handleLifeSigns(n, pe)
 	if n.Loads {
 		p.d.sched.applyPeerLoads(n)
 	}
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -241,7 +241,11 @@
 		m.Expire(now)
 	})
 	d.logEndpointChanges(logged)
-	d.endpointsLoaded.Store(true)
+	if !d.endpointsLoaded.Swap(true) {
+		d.suspects.setUnseen(changes)
+	} else if !got.full && !got.restored {
+		d.suspects.recordHeartbeats(changes)
+	}
 	d.markInitialised()
 	return changed
 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -38,15 +38,25 @@
 	if p.d.registryReadFailed(now) {
 		return false
 	}
-	own := rendezvous.Hash(readerHashKey, p.d.settings.Listen.Peers)
+	other := p.storeReader()
+	return other == "" || rendezvous.Hash(readerHashKey, p.d.settings.Listen.Peers) >= rendezvous.Hash(readerHashKey, other)
+}
+
+// storeReader returns the address of the first by rendezvous hashing of the other VMs that may read the
+// store for this failure domain; empty if there is none.
+func (p *peers) storeReader() string {
+	now := p.d.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address, pe := range p.byAddress {
-		if pe.presumedAlive(now) && pe.domain == p.d.settings.Vm.FailureDomain && !pe.storeLost && rendezvous.Hash(readerHashKey, address) > own {
-			return false
+	var first string
+	var highest uint64
+	for _, address := range p.near {
+		pe := p.byAddress[address]
+		if h := rendezvous.Hash(readerHashKey, address); (first == "" || h > highest) && pe.presumedAlive(now) && !pe.storeLost {
+			first, highest = address, h
 		}
 	}
-	return true
+	return first
 }
 
 // isAlive reports whether a recent note was received from the VM.
--- a/entry/suspect_notes.go
+++ b/entry/suspect_notes.go
@@ -111,6 +111,7 @@
 
 // pushUpdates sends recent changes at once to the recipients of the i-th round of notes.
 func (p *peers) pushUpdates(i uint64) {
+	p.sendDoubts()
 	n := p.newNote()
 	n.Suspects, n.Notices = p.d.suspects.forNote(false), p.d.notices.forNote(false)
 	if len(n.Suspects)+len(n.Notices) == 0 {
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -21,6 +21,17 @@
 // names no time to retry after: a retry would be refused again.
 const reasonEndsEndpoints = "ends_endpoints"
 
+// unseenFor is the uptime after which an incarnation that the registry still lists has been alive
+// since the start of the process: the registry drops a silent one after three heartbeats of up to 2 s.
+const unseenFor = 10 * time.Second
+
+// incarnationEnd is the end of an incarnation, and when this VM learned of it.
+type incarnationEnd struct {
+	at time.Duration
+	// refused is set if the incarnation accepted a connection and then nothing listened there.
+	refused bool
+}
+
 // endedTTL is how long this VM remembers that an incarnation has ended: other requests there are
 // found cut off some ms later, those that fell silent some seconds later.
 const endedTTL = 10 * time.Second
@@ -50,7 +61,12 @@
 	// probing holds the incarnations to which a connection is being opened, ended those that have
 	// ended, with the time.
 	probing map[uint64]bool
-	ended   map[uint64]time.Duration
+	ended   map[uint64]incarnationEnd
+	// unseen are the incarnations that the registry listed when this process started and that it
+	// has not seen alive; nil after unseenFor.
+	unseen map[uint64]bool
+	// aliveAt is when an incarnation last showed a sign of life, for unseenFor.
+	aliveAt map[uint64]time.Duration
 	// storeRead reports whether the store's records were loaded.
 	storeRead bool
 	// urgent signals a sighting that other VMs should receive at once.
@@ -68,7 +84,7 @@
 func newSuspects(d *Daemon) *suspects {
 	s := &suspects{
 		d: d, tracker: suspect.New(), unanswered: make(map[suspect.Digest]map[*callerRequest]context.CancelFunc),
-		stored: make(map[suspect.Digest]bool), probing: make(map[uint64]bool), ended: make(map[uint64]time.Duration), storeQueue: make(chan suspect.Digest, storeQueueSize), urgent: make(chan struct{}, 1),
+		stored: make(map[suspect.Digest]bool), probing: make(map[uint64]bool), ended: make(map[uint64]incarnationEnd), aliveAt: make(map[uint64]time.Duration), storeQueue: make(chan suspect.Digest, storeQueueSize), urgent: make(chan struct{}, 1),
 	}
 	s.tracker.SetReleased(d.settings.Released)
 	return s
@@ -139,10 +155,24 @@
 	if !headers.NotExecuted {
 		s.unregisterLocked(c)
 	}
-	s.tracker.RecordResponse(s.d.now(), sent, dispatch.EndpointHash(ep.Key()))
+	hash := dispatch.EndpointHash(ep.Key())
+	s.recordAlive(s.d.now(), hash)
+	s.tracker.RecordResponse(s.d.now(), sent, hash)
 	s.handleChanges(learnedSeen)
 }
 
+// setUnseen records the incarnations that the registry lists at the start of the process.
+func (s *suspects) setUnseen(listed []members.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unseen = make(map[uint64]bool, len(listed))
+	for _, c := range listed {
+		if c.Endpoint != nil {
+			s.unseen[dispatch.EndpointHash(c.Endpoint.Key())] = true
+		}
+	}
+}
+
 // recordSuccess records that an endpoint gave a request a complete response. A response that ends
 // with its connection is ignored: it may be incomplete.
 func (s *suspects) recordSuccess(d suspect.Digest, resp *upstream.Response) {
@@ -185,18 +215,25 @@
 		// The endpoint was told to leave: the cut is expected.
 		return
 	}
-	hash := dispatch.EndpointHash(ep.Key())
 	s.mu.Lock()
-	now := s.d.now()
-	s.tracker.RecordCut(now, sent, d, hash, generation)
-	if _, ok := s.ended[hash]; ok {
-		s.tracker.RecordEnd(now, hash)
-	}
-	s.handleChanges(learnedSeen)
+	s.recordCutLocked(s.d.now(), sent, d, dispatch.EndpointHash(ep.Key()), generation)
 	s.mu.Unlock()
 	s.probeIfWatched(ep)
 }
 
+// recordCutLocked is recordCut, without the probe, for a caller that holds the lock.
+func (s *suspects) recordCutLocked(now, sent time.Duration, d suspect.Digest, hash uint64, generation int) {
+	if s.unseen[hash] {
+		s.tracker.RecordUnverifiedCut(now, sent, d, hash, generation)
+	} else {
+		s.tracker.RecordCut(now, sent, d, hash, generation)
+	}
+	if end, ok := s.ended[hash]; ok {
+		s.applyEnd(now, hash, end)
+	}
+	s.handleChanges(learnedSeen)
+}
+
 // probeIfWatched probes an incarnation under which a request was cut off, unless it is known to
 // have ended or is being probed.
 func (s *suspects) probeIfWatched(ep *members.Endpoint) {
@@ -249,8 +286,9 @@
 	defer s.mu.Unlock()
 	now := s.d.now()
 	watched := s.tracker.Watched(hash)
-	_, known := s.ended[hash]
-	s.ended[hash] = now
+	before, known := s.ended[hash]
+	end := incarnationEnd{at: now, refused: before.refused || how == howRefused}
+	s.ended[hash] = end
 	if !watched {
 		return
 	}
@@ -258,10 +296,19 @@
 		s.d.count("endpoints_ended")
 		s.d.log.Info().Str("endpoint", key).Uint64("endpoint_hash", hash).Str("how", how).Msg("endpoint_ended")
 	}
-	s.tracker.RecordEnd(now, hash)
+	s.applyEnd(now, hash, end)
 	s.handleChanges(learnedSeen)
 }
 
+// applyEnd records the end of an incarnation in the tracker. The caller holds the lock.
+func (s *suspects) applyEnd(now time.Duration, hash uint64, end incarnationEnd) {
+	if end.refused {
+		s.tracker.RecordEnd(now, hash)
+	} else {
+		s.tracker.RecordGone(now, hash)
+	}
+}
+
 // hasEnded reports whether an incarnation is known to have ended.
 func (s *suspects) hasEnded(ep *members.Endpoint) bool {
 	s.mu.Lock()
@@ -290,11 +337,12 @@
 	defer s.mu.Unlock()
 	now := s.d.now()
 	s.tracker.Expire(now)
-	for hash, at := range s.ended {
-		if now-at >= endedTTL {
+	for hash, end := range s.ended {
+		if now-end.at >= endedTTL {
 			delete(s.ended, hash)
 		}
 	}
+	s.expireLifeSigns(now)
 	s.handleChanges(learnedSeen)
 	s.storeConvicted()
 }
