config: a VM of an older build that asks before the record is kept gets nothing

TestOlderVMGetsWholeRecord ends the process without the check, and passes with it. Beside it a test of how requests wait for each other at a holder.

--- a/entry/config_source.go
+++ b/entry/config_source.go
@@ -154,10 +154,10 @@
 
 // wholeConfig serves VMs that take only records.
 func (s *relayServer) wholeConfig(r *schema.ConfigRequest) *schema.ConfigReply {
-	if s.d.configVersion() <= r.NewerThan {
+	rec, _ := s.d.configSource.current()
+	if rec == nil || s.d.configVersion() <= r.NewerThan {
 		return &schema.ConfigReply{}
 	}
-	rec, _ := s.d.configSource.current()
 	s.d.count("configs_served")
 	s.d.countMany("config_bytes_served", len(rec.Value))
 	return &schema.ConfigReply{Record: &schema.StoreRecord{Key: rec.Key, Value: rec.Value}, Rollouts: s.d.rollouts.forNote()}
--- a/entry/config_test.go
+++ b/entry/config_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/chivefield/chivefield/core/catchup"
+	"github.com/chivefield/chivefield/core/routing"
 	"github.com/chivefield/chivefield/schema"
 )
 
@@ -71,3 +75,49 @@
 	_, err = applyUpdate(nil, &schema.ConfigReply{Packed: []byte("no update")})
 	is.True(err != nil)
 }
+
+// VMs of an older build name no address, take whole records only and do not wait.
+func TestOlderVMGetsWholeRecord(t *testing.T) {
+	is := is.New(t)
+	d := newDaemonWithUptime(t, time.Minute)
+	d.table.Store(routing.NewTable(&routing.Document{Version: 2}))
+	s := &relayServer{d}
+	reply, err := s.Config(t.Context(), &schema.ConfigRequest{})
+	is.NoErr(err)
+	is.Equal(reply.Record, nil) // the record is not kept yet
+	r := configRecord(2, 5)
+	d.configSource.setCurrent(r, 2)
+	reply, err = s.Config(t.Context(), &schema.ConfigRequest{})
+	is.NoErr(err)
+	is.Equal(reply.Record.Value, r.Value)
+}
+
+// Requests wait for each other at a holder, and those that wait too long are refused with the names of
+// VMs that were served.
+func TestHolderServesOneVMAtATime(t *testing.T) {
+	is := is.New(t)
+	d := newDaemonWithUptime(t, time.Minute)
+	d.settings.Limits.LinkMbps = 0.001 // A transfer takes far longer than a request may wait.
+	d.table.Store(routing.NewTable(&routing.Document{Version: 2}))
+	d.configSource.setCurrent(configRecord(2, 500), 2)
+	s := &relayServer{d}
+	first, err := s.Config(t.Context(), &schema.ConfigRequest{Asker: "10.0.0.1:1"})
+	is.NoErr(err)
+	got, err := applyUpdate(nil, first)
+	is.NoErr(err)
+	is.Equal(got, configRecord(2, 500))
+	start := time.Now()
+	second, err := s.Config(t.Context(), &schema.ConfigRequest{Asker: "10.0.0.2:1"})
+	is.NoErr(err)
+	is.Equal(len(second.Packed), 0)
+	is.Equal(second.Version, uint64(2))
+	is.True(time.Since(start) >= catchup.MaxHold)
+	handedOn := make(chan *schema.ConfigReply, 1)
+	go func() {
+		reply, _ := s.Config(context.Background(), &schema.ConfigRequest{Asker: "10.0.0.3:1"})
+		handedOn <- reply
+	}()
+	time.Sleep(50 * time.Millisecond)
+	d.configSource.done(2, "10.0.0.1:1", true)
+	is.True(len((<-handedOn).Packed) > 0)
+}
