registry: the next VM takes over when the reader's relays stop

Now relays decide, which come each second or two whatever the size: after 0.6 of the drain bound (a quarter more with jitter) the next in the order of readers reads and relays, then those after it one by one over a fifth of the bound. The end of an outage of the store counts as a relay, or all VMs would be readers after it.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,7 +67,9 @@
 	// registryLostAt is when this VM last failed to read the registry; 0 if it never failed or
 	// has succeeded since.
 	registryLostAt atomic.Int64
-	registry       registryCache
+	// registryRegainedAt is when this VM last read the registry after it had failed to; 0 for never.
+	registryRegainedAt atomic.Int64
+	registry           registryCache
 	// startList receives the addresses of the VMs of this failure domain at the start.
 	startList chan []string
 	// invalidEntries holds the registry entries that cannot be decoded, with their errors. It is
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -244,6 +244,9 @@
 	}
 	p.updateShares()
 	if pe != nil {
+		if n.Endpoints != nil || pe.storeLost && !n.StoreLost {
+			pe.relayedAt = p.d.now()
+		}
 		pe.followsConfig, pe.storeLost = n.FollowsConfig, n.StoreLost
 		if placer := p.byAddress[n.Placer]; placer != nil {
 			placer.namedAt = p.d.now()
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -105,6 +105,9 @@
 	// namedAt is when a note last named the peer as its sender's placer, 0 for never.
 	namedAt          time.Duration
 	registryPosition Position
+	// relayedAt is when the last relay of the registry arrived from the peer, or when it regained the
+	// store after that; 0 for never.
+	relayedAt time.Duration
 	// avoidUntil is the time until which the peer is not asked for placements.
 	avoidUntil time.Duration
 	// wentSilent means that the peer was this VM's placer and stopped sending.
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -70,7 +70,7 @@
 	read := time.NewTimer(0)
 	defer read.Stop()
 	if d.bootstrapEndpoints(ctx, &c) {
-		read.Reset(jitter(d.relaySilence()))
+		read.Reset(d.silenceBeforeRead())
 	}
 	for {
 		select {
@@ -80,7 +80,7 @@
 			if !d.applyRelay(ctx, &c, r) {
 				read.Reset(0)
 			} else if !d.peers.isStoreReader() {
-				read.Reset(jitter(d.relaySilence()))
+				read.Reset(d.silenceBeforeRead())
 			}
 			continue
 		case <-read.C:
@@ -96,7 +96,9 @@
 			continue
 		}
 		delay.reset()
-		d.registryLostAt.Store(0)
+		if d.registryLostAt.Swap(0) > 0 {
+			d.registryRegainedAt.Store(int64(d.now()))
+		}
 		if got.full {
 			d.log.Info().Uint64("era", c.next.Era).Uint64("offset", c.next.Offset).Bool("copied", got.restored).
 				Int("endpoints", len(got.records)).Msg("registry_read")
@@ -106,7 +108,7 @@
 			d.peers.relayParts(parts)
 			read.Reset(jitter(d.endpointsInterval()))
 		} else {
-			read.Reset(jitter(d.relaySilence()))
+			read.Reset(d.silenceBeforeRead())
 		}
 	}
 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -33,13 +33,38 @@
 // may disagree for a moment; then two read, or none does and each VM reads for itself after a
 // while. VMs without a note so far are included: in the first seconds each VM has received notes
 // from few others, and each would become a reader.
+//
+// A reader relays to its whole failure domain every second or two. When the relays stop, the next in
+// that order takes over, and then those after it, one by one: heartbeats alone would show the loss
+// of a VM after four of its intervals, half a minute in a failure domain of 300 VMs.
 func (p *peers) isStoreReader() bool {
 	now := p.d.now()
 	if p.d.registryReadFailed(now) {
 		return false
 	}
-	other := p.storeReader()
-	return other == "" || rendezvous.Hash(readerHashKey, p.d.settings.Listen.Peers) >= rendezvous.Hash(readerHashKey, other)
+	before, relayedAt := p.readersBefore(now)
+	if before == 0 {
+		return true
+	}
+	return now-relayedAt > p.d.relaySilence()+time.Duration(before-1)*p.d.successionDelay()
+}
+
+// readersBefore returns the number of VMs that come before this one in the order of readers, and when
+// the last relay of one of them arrived. The start of this process counts as one, and so does the end
+// of an outage of the store: otherwise all VMs would take themselves for the reader after it.
+func (p *peers) readersBefore(now time.Duration) (n int, relayedAt time.Duration) {
+	own := rendezvous.Hash(readerHashKey, p.d.settings.Listen.Peers)
+	relayedAt = time.Duration(p.d.registryRegainedAt.Load())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, address := range p.near {
+		pe := p.byAddress[address]
+		if pe.presumedAlive(now) && !pe.storeLost && rendezvous.Hash(readerHashKey, address) > own {
+			n++
+			relayedAt = max(relayedAt, pe.relayedAt)
+		}
+	}
+	return n, relayedAt
 }
 
 // storeReader returns the address of the first by rendezvous hashing of the other VMs that may read the
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -15,6 +15,10 @@
 	// once each time.
 	relaySilenceShare      = 0.6
 	endpointsIntervalShare = 0.35
+	// successionShare is the fraction of that time within which maxSuccessors VMs take over from each
+	// other when relays stop. Together with the silence before, jitter included, it stays below one.
+	successionShare = 0.2
+	maxSuccessors   = 8
 	// maxEndpointsInterval and maxRelaySilence bound them: new endpoints get requests this much
 	// later at most.
 	maxEndpointsInterval = 1500 * time.Millisecond
@@ -35,6 +39,19 @@
 	return min(maxRelaySilence, fraction(relaySilenceShare, d.settings.DrainBound))
 }
 
+// successionDelay returns how much later each further VM takes over as the reader.
+func (d *Daemon) successionDelay() time.Duration {
+	return fraction(successionShare, d.settings.DrainBound) / maxSuccessors
+}
+
+// silenceBeforeRead returns how long this VM waits for a relay before it reads the registry itself. The
+// VMs that come next as readers do so first and relay what they read, or all would read at once.
+func (d *Daemon) silenceBeforeRead() time.Duration {
+	before, _ := d.peers.readersBefore(d.now())
+	successors := min(maxSuccessors, max(0, before-1))
+	return jitter(d.relaySilence()) + time.Duration(successors)*d.successionDelay()
+}
+
 // endpointsInterval returns how often the reader reads the registry.
 func (d *Daemon) endpointsInterval() time.Duration {
 	return min(maxEndpointsInterval, fraction(endpointsIntervalShare, d.settings.DrainBound))
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -278,3 +278,60 @@
 	}
 	is.Equal(r.pause, startRetryPause)
 }
+
+// Guards against a failure domain that hears of no change for half a minute: the VM that reads the store
+// is lost, and in a domain of 300 VMs the others still take it for alive, or all read the store at once.
+func TestReaderIsSucceededWithinDrainBound(t *testing.T) {
+	const vms = 300
+	is := is.New(t)
+	var entries []string
+	for i := range vms {
+		entries = append(entries, fmt.Sprintf("10.0.%d.%d:7600 a", i/250, i%250))
+	}
+	const drainBound = 3 * time.Second
+	uptime := time.Minute
+	daemons := make([]*Daemon, vms)
+	for i := range daemons {
+		set := testSettings(t, false)
+		set.DrainBound = drainBound
+		set.Listen.Peers = fmt.Sprintf("10.0.%d.%d:7600", i/250, i%250)
+		d := New(Options{Settings: set, Log: logging.New(io.Discard)})
+		d.start = time.Now().Add(-uptime)
+		d.peers.mergeList(entries)
+		// All VMs were heard of at intervals of seconds, the last time a moment ago.
+		for _, pe := range d.peers.byAddress {
+			pe.usualInterval, pe.lastSeen, pe.relayedAt = 4*time.Second, uptime, uptime
+		}
+		daemons[i] = d
+	}
+	// readers returns how many VMs take themselves for the reader after a silence of the lost ones.
+	readers := func(silence time.Duration, lost map[*Daemon]bool) (list []*Daemon) {
+		for _, d := range daemons {
+			d.start = time.Now().Add(-uptime - silence)
+			if !lost[d] && d.peers.isStoreReader() {
+				list = append(list, d)
+			}
+		}
+		return list
+	}
+	lost := make(map[*Daemon]bool)
+	first := readers(0, lost)
+	is.Equal(len(first), 1)
+	lost[first[0]] = true
+	is.Equal(len(readers(drainBound/2, lost)), 0)
+	next := readers(daemons[0].relaySilence()+10*time.Millisecond, lost)
+	is.Equal(len(next), 1)
+	lost[next[0]] = true
+	further := readers(daemons[0].relaySilence()+daemons[0].successionDelay()+10*time.Millisecond, lost)
+	is.Equal(len(further), 1)
+	longest := jitterMost(daemons[0].relaySilence()) + maxSuccessors*daemons[0].successionDelay()
+	is.True(longest < drainBound)
+	// After an outage of the store nobody has heard a relay; it takes only one reader to go on.
+	for _, d := range daemons {
+		d.registryRegainedAt.Store(int64(uptime + drainBound))
+	}
+	is.Equal(readers(drainBound+100*time.Millisecond, nil), first)
+}
+
+// jitterMost returns the most that jitter makes of a duration.
+func jitterMost(d time.Duration) time.Duration { return d * 5 / 4 }
