--- a/core/catchup/tracker.go
+++ b/core/catchup/tracker.go
@@ -20,6 +20,8 @@
 	// that a holder that is known to hundreds of VMs can send more than refusals.
 	firstBusyPause = 80 * time.Millisecond
 	maxBusyPause   = 640 * time.Millisecond
+	// askInterval is how often a VM that is behind looks for a holder to ask.
+	askInterval = 20 * time.Millisecond
 	// failurePause is the pause before a holder is asked again that did not answer.
 	failurePause = time.Second
 	// levelDelay is the time by which the VMs of each further level ask later for a version that they
@@ -230,7 +232,7 @@
 			return Action{Ask: address}, 0
 		}
 	}
-	return Action{}, firstBusyPause / 4
+	return Action{}, askInterval
 }
 
 // storeDue reports whether the VM should read the store.
