config: a reply keeps its checksum when a newer version comes; suspects: a heartbeat looks at watched endpoints only

A reply pointed at the checksum that the next version overwrites: in a storm the receiver refused a good update and asked for the whole document again, and it was a data race. Before: TestReplyOutlivesItsVersion is refused (ChecksumError, 3,309 bytes); after: passes. A sign of life looked at each suspect for each endpoint, up to 1,024 x 12,000 at the first reads of a process; now only where a cut is known, as other evidence does. Tests of entry (race detector, 12.2 s) and core/suspect's of unverified cuts pass.

--- a/core/suspect/tracker.go
+++ b/core/suspect/tracker.go
@@ -147,6 +147,9 @@
 // RecordAlive records that an incarnation was alive when requests were cut off there, as far as that
 // was not known.
 func (t *Tracker) RecordAlive(now time.Duration, endpoint uint64) {
+	if !t.Watched(endpoint) {
+		return
+	}
 	for d, e := range t.entries {
 		if s := e.sightings[endpoint]; s != nil && s.unverified {
 			s.unverified = false
--- a/entry/config_source.go
+++ b/entry/config_source.go
@@ -118,7 +118,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &schema.ConfigReply{Version: s.history.version, Checksum: s.history.sum[:], Packed: packed}, nil
+	sum := s.history.sum // The reply is sent after the lock is released.
+	return &schema.ConfigReply{Version: s.history.version, Checksum: sum[:], Packed: packed}, nil
 }
 
 // done ends a transfer.
--- a/entry/config_test.go
+++ b/entry/config_test.go
@@ -121,3 +121,16 @@
 	d.configSource.done(2, "10.0.0.1:1", true)
 	is.True(len((<-handedOn).Packed) > 0)
 }
+
+// Guards against an update that is refused, or a data race, since a newer version came while the reply was sent.
+func TestReplyOutlivesItsVersion(t *testing.T) {
+	is := is.New(t)
+	d := newDaemonWithUptime(t, time.Minute)
+	d.configSource.setCurrent(configRecord(2, 50), 2)
+	reply, err := d.configSource.update(&schema.ConfigRequest{})
+	is.NoErr(err)
+	d.configSource.setCurrent(configRecord(3, 60), 3)
+	got, err := applyUpdate(nil, reply)
+	is.NoErr(err)
+	is.Equal(got, configRecord(2, 50))
+}
