claim: an ack counts however late it comes

Callers saw (TestSameIDEverywhere beside 80 to 100 busy processes, and any cell whose round trip is over 50 ms): nothing dispatched for half a minute, then attempts ended unknown.

Cause: a copy that is not acknowledged within the retry interval of 50 ms was sent again under a new sequence number, and only the ack of the last transmission counted. At a round trip above the interval each ack comes too late for the number it names, so no copy is ever confirmed and no claim is granted until the backup is bypassed after a lease. The same holds for the claims that a backup hands over to a holder that is back: it stood in for it without an end.

Ruled out: lost messages (the play loses none), a full queue (20 claims).

Mend: the ack of each transmission confirms the versions that it carried, and never lowers what the backup is known to have; messages are sent again after 1, 2, 4 .. 32 intervals. Claims are sent again at once when the members change or a holder has been silent for a lease, so nobody waits for the backoff then.

Why it holds: nothing depends on the delay being under a constant any more.

--- a/claim/acquire.go
+++ b/claim/acquire.go
@@ -68,12 +68,15 @@
 // domainClaim is a claim message to one domain. It is sent again until
 // answered.
 type domainClaim struct {
-	call      uint64
-	acq       *acquisition
-	domain    string
-	cell      []uint32
-	intent    schema.Intent
-	sends     int
+	call   uint64
+	acq    *acquisition
+	domain string
+	cell   []uint32
+	intent schema.Intent
+	sends  int
+	// firstSend is the number of sends under earlier members of this VM's cell;
+	// the backoff counts from there.
+	firstSend int
 	redirects int
 	target    uint32
 	sentAt    time.Duration
@@ -200,13 +203,25 @@
 			continue
 		}
 		n.domainClaimOrder = append(n.domainClaimOrder, call)
-		if n.now >= c.sentAt+n.cfg.Retry {
+		if n.now >= c.sentAt+n.resendInterval(c.sends-c.firstSend) {
 			c.redirects = 0
 			n.transmitClaim(c)
 		}
 	}
 }
 
+// resendOwnClaims sends the unanswered claims of this VM's cell to the holders
+// under its new members.
+func (n *Node) resendOwnClaims() {
+	for _, call := range n.domainClaimOrder {
+		c := n.domainClaims[call]
+		if c != nil && slices.Contains(c.cell, n.cfg.Self.ID) {
+			c.firstSend = c.sends
+			n.transmitClaim(c)
+		}
+	}
+}
+
 func (n *Node) expiredAcquisitions() []*acquisition {
 	var expired []*acquisition
 	for _, call := range n.domainClaimOrder {
--- a/claim/duplicates.go
+++ b/claim/duplicates.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chivefield/chivefield/request"
@@ -13,17 +14,28 @@
 	// maxInFlight bounds the number of unacknowledged Duplicate messages to one
 	// backup.
 	maxInFlight = 64
+	// maxTransmissions bounds the transmissions of a batch whose acks still
+	// count.
+	maxTransmissions = 32
 )
 
 // noFlush is the flush time while nothing has to be copied.
 const noFlush = 1<<63 - 1
 
-// copyBatch is a Duplicate message that waits for its ack.
+// copyBatch is a set of records whose copies wait for an ack.
 type copyBatch struct {
-	seq      uint64
-	sentAt   time.Duration
-	copies   []recordVersion
-	syncDone bool
+	keys          []request.Key
+	syncDone      bool
+	sentAt        time.Duration
+	sends         int
+	transmissions []transmission
+}
+
+// transmission is one Duplicate message of a batch, with the versions that it
+// carried.
+type transmission struct {
+	seq    uint64
+	copies []recordVersion
 }
 
 type recordVersion struct {
@@ -31,6 +43,15 @@
 	version uint32
 }
 
+// transmissionOf returns the transmission of a batch with a sequence number.
+func (b *copyBatch) transmissionOf(seq uint64) (transmission, bool) {
+	i := slices.IndexFunc(b.transmissions, func(t transmission) bool { return t.seq == seq })
+	if i < 0 {
+		return transmission{}, false
+	}
+	return b.transmissions[i], true
+}
+
 // markDirty queues a copy of a record for its backup.
 func (n *Node) markDirty(r *record) {
 	if h, ok := n.holder(r.hash); !ok || h != n.cfg.Self.ID {
@@ -101,30 +122,30 @@
 }
 
 func (n *Node) sendCopies(p *peer, keys []request.Key) {
-	batch := &copyBatch{}
-	for _, key := range keys {
-		if r := n.records[key]; r != nil {
-			batch.copies = append(batch.copies, recordVersion{key: key, version: r.version})
-		}
-	}
+	batch := &copyBatch{keys: keys}
 	p.inFlight = append(p.inFlight, batch)
 	n.transmitBatch(p, batch)
 }
 
-// transmitBatch sends the newest versions under a new sequence number, so that
-// a late ack of an earlier transmission cannot confirm a version it did not
-// carry.
+// transmitBatch sends the newest versions under a new sequence number. The ack
+// of each transmission confirms the versions which that one carried: a peer that
+// answers later than the batch is sent again confirms it all the same.
 func (n *Node) transmitBatch(p *peer, batch *copyBatch) {
 	p.dupSeq++
-	batch.seq = p.dupSeq
 	batch.sentAt = n.now
-	d := &schema.Duplicate{Seq: batch.seq, Epoch: p.epoch, SyncDone: batch.syncDone}
-	for i := range batch.copies {
-		if r := n.records[batch.copies[i].key]; r != nil {
-			batch.copies[i].version = r.version
+	batch.sends++
+	d := &schema.Duplicate{Seq: p.dupSeq, Epoch: p.epoch, SyncDone: batch.syncDone}
+	t := transmission{seq: p.dupSeq}
+	for _, key := range batch.keys {
+		if r := n.records[key]; r != nil {
+			t.copies = append(t.copies, recordVersion{key: key, version: r.version})
 			d.Records = append(d.Records, n.recordToWire(r))
 		}
 	}
+	batch.transmissions = append(batch.transmissions, t)
+	if len(batch.transmissions) > maxTransmissions {
+		batch.transmissions = batch.transmissions[1:]
+	}
 	if batch.syncDone {
 		d.Roster = n.rosterHash()
 		d.Lost = n.lostList()
@@ -138,7 +159,7 @@
 	}
 	for _, p := range n.peers {
 		for _, batch := range p.inFlight {
-			if n.now >= batch.sentAt+n.cfg.Retry {
+			if n.now >= batch.sentAt+n.resendInterval(batch.sends) {
 				n.transmitBatch(p, batch)
 			}
 		}
@@ -191,27 +212,33 @@
 	if p == nil {
 		return
 	}
-	if p.standingIn && m.Seq == p.orphanSeq {
+	if p.standingIn && slices.Contains(p.orphanSeqs, m.Seq) {
 		p.standingIn = false
 		p.orphans = nil
+		p.orphanSeqs = nil
 		return
 	}
 	for i, batch := range p.inFlight {
-		if batch.seq == m.Seq {
-			p.inFlight = append(p.inFlight[:i:i], p.inFlight[i+1:]...)
-			if len(p.dirty) > 0 || !p.syncSent {
-				p.flushAt = min(p.flushAt, n.now)
-			}
-			n.markCopied(p, batch)
-			return
+		t, ok := batch.transmissionOf(m.Seq)
+		if !ok {
+			continue
 		}
+		p.inFlight = append(p.inFlight[:i:i], p.inFlight[i+1:]...)
+		if len(p.dirty) > 0 || !p.syncSent {
+			p.flushAt = min(p.flushAt, n.now)
+		}
+		n.markCopied(p, t.copies)
+		return
 	}
 }
 
-func (n *Node) markCopied(p *peer, batch *copyBatch) {
-	for _, c := range batch.copies {
+// markCopied records that the peer has these versions. A version written since
+// is queued or in flight by itself; acks arrive in any order and never lower
+// what the peer is known to have.
+func (n *Node) markCopied(p *peer, copies []recordVersion) {
+	for _, c := range copies {
 		r := n.records[c.key]
-		if r == nil {
+		if r == nil || r.copiedTo == p.id && r.copiedInc == p.inc && r.copiedVersion >= c.version {
 			continue
 		}
 		r.copiedTo, r.copiedInc, r.copiedVersion = p.id, p.inc, c.version
@@ -243,9 +270,13 @@
 		p.standingIn = false
 		return
 	}
+	if n.now < p.orphansSentAt+n.resendInterval(len(p.orphanSeqs)) {
+		return
+	}
 	p.dupSeq++
-	p.orphanSeq = p.dupSeq
-	d := &schema.Duplicate{Seq: p.orphanSeq, Orphans: true}
+	p.orphansSentAt = n.now
+	p.orphanSeqs = append(p.orphanSeqs, p.dupSeq)
+	d := &schema.Duplicate{Seq: p.dupSeq, Orphans: true}
 	for _, key := range p.orphans {
 		if r := n.records[key]; r != nil {
 			d.Records = append(d.Records, n.recordToWire(r))
--- a/claim/holder.go
+++ b/claim/holder.go
@@ -122,6 +122,7 @@
 		r = n.claimRecord(r, key, hash, from, inc, m)
 		r.granted = true
 		p.orphans = append(p.orphans, key)
+		p.orphanSeqs = nil
 		n.answerClaim(r, w, schema.Verdict_GRANTED)
 	case r.sameClaim(from, inc, m.Call) && r.state == schema.RecordState_CLAIMED:
 		n.answerClaim(r, w, schema.Verdict_GRANTED)
--- a/claim/roster.go
+++ b/claim/roster.go
@@ -77,7 +77,9 @@
 	// over the orphans.
 	standingIn bool
 	orphans    []request.Key
-	orphanSeq  uint64
+	// orphanSeqs are the messages that carried all present orphans.
+	orphanSeqs    []uint64
+	orphansSentAt time.Duration
 
 	// goodbyeAcked is set once the peer has acknowledged that this VM leaves.
 	goodbyeAcked bool
@@ -306,6 +308,7 @@
 		n.startSync(p)
 	}
 	n.answerWaiting()
+	n.resendOwnClaims()
 }
 
 // sendHeartbeats sends heartbeats if they are due.
@@ -403,6 +406,7 @@
 		}
 		if !p.standingIn && n.now >= p.lastReceived+n.cfg.Lease {
 			p.standingIn = true
+			n.resendOwnClaims()
 		}
 	}
 }
--- a/claim/updates.go
+++ b/claim/updates.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// resendUpdates sends updates again, with linear backoff, until they are
-// acknowledged or expire.
+// resendUpdates sends updates again, with backoff, until they are acknowledged
+// or expire.
 func (n *Node) resendUpdates() {
 	calls := n.updateOrder
 	n.updateOrder = nil
@@ -81,7 +81,7 @@
 			continue
 		}
 		n.updateOrder = append(n.updateOrder, call)
-		if n.now >= u.sentAt+n.cfg.Retry*time.Duration(min(u.sends, maxBackoff)) {
+		if n.now >= u.sentAt+n.resendInterval(u.sends) {
 			n.transmitUpdate(u)
 		}
 	}
@@ -93,8 +93,16 @@
 	}
 }
 
-// maxBackoff bounds the backoff between two transmissions, in retry intervals.
-const maxBackoff = 32
+// maxBackoffDoublings bounds the backoff between two transmissions, at 32 retry
+// intervals.
+const maxBackoffDoublings = 5
+
+// resendInterval returns the time after which an unanswered message that was
+// sent the given number of times is sent again. It doubles each time: what a
+// late VM has not answered yet must not fill its queue.
+func (n *Node) resendInterval(sends int) time.Duration {
+	return n.cfg.Retry << min(max(sends-1, 0), maxBackoffDoublings)
+}
 
 func (n *Node) onUpdateAck(m *schema.UpdateAck) {
 	u := n.updates[m.Call]
