core: a late dispatch is waited for, not fenced, while its VM gives signs of life

Cause: a VM that finds a claim asked the endpoint for its stream ten times in half a second, then fenced it, though the VM that holds the claim lived and had only not come to dispatch it. It then took the claim over, was late itself, and was fenced by the next. Besides, a fence of a stream that had started meanwhile cancelled it (16 attempts cancelled) and the VM that fenced told its caller that the answer is no longer held (34 attempts), though it was being made.

Ruled out: a VM lost (none ended, paused or was cut), slowness alone (with 24 busy all is answered; with 100, 134 dispatches were made after their fence).

Mend: whether to fence is the core's decision. A claim whose VM was heard from within three unchanged digests is looked up again in place of fenced; one whose process ended, or that is silent so long, is fenced as before. Silence counts only time in which this process ran. An engine that knows the stream leaves it and says so; the VM then reads it. A plain service's caller no longer gets "unknown" while the VM that claimed has not called the service yet. The e2e tests keep whole logs, and use a program built before, on request.

Why it holds: no fence follows from elapsed time alone, so it does not matter how late a dispatch is, only whether its VM is there.

--- a/core/calls.go
+++ b/core/calls.go
@@ -19,7 +19,7 @@
 	claiming               // assigned, waiting for the claim
 	running                // dispatched
 	attached               // reading the response of another dispatch
-	fencing                // releasing the claim of another, fenced dispatch
+	fencing                // fencing another dispatch and releasing its claim
 	refusing               // ensuring that "not run" stays true
 )
 
@@ -291,7 +291,7 @@
 	if c == nil {
 		return
 	}
-	if c.stage == attached {
+	if c.stage == attached || c.stage == fencing {
 		n.onAttachmentEnded(c, ev.End)
 		return
 	}
@@ -328,6 +328,8 @@
 	switch end {
 	case Fenced:
 		n.releaseFenced(c)
+	case NotStarted:
+		n.awaitDispatch(c)
 	case Complete:
 		n.finish(c, request.Answered, request.ReasonDone, 0)
 	case Stopped:
@@ -339,10 +341,39 @@
 	}
 }
 
+// awaitDispatch decides about a call whose key another VM has claimed and not
+// dispatched. While that VM gives signs of life, its dispatch is only late: a
+// fence would end it, and each VM that waits would fence the next one's in turn.
+// The claim is looked up again, since the VM may have released it.
+func (n *Node) awaitDispatch(c *call) {
+	switch {
+	case n.now >= c.spec.Deadline:
+		n.finish(c, request.Unknown, request.ReasonDeadlinePassed, unknownRetryAfter)
+	case c.stage == attached && !n.mayStillDispatch(c.record):
+		c.stage = fencing
+		n.emit(Fence{Handle: c.handle, Record: c.record})
+	default:
+		c.spec.Attempt = request.UndeclaredAttempt
+		c.stage = lookingUp
+		n.startClaim(c, claim.Find)
+	}
+}
+
+// mayStillDispatch reports whether the VM that claimed a record may be about to
+// dispatch it.
+func (n *Node) mayStillDispatch(r *schema.Record) bool {
+	if r.State != schema.RecordState_CLAIMED {
+		return false
+	}
+	if r.Dispatcher == n.cfg.Claim.Self.ID {
+		return r.DispatcherIncarnation == n.cfg.Claim.Incarnation
+	}
+	return n.liveness.isAlive(r.Dispatcher, r.DispatcherIncarnation)
+}
+
 // releaseFenced releases the claim of a dispatch whose endpoint has promised
 // never to run it. Then the request proceeds on its own.
 func (n *Node) releaseFenced(c *call) {
-	c.stage = fencing
 	n.newClaimID(c)
 	n.claims.ReleaseFenced(n.now, c.claimID, c.record, c.domain)
 }
--- a/core/events.go
+++ b/core/events.go
@@ -51,11 +51,15 @@
 	Broken
 	// Stopped: the request was cancelled at the endpoint.
 	Stopped
-	// NotFound: the endpoint has no stream of that id to attach to.
+	// NotFound: nobody has the response to attach to, or the endpoint promises
+	// nothing about its stream.
 	NotFound
-	// Fenced: the endpoint refused the dispatch as fenced or, for an attachment,
+	// Fenced: the endpoint refused the dispatch as fenced or, after a Fence,
 	// promised that the stream never ran and never will.
 	Fenced
+	// NotStarted: the other dispatch has not reached its endpoint, or only just
+	// now.
+	NotStarted
 )
 
 // Ended reports how a dispatch or an attachment ended.
@@ -162,6 +166,13 @@
 	Record *schema.Record
 }
 
+// Fence asks the endpoint of another dispatch never to run it. Ended must
+// follow.
+type Fence struct {
+	Handle uint64
+	Record *schema.Record
+}
+
 // Finish reports the final outcome of a request.
 type Finish struct {
 	Handle     uint64
@@ -210,6 +221,7 @@
 
 func (Dispatch) isEffect()      {}
 func (Attach) isEffect()        {}
+func (Fence) isEffect()         {}
 func (Finish) isEffect()        {}
 func (Conflict) isEffect()      {}
 func (Stop) isEffect()          {}
--- a/core/node.go
+++ b/core/node.go
@@ -37,6 +37,7 @@
 	// callsByClaim maps the ids of claim acquisitions to calls.
 	callsByClaim    map[uint64]*call
 	lastClaimID     uint64
+	liveness        *liveness
 	outputEstimates estimator
 	nextDigestAt    time.Duration
 	digestSentAt    time.Duration
@@ -55,6 +56,7 @@
 		sched:           sched.New(cfg.Sched),
 		calls:           make(map[uint64]*call),
 		callsByClaim:    make(map[uint64]*call),
+		liveness:        newLiveness(cfg.DigestInterval),
 		outputEstimates: make(estimator),
 	}
 	n.conf = newConfigState(cfg, now)
@@ -103,8 +105,10 @@
 	case PeerMessage:
 		n.onPeerMessage(ev)
 	case PeerClosed:
+		n.liveness.recordEnd(ev.VM, ev.Incarnation)
 		n.claims.PeerClosed(n.now, ev.VM, ev.Incarnation)
 	case PeerNotListening:
+		n.liveness.recordEnd(ev.VM, ev.Incarnation)
 		n.claims.PeerNotListening(n.now, ev.VM, ev.Incarnation)
 	case PeerRemoved:
 		n.claims.PeerRemoved(n.now, ev.VM)
@@ -129,6 +133,7 @@
 }
 
 func (n *Node) onPeerMessage(ev PeerMessage) {
+	n.liveness.recordMessage(ev.From, ev.Incarnation)
 	switch b := ev.Message.Body.(type) {
 	case *schema.Message_Digest:
 		n.sched.ApplyDigest(n.now, ev.From, b.Digest)
@@ -146,6 +151,7 @@
 }
 
 func (n *Node) tick() {
+	n.liveness.tick(n.now)
 	n.claims.Tick(n.now)
 	n.sched.Tick(n.now)
 	n.stopExpired()
--- a/core/session_test.go
+++ b/core/session_test.go
@@ -24,7 +24,7 @@
 // restarts VMs.
 func TestSessions(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		s := &session{t: t, partitioned: map[[2]uint32]bool{}, dispatched: map[string]*dispatchRef{}, ran: map[string]int{}}
+		s := &session{t: t, partitioned: map[[2]uint32]bool{}, dispatched: map[string]*dispatchRef{}, ran: map[string]int{}, askedAgain: map[uint64]bool{}}
 		datadriven.RunTest(t, path, s.command)
 	})
 }
@@ -75,8 +75,23 @@
 	ran        map[string]int
 	seen       []history.Observation
 	attempts   map[uint64]int
+	// unstarted are attachments whose dispatch the endpoint does not know.
+	unstarted []unstarted
+	// askedAgain holds the attachments that were made more than once.
+	askedAgain map[uint64]bool
 }
 
+// unstarted is an attachment that ends as NotStarted at a time.
+type unstarted struct {
+	at     time.Duration
+	node   *node
+	handle uint64
+}
+
+// attachTime is how long an endpoint is asked again for a stream that it does
+// not know.
+const attachTime = 300 * time.Millisecond
+
 func (s *session) command(t *testing.T, d *datadriven.TestData) string {
 	s.out.Reset()
 	switch d.Cmd {
@@ -107,6 +122,11 @@
 		key := "o/" + arg(t, d, "id")
 		s.ran[key]--
 		s.dispatched[key].end = "lost"
+	case "arrive":
+		// A dispatch that was late reaches its endpoint.
+		key := "o/" + arg(t, d, "id")
+		s.ran[key]++
+		s.dispatched[key].end = ""
 	case "kill":
 		s.kill(s.node(t, d))
 	case "restart":
@@ -189,10 +209,24 @@
 			s.readLog(n)
 			s.apply(n, n.core.Step(s.now, Tick{}))
 		}
+		s.endUnstarted()
 		s.deliver()
 	}
 }
 
+func (s *session) endUnstarted() {
+	due := s.unstarted
+	s.unstarted = nil
+	for _, u := range due {
+		switch {
+		case s.now < u.at:
+			s.unstarted = append(s.unstarted, u)
+		case u.node.up:
+			s.apply(u.node, u.node.core.Step(s.now, Ended{Handle: u.handle, End: NotStarted}))
+		}
+	}
+}
+
 func (s *session) live() []*node {
 	return slices.DeleteFunc(slices.Clone(s.nodes), func(n *node) bool { return !n.up || n.frozen })
 }
@@ -344,6 +378,8 @@
 			s.logf(n, "dispatch %s to %s: %s", key, ef.Endpoint, explain(ef.Candidates))
 		case Attach:
 			s.attach(n, ef)
+		case Fence:
+			s.fence(n, ef)
 		case Stop:
 			s.logf(n, "stop %s: %s", n.keys[ef.Handle], ef.Reason)
 			s.apply(n, n.core.Step(s.now, Ended{Handle: ef.Handle, End: Stopped}))
@@ -373,11 +409,23 @@
 		end = Complete
 	}
 	if r := s.dispatched[key]; r != nil && r.end == "lost" {
-		end = Fenced
+		end = NotStarted
+		if s.askedAgain[ef.Handle] {
+			s.unstarted = append(s.unstarted, unstarted{at: s.now + attachTime, node: n, handle: ef.Handle})
+			return
+		}
+		s.askedAgain[ef.Handle] = true
 	}
 	s.apply(n, n.core.Step(s.now, Ended{Handle: ef.Handle, End: end}))
 }
 
+// fence promises for the engine that it never runs a dispatch that was lost on
+// the way.
+func (s *session) fence(n *node, ef Fence) {
+	s.logf(n, "fence the run of vm%d", ef.Record.Dispatcher)
+	s.apply(n, n.core.Step(s.now, Ended{Handle: ef.Handle, End: Fenced}))
+}
+
 func (s *session) finish(n *node, ef Finish) {
 	key := n.keys[ef.Handle]
 	s.logf(n, "finish %s: %s, %s, again in %v", key, ef.Outcome, ef.Reason, ef.RetryAfter)
--- a/daemon/endpoints.go
+++ b/daemon/endpoints.go
@@ -130,53 +130,86 @@
 	})
 }
 
+// fence asks the endpoint of another dispatch never to run it.
+func (d *Daemon) fence(ctx context.Context, ef core.Fence) {
+	c := d.requestByHandle(ef.Handle)
+	e := findEndpoint(d.rulesOf(c).Document, ef.Record.Endpoint)
+	if c == nil || e == nil || !e.ChecksFencing || c.spec.Model == "" {
+		d.pushAsync(ctx, core.Ended{Handle: ef.Handle, End: core.NotFound})
+		return
+	}
+	d.count("fences")
+	d.group.Go(func() error {
+		end := core.NotFound
+		switch d.endpoints.Fence(ctx, "http://"+e.Address, ef.Record.Stream) {
+		case endpoint.FencePromised:
+			end = core.Fenced
+		case endpoint.FenceTooLate:
+			end = core.NotStarted
+		}
+		d.log.Info().Str("request", c.spec.Key.String()).Str("endpoint", e.Name).Str("stream", ef.Record.Stream).
+			Uint32("dispatcher", ef.Record.Dispatcher).Bool("promised", end == core.Fenced).Msg("fence")
+		d.push(ctx, core.Ended{Handle: ef.Handle, End: end})
+		return nil
+	})
+}
+
+// readAttached reads the response of another dispatch, which may still be in
+// transit: it asks a few times before it reports that there is none.
 func (d *Daemon) readAttached(ctx context.Context, c *callerRequest, r *schema.Record) core.End {
+	resp := newResponseBuffer(nil)
+	for interval := resumeInterval; interval < maxAttachInterval; interval *= 2 {
+		if end := d.readAttachedOnce(ctx, c, r, resp); end != core.NotStarted {
+			return end
+		}
+		select {
+		case <-ctx.Done():
+			return core.Broken
+		case <-time.After(interval):
+		}
+	}
+	if resp.tokenCount() > 0 {
+		return core.Broken
+	}
+	return core.NotStarted
+}
+
+// readAttachedOnce returns NotStarted if nobody knows of the dispatch, or its
+// stream broke.
+func (d *Daemon) readAttachedOnce(ctx context.Context, c *callerRequest, r *schema.Record, buf *responseBuffer) core.End {
 	if resp, ok := d.responses.get(c.spec.Key); ok && r.Dispatcher == d.settings.Vm.Id && r.DispatcherIncarnation == d.incarnation {
 		c.setResponse(resp)
 		return resp.waitDone(ctx)
 	}
-	resp := newResponseBuffer(nil)
 	if c.spec.Model == "" {
-		return d.fetchPlainResponse(ctx, c, r, resp)
+		return d.fetchPlainResponse(ctx, c, r, buf)
 	}
 	e := findEndpoint(d.rulesOf(c).Document, r.Endpoint)
 	if e == nil {
 		return core.NotFound
 	}
-	c.setResponse(resp)
-	next := 0
-	for range maxAttachAttempts {
-		var res endpoint.Result
-		next, res = d.endpoints.Resume(ctx, "http://"+e.Address, r.Stream, next, resp)
-		switch res {
-		case endpoint.Complete:
-			return core.Complete
-		case endpoint.Cancelled:
-			return core.Stopped
-		}
-		select {
-		case <-ctx.Done():
-			return core.Broken
-		case <-time.After(resumeInterval):
-		}
-	}
-	if next > 0 {
-		return core.Broken
-	}
-	if e.ChecksFencing && d.endpoints.Fence(ctx, "http://"+e.Address, r.Stream) {
-		d.log.Info().Str("request", c.spec.Key.String()).Str("endpoint", e.Name).Str("stream", r.Stream).Msg("fence")
-		return core.Fenced
+	c.setResponse(buf)
+	_, res := d.endpoints.Resume(ctx, "http://"+e.Address, r.Stream, buf.tokenCount(), buf)
+	switch res {
+	case endpoint.Complete:
+		return core.Complete
+	case endpoint.Cancelled:
+		return core.Stopped
 	}
-	return core.NotFound
+	return core.NotStarted
 }
 
-// maxAttachAttempts bounds the attempts to resume a stream that the endpoint
-// does not know: its dispatch may still be in transit.
-const maxAttachAttempts = 10
+// maxAttachInterval bounds the interval between two attempts to read another
+// dispatch's response, and thereby their number; then its claim is looked up
+// again.
+const maxAttachInterval = 500 * time.Millisecond
 
 // fetchPlainResponse fetches the response of a plain service from the VM that
 // called the service.
 func (d *Daemon) fetchPlainResponse(ctx context.Context, c *callerRequest, r *schema.Record, buf *responseBuffer) core.End {
+	if r.Dispatcher == d.settings.Vm.Id && r.DispatcherIncarnation == d.incarnation {
+		return core.NotStarted
+	}
 	l := d.links[r.Dispatcher]
 	if l == nil {
 		return core.NotFound
@@ -191,6 +224,9 @@
 		return core.NotFound
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusNotFound {
+		return core.NotStarted
+	}
 	status, err := strconv.Atoi(resp.Header.Get(headerStatus))
 	if err != nil || resp.StatusCode != http.StatusOK {
 		return core.NotFound
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -94,6 +94,8 @@
 			d.dispatch(ctx, ef)
 		case core.Attach:
 			d.attach(ctx, ef)
+		case core.Fence:
+			d.fence(ctx, ef)
 		case core.Stop:
 			d.stopRun(ef)
 		case core.Finish:
--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -35,8 +35,20 @@
 
 var binary string
 
+// Environment variables for tracing a failure.
+const (
+	// binaryVariable names a program to run in place of building one, which
+	// takes minutes on a busy machine.
+	binaryVariable = "CHIVEFIELD_TEST_BINARY"
+	// logsVariable names a directory that keeps the whole log of each process.
+	logsVariable = "CHIVEFIELD_TEST_LOGS"
+)
+
 // TestMain builds the binary once; the tests start it as processes.
 func TestMain(m *testing.M) {
+	if binary = os.Getenv(binaryVariable); binary != "" {
+		os.Exit(m.Run())
+	}
 	dir, err := os.MkdirTemp("", "chivefield")
 	if err != nil {
 		panic(err)
@@ -120,6 +132,7 @@
 	t.Cleanup(func() {
 		_ = p.cmd.Process.Kill()
 		_ = p.cmd.Wait()
+		keepLog(t, p.log.String(), args)
 		if t.Failed() {
 			t.Logf("%v\n%s", args, tail(p.log.String()))
 		}
@@ -127,6 +140,17 @@
 	return p
 }
 
+func keepLog(t *testing.T, log string, args []string) {
+	dir := os.Getenv(logsVariable)
+	if dir == "" {
+		return
+	}
+	name := fmt.Sprintf("%s-%s.log", t.Name(), filepath.Base(strings.Join(args[:min(len(args), 4)], "-")))
+	if err := os.WriteFile(filepath.Join(dir, name), []byte(log), 0o600); err != nil {
+		t.Log(err)
+	}
+}
+
 func tail(s string) string {
 	lines := strings.Split(s, "\n")
 	return strings.Join(lines[max(0, len(lines)-40):], "\n")
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -193,27 +193,50 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// stateNeverStarted is the state that a fencing engine returns for a stream it
-// did not know.
-const stateNeverStarted = "never_started"
+// States that a fencing engine returns for a stream that is to be fenced.
+const (
+	stateNeverStarted = "never_started"
+	stateStarted      = "started"
+)
+
+// FenceResult is an engine's answer to a request to fence a stream.
+type FenceResult int
+
+// Results of Fence.
+const (
+	// FenceUnanswered: the engine promised nothing and did not say that it knows
+	// the stream.
+	FenceUnanswered FenceResult = iota
+	// FencePromised: the stream has not run and never will.
+	FencePromised
+	// FenceTooLate: the engine has received the stream and left it as it was.
+	FenceTooLate
+)
 
-// Fence asks an engine never to run a stream. It returns true only if the
-// engine promises that the stream has not run and will not.
-func (c *Client) Fence(ctx context.Context, base, stream string) bool {
+// Fence asks an engine never to run a stream.
+func (c *Client) Fence(ctx context.Context, base, stream string) FenceResult {
 	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, base+"/v1/streams/"+stream+"?fence=1", nil)
 	if err != nil {
-		return false
+		return FenceUnanswered
 	}
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
-		return false
+		return FenceUnanswered
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var out struct {
 		State string `json:"state"`
 	}
-	err = json.NewDecoder(resp.Body).Decode(&out)
-	return err == nil && resp.StatusCode == http.StatusOK && out.State == stateNeverStarted
+	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil || resp.StatusCode != http.StatusOK {
+		return FenceUnanswered
+	}
+	switch out.State {
+	case stateNeverStarted:
+		return FencePromised
+	case stateStarted:
+		return FenceTooLate
+	}
+	return FenceUnanswered
 }
 
 // Markers and limits of a stream of server-sent events.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -235,9 +235,8 @@
 	defer e.mu.Unlock()
 	id := r.PathValue("id")
 	s := e.streams[id]
-	if s == nil && r.URL.Query().Has("fence") && !e.IgnoresFencing {
-		e.fencedStreams[id] = true
-		encode(w, map[string]string{"state": "never_started"})
+	if r.URL.Query().Has("fence") && !e.IgnoresFencing {
+		e.fence(w, id, s)
 		return
 	}
 	if s == nil {
@@ -252,6 +251,17 @@
 	encode(w, struct{}{})
 }
 
+// fence promises never to run a stream that has not been received. One that has
+// is left as it is.
+func (e *Engine) fence(w http.ResponseWriter, id string, s *stream) {
+	if s != nil {
+		encode(w, map[string]string{"state": "started"})
+		return
+	}
+	e.fencedStreams[id] = true
+	encode(w, map[string]string{"state": "never_started"})
+}
+
 // tokenData returns the event data of token i, in the format of the chat or the
 // completions API, depending on the path of the request.
 func (s *stream) tokenData(i int) string {
