daemon: an exchange's answer counts when it comes; silence between VMs is logged

Cause: an exchange between VMs, of up to 512 messages, was cut after half a second; what it carried was dropped with it, its replies too, while the peer had done the work. A fixed time over what grows with the load, work thrown away at it, all sent again.

Mend: an exchange has a third of a lease, since only a lease gives a silence its meaning; one that is not answered after half a second no longer holds up the next, at most four at a time. A link that stops and starts to answer, and a lease that expires (backup bypassed, standing in), are a log line each, and the time of exchanges a metric: no line told of them.

--- a/claim/node.go
+++ b/claim/node.go
@@ -86,6 +86,20 @@
 	Fenced bool
 	// Takeovers lists the dead VMs whose keys this VM now holds.
 	Takeovers []Takeover
+	// Silences lists the members that have become silent, in one direction or
+	// both.
+	Silences []Silence
+}
+
+// Silence reports that a lease of a member has expired.
+type Silence struct {
+	VM uint32
+	// Bypassed: as a backup it acknowledged nothing for a lease; claims are
+	// granted without its copy.
+	Bypassed bool
+	// StandingIn: nothing was received from it for a lease; first attempts of
+	// its keys are granted here.
+	StandingIn bool
 }
 
 // Takeover reports that the keys of a dead VM were taken over.
--- a/claim/roster.go
+++ b/claim/roster.go
@@ -397,7 +397,9 @@
 		if !p.member {
 			continue
 		}
+		silence := Silence{VM: p.id}
 		if !p.bypassed && n.now >= p.ackedAt+n.cfg.Lease {
+			silence.Bypassed = true
 			p.bypassed = true
 			p.epoch++
 			p.inFlight = nil
@@ -405,9 +407,13 @@
 			n.answerWaiting()
 		}
 		if !p.standingIn && n.now >= p.lastReceived+n.cfg.Lease {
+			silence.StandingIn = true
 			p.standingIn = true
 			n.resendOwnClaims()
 		}
+		if silence.Bypassed || silence.StandingIn {
+			n.out.Silences = append(n.out.Silences, silence)
+		}
 	}
 }
 
--- a/core/events.go
+++ b/core/events.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chivefield/chivefield/claim"
 	"github.com/chivefield/chivefield/config"
 	"github.com/chivefield/chivefield/request"
 	"github.com/chivefield/chivefield/sched"
@@ -212,6 +213,9 @@
 	Clean bool
 }
 
+// LeaseExpired reports that a VM of the cell has been silent for a lease.
+type LeaseExpired struct{ Silence claim.Silence }
+
 // DeclaredDead reports that the peers have declared this incarnation dead. The
 // process must exit.
 type DeclaredDead struct{}
@@ -230,5 +234,6 @@
 func (ConfigApplied) isEffect() {}
 func (ConfigJudged) isEffect()  {}
 func (Takeover) isEffect()      {}
+func (LeaseExpired) isEffect()  {}
 func (DeclaredDead) isEffect()  {}
 func (Drained) isEffect()       {}
--- a/core/node.go
+++ b/core/node.go
@@ -208,6 +208,9 @@
 	for _, t := range o.Takeovers {
 		n.emit(Takeover{VM: t.VM, Clean: t.Clean})
 	}
+	for _, s := range o.Silences {
+		n.emit(LeaseExpired{Silence: s})
+	}
 	for _, r := range o.Results {
 		n.onClaimResult(r)
 	}
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -110,6 +110,8 @@
 			d.handleVerdict(ef.Verdict)
 		case core.Takeover:
 			d.log.Warn().Uint32("vm", ef.VM).Bool("clean", ef.Clean).Msg("takeover")
+		case core.LeaseExpired:
+			d.log.Warn().Uint32("vm", ef.Silence.VM).Bool("bypassed", ef.Silence.Bypassed).Bool("standing_in", ef.Silence.StandingIn).Msg("lease_expired")
 		case core.DeclaredDead:
 			d.log.Error().Msg("fenced")
 			close(d.declaredDead)
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/twitchtv/twirp"
 
 	"github.com/chivefield/chivefield/core"
@@ -23,8 +24,14 @@
 
 const (
 	// maxBatchMessages bounds the messages of one exchange.
-	maxBatchMessages   = 512
-	exchangeTimeout    = 500 * time.Millisecond
+	maxBatchMessages = 512
+	// overlapAfter is how long an unanswered exchange holds up the next one.
+	overlapAfter = 500 * time.Millisecond
+	// maxOverlapping bounds the exchanges with one peer at a time.
+	maxOverlapping = 4
+	// exchangesPerLease is how many unanswered exchanges in a row fit into a
+	// lease: less than one would let a single loss end the lease.
+	exchangesPerLease  = 3
 	watchRetryInterval = 50 * time.Millisecond
 )
 
@@ -34,6 +41,9 @@
 	outgoing chan *schema.Message
 	// incarnation is the peer's incarnation as known to the core.
 	incarnation atomic.Uint64
+	// unanswered counts the exchanges since the last answer that ended without
+	// one.
+	unanswered atomic.Int64
 }
 
 func newLink(p *schema.Peer) *link {
@@ -49,21 +59,51 @@
 	}
 }
 
-// exchangeLoop sends the messages queued for a peer, one exchange at a time, so
-// that messages queued during an exchange form the next batch.
+// exchangeLoop sends the messages queued for a peer. Messages queued during an
+// exchange form the next batch. An exchange that a late peer has not answered
+// yet goes on beside the next ones: its answer counts when it comes.
 func (d *Daemon) exchangeLoop(ctx context.Context, l *link) error {
 	client := schema.NewPeerServiceProtobufClient(d.peerURL(l), &keyedClient{http: d.exchangeHTTP, key: d.settings.Keys.Peer})
+	slots := make(chan struct{}, maxOverlapping)
 	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case slots <- struct{}{}:
+		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case m := <-l.outgoing:
 			env := &schema.Envelope{From: d.settings.Vm.Id, Incarnation: d.incarnation, Messages: gatherBatch(ctx, l, m)}
-			d.exchangeOnce(ctx, client, l, env)
+			answered := make(chan struct{})
+			d.group.Go(func() error {
+				defer func() { <-slots }()
+				defer close(answered)
+				d.exchangeOnce(ctx, client, l, env)
+				return nil
+			})
+			waitFor(ctx, answered, overlapAfter)
 		}
 	}
 }
 
+// waitFor waits until done is closed, for at most d.
+func waitFor(ctx context.Context, done <-chan struct{}, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// exchangeTimeout returns how long a peer may take to answer an exchange.
+func (d *Daemon) exchangeTimeout() time.Duration {
+	return max(overlapAfter, d.settings.Lease/exchangesPerLease)
+}
+
 // gatherBatch collects queued messages. Deferrable messages wait for up to
 // batchDelay so that more of them share an exchange, whose cost is mostly
 // fixed.
@@ -109,12 +149,13 @@
 }
 
 func (d *Daemon) exchangeOnce(ctx context.Context, client schema.PeerService, l *link, env *schema.Envelope) {
-	bound, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	bound, cancel := context.WithTimeout(ctx, d.exchangeTimeout())
 	defer cancel()
 	d.count("peer.calls")
+	start := time.Now()
 	reply, err := client.Exchange(bound, env)
+	d.recordExchange(ctx, l, err, time.Since(start))
 	if err != nil {
-		d.count("peer.errors")
 		return
 	}
 	for _, m := range reply.Messages {
@@ -122,6 +163,25 @@
 	}
 }
 
+// recordExchange counts an exchange, and logs when a peer stops answering and
+// when it answers again.
+func (d *Daemon) recordExchange(ctx context.Context, l *link, err error, took time.Duration) {
+	if err == nil {
+		metrics.GetOrRegisterTimer("peer.time", d.metrics).Update(took)
+		if failed := l.unanswered.Swap(0); failed > 0 {
+			d.log.Info().Uint32("vm", l.peer.Id).Int64("unanswered", failed).Dur("took_ms", took).Msg("peer_answers")
+		}
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	d.count("peer.errors")
+	if l.unanswered.Add(1) == 1 {
+		d.log.Warn().Uint32("vm", l.peer.Id).Dur("took_ms", took).Err(err).Msg("peer_unanswered")
+	}
+}
+
 func (d *Daemon) peerURL(l *link) string {
 	if d.settings.Tls.CertificateFile != "" {
 		return "https://" + l.peer.Address
