sched: an endpoint is judged from the dispatch on, not from the assignment

Callers saw: beside 100 busy processes some 5 requests a second over two engines with 128 slots, each request waiting up to 14 s in the queue, with the engines idle and claims granted within 0.1 to 0.3 s.

Cause: the time to the first token, by which the window of an engine shrinks and its prefill is judged, was counted from the assignment, so it held the time that the claim took: two exchanges with other VMs, or four where another failure domain is asked. Once that is over twice the expected time and 300 ms, the window shrinks each second down to one request, whatever the engine does.

Mend: the core tells the scheduler when the request leaves; overdue first tokens count only for requests that have left.

TestClaimTimeIsNotTheEndpoints on the code before: 1 of 64 assigned.

The e2e harness writes kept logs as they come, so that a run that is cut has them.

--- a/core/calls.go
+++ b/core/calls.go
@@ -108,6 +108,7 @@
 
 func (n *Node) dispatch(c *call) {
 	c.stage = running
+	n.sched.RecordDispatch(n.now, c.handle)
 	n.emit(Dispatch{Handle: c.handle, Endpoint: c.assigned.Endpoint, Stream: n.stream(c), Candidates: c.assigned.Candidates})
 }
 
--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -124,15 +124,18 @@
 
 func startProcess(t *testing.T, args ...string) process {
 	p := process{cmd: exec.Command(binary, args...), log: &bytes.Buffer{}}
-	p.cmd.Stderr = p.log
-	p.cmd.Stdout = p.log
+	out := io.Writer(p.log)
+	if f := keptLog(t, args); f != nil {
+		out = io.MultiWriter(p.log, f)
+	}
+	p.cmd.Stderr = out
+	p.cmd.Stdout = out
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
 		_ = p.cmd.Process.Kill()
 		_ = p.cmd.Wait()
-		keepLog(t, p.log.String(), args)
 		if t.Failed() {
 			t.Logf("%v\n%s", args, tail(p.log.String()))
 		}
@@ -140,15 +143,20 @@
 	return p
 }
 
-func keepLog(t *testing.T, log string, args []string) {
+// keptLog returns a file for a process's whole log, or nil if none is wanted.
+func keptLog(t *testing.T, args []string) *os.File {
 	dir := os.Getenv(logsVariable)
 	if dir == "" {
-		return
+		return nil
 	}
 	name := fmt.Sprintf("%s-%s.log", t.Name(), filepath.Base(strings.Join(args[:min(len(args), 4)], "-")))
-	if err := os.WriteFile(filepath.Join(dir, name), []byte(log), 0o600); err != nil {
+	f, err := os.OpenFile(filepath.Join(dir, name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
 		t.Log(err)
+		return nil
 	}
+	t.Cleanup(func() { _ = f.Close() })
+	return f
 }
 
 func tail(s string) string {
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -227,7 +227,7 @@
 func (s *Scheduler) assignTo(w *waiting, e *endpoint, candidates []Candidate) {
 	s.queue.chargeOrganisation(&w.spec)
 	s.removeWaiting(w)
-	r := &run{handle: w.handle, spec: w.spec, endpoint: e, assigned: s.now}
+	r := &run{handle: w.handle, spec: w.spec, endpoint: e, dispatchedAt: s.now}
 	r.uncached = w.spec.PromptTokens - e.cachedTokens(&w.spec)
 	if e.PrefillSpeed > 0 {
 		r.expectedFirstToken = seconds(float64(e.prefillAhead(s.now)+r.uncached) / e.PrefillSpeed)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -53,7 +53,10 @@
 	handle   uint64
 	spec     request.Spec
 	endpoint *endpoint
-	assigned time.Duration
+	// dispatchedAt is when the request left for the endpoint, or was assigned;
+	// dispatched is not set while it waits for its claim.
+	dispatchedAt time.Duration
+	dispatched   bool
 	// expectedFirstToken is the expected time to the first token at the
 	// configured speed.
 	expectedFirstToken time.Duration
@@ -280,6 +283,16 @@
 	s.Submit(now, handle, r.spec)
 }
 
+// RecordDispatch records that an assigned request leaves for its endpoint. The
+// endpoint's speed is judged from here on: the time that the claim took is not
+// the endpoint's.
+func (s *Scheduler) RecordDispatch(now time.Duration, handle uint64) {
+	s.now = now
+	if r := s.runs[handle]; r != nil {
+		r.dispatchedAt, r.dispatched = now, true
+	}
+}
+
 // RecordFirstToken records that the prefill of a request is complete.
 func (s *Scheduler) RecordFirstToken(now time.Duration, handle uint64) {
 	s.now = now
@@ -290,8 +303,8 @@
 	r.firstToken = now
 	r.progressAt, r.progressTokens = now, 1
 	r.endpoint.prefill -= r.uncached
-	r.endpoint.adaptWindow(now, r.expectedFirstToken, now-r.assigned)
-	r.endpoint.observePrefill(now, r.expectedFirstToken, now-r.assigned)
+	r.endpoint.adaptWindow(now, r.expectedFirstToken, now-r.dispatchedAt)
+	r.endpoint.observePrefill(now, r.expectedFirstToken, now-r.dispatchedAt)
 	s.dirty = true
 }
 
@@ -399,7 +412,7 @@
 func (s *Scheduler) observeOverdue() {
 	for _, e := range s.endpoints {
 		for _, r := range e.running {
-			if waited := s.now - r.assigned; r.firstToken == 0 && waited > overdueFactor*r.expectedFirstToken+overdueSlack {
+			if waited := s.now - r.dispatchedAt; r.dispatched && r.firstToken == 0 && waited > overdueFactor*r.expectedFirstToken+overdueSlack {
 				e.raisePrefillRatio(s.now, float64(waited)/float64(r.expectedFirstToken+overdueSlack))
 			}
 		}
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -88,3 +88,28 @@
 	is.Equal(len(out.Assignments), 2)
 	is.Equal(out.Assignments[0].Handle, uint64(2))
 }
+
+// TestClaimTimeIsNotTheEndpoints guards against an idle engine that gets one
+// request at a time because the time that claims take counts as its own.
+func TestClaimTimeIsNotTheEndpoints(t *testing.T) {
+	is := is.New(t)
+	s := oneEngine(64)
+	now, handle := time.Duration(0), uint64(0)
+	const claimTime, firstToken, rounds = 2 * time.Second, 100 * time.Millisecond, 30
+	for range rounds {
+		handle++
+		s.Submit(now, handle, spec(0, time.Hour))
+		is.Equal(len(s.Take().Assignments), 1)
+		now += claimTime
+		s.Tick(now)
+		s.RecordDispatch(now, handle)
+		now += firstToken
+		s.RecordFirstToken(now, handle)
+		s.Done(now, handle)
+	}
+	for range 64 {
+		handle++
+		s.Submit(now, handle, spec(0, time.Hour))
+	}
+	is.Equal(len(s.Take().Assignments), 64)
+}
