timeout: a process that is late itself takes nobody for slow

Callers saw (TestEndpointLimitHoldsAcrossPlacers beside 40 to 80 busy processes, race detector): 504 and 502 after 3 to 14 s. On a VM of 0.192 of a core the same.

Cause, from the lines of the failed requests: fixed times are over before the process has read what came. A placer was passed over and avoided for a second after three intervals of 40 ms. A request was taken from an endpoint 3.2 s after it was sent, with 0.7 s left, to run out of time at the next.

Ruled out: endpoints that were slow (they answer after 100 ms), full queues.

A stalled request is left where it is if less time remains than this process is late. Nothing changes in a process that runs on time.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -16,6 +16,7 @@
 	"github.com/chivefield/chivefield/core/allowance"
 	"github.com/chivefield/chivefield/core/cell"
 	"github.com/chivefield/chivefield/schema"
+	"github.com/chivefield/chivefield/timeout"
 )
 
 const (
@@ -155,7 +156,7 @@
 
 // dialPeer opens a connection to another VM.
 func (d *Daemon) dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
+	ctx, cancel := timeout.Context(ctx, peerDialTimeout)
 	defer cancel()
 	return d.opts.Dial(ctx, network, address)
 }
--- a/entry/stall.go
+++ b/entry/stall.go
@@ -8,8 +8,8 @@
 
 	"github.com/chivefield/chivefield/core/budget"
 	"github.com/chivefield/chivefield/core/dispatch"
-
 	"github.com/chivefield/chivefield/core/mechanism"
+	"github.com/chivefield/chivefield/timeout"
 )
 
 const (
@@ -21,19 +21,14 @@
 	firstEventTimeoutFactor = 4
 	// nextEventTimeout is the timeout between two events of a stream.
 	nextEventTimeout = time.Second
-	// stallConfirmation is how much longer nothing must arrive. When this process was paused, all
-	// timers expire at once, before what has arrived meanwhile is read.
-	stallConfirmation = 100 * time.Millisecond
 )
 
 // stallWatchdog cancels an attempt at an endpoint that has stopped responding, if the request may
 // be retried elsewhere.
 type stallWatchdog struct {
 	mu       sync.Mutex
-	timer    *time.Timer
+	timer    *timeout.Timer
 	timedOut bool
-	// expired is set once the timeout has passed and stallConfirmation runs.
-	expired bool
 	// stopped is set once the attempt is over, permit is the retry acquired when the attempt
 	// timed out.
 	stopped bool
@@ -48,8 +43,9 @@
 		return w
 	}
 	tried := append(slices.Clone(c.tried), dispatch.EndpointHash(dec.Endpoint.Key()))
-	w.start(max(firstEventTimeout, firstEventTimeoutFactor*dec.Predicted), func() {
-		if time.Until(c.deadline) < shortRetryAfter || !c.d.sched.hasAlternative(c.service, tried) {
+	w.start(max(firstEventTimeout, firstEventTimeoutFactor*dec.Predicted), func(late time.Duration) {
+		// What another endpoint sends would be read as late.
+		if time.Until(c.deadline) < max(shortRetryAfter, late) || !c.d.sched.hasAlternative(c.service, tried) {
 			return
 		}
 		permit, ok := c.d.retryBudgets.acquire(c.service)
@@ -65,30 +61,11 @@
 	return w
 }
 
-// start has stalled called if no event arrives within a timeout and stallConfirmation after it.
-func (w *stallWatchdog) start(timeout time.Duration, stalled func()) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(timeout, func() {
-		if w.confirmed() {
-			stalled()
-		}
-	})
-}
-
-// confirmed reports whether stallConfirmation has passed too; if not, it begins.
-func (w *stallWatchdog) confirmed() bool {
+// start has stalled called if no event arrives within a timeout, with how late this process is.
+func (w *stallWatchdog) start(d time.Duration, stalled func(late time.Duration)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stopped {
-		return false
-	}
-	if !w.expired {
-		w.expired = true
-		w.timer.Reset(stallConfirmation)
-		return false
-	}
-	return true
+	w.timer = timeout.AfterFunc(d, stalled)
 }
 
 // markTimedOut records that the endpoint stopped responding and that a retry was acquired. It
@@ -108,7 +85,6 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.timer != nil && !w.timedOut {
-		w.expired = false
 		w.timer.Reset(nextEventTimeout)
 	}
 }
--- a/entry/stall_test.go
+++ b/entry/stall_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/chivefield/chivefield/timeout"
 )
 
 // Guards against a VM that was paused, or got no processor time, and takes its endpoints for stalled:
@@ -16,14 +18,14 @@
 		is := is.New(t)
 		var w stallWatchdog
 		var stalls atomic.Int32
-		w.start(firstEventTimeout, func() { stalls.Add(1) })
+		w.start(firstEventTimeout, func(time.Duration) { stalls.Add(1) })
 		for range 3 {
-			time.Sleep(nextEventTimeout + stallConfirmation/2)
+			time.Sleep(nextEventTimeout + timeout.Confirmation/2)
 			w.recordEvent()
 		}
 		synctest.Wait()
 		is.Equal(stalls.Load(), int32(0))
-		time.Sleep(nextEventTimeout + stallConfirmation)
+		time.Sleep(nextEventTimeout + timeout.Confirmation)
 		synctest.Wait()
 		is.Equal(stalls.Load(), int32(1))
 		w.stop()
--- /dev/null
+++ b/timeout/timeout.go
@@ -0,0 +1,95 @@
+// Package timeout bounds waits by the time in which this process ran. A process that stood still or
+// got no processor time finds that all of its timeouts have passed, before it has read what arrived
+// meanwhile; it must not conclude from them that others are slow.
+package timeout
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Confirmation is how much longer nothing must happen once a timeout has passed, and how late a
+// timer may fire in a process that runs as it should.
+const Confirmation = 100 * time.Millisecond
+
+// Timer calls a function once a timeout has passed and, after it, a Confirmation for which the
+// process was not late.
+type Timer struct {
+	mu    sync.Mutex
+	timer *time.Timer
+	f     func(late time.Duration)
+	// end is when a process that runs as it should calls f.
+	end time.Time
+	// due is when the running stage ends, confirming is set in the second one.
+	due        time.Time
+	confirming bool
+	stopped    bool
+}
+
+// AfterFunc starts a timer that calls f in a goroutine of its own, with how late this process is.
+func AfterFunc(d time.Duration, f func(late time.Duration)) *Timer {
+	t := &Timer{f: f}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.due = time.Now().Add(d)
+	t.end = t.due.Add(Confirmation)
+	t.timer = time.AfterFunc(d, t.fire)
+	return t
+}
+
+func (t *Timer) fire() {
+	if late, ok := t.passed(); ok {
+		t.f(late)
+	}
+}
+
+// passed reports whether the timeout is over; if not, it starts the next Confirmation.
+func (t *Timer) passed() (late time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	if t.stopped || now.Before(t.due) {
+		return 0, false
+	}
+	if t.confirming && now.Sub(t.due) <= Confirmation {
+		t.stopped = true
+		return now.Sub(t.end), true
+	}
+	t.confirming = true
+	t.due = now.Add(Confirmation)
+	t.timer.Reset(Confirmation)
+	return 0, false
+}
+
+// Reset starts the timer anew unless it has been stopped or has fired.
+func (t *Timer) Reset(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped {
+		return
+	}
+	t.confirming = false
+	t.due = time.Now().Add(d)
+	t.end = t.due.Add(Confirmation)
+	t.timer.Reset(d)
+}
+
+// Stop ends the timer. f may still run if it has been started already.
+func (t *Timer) Stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	t.timer.Stop()
+}
+
+// Context returns a copy of ctx that ends, with the cause context.DeadlineExceeded, once the timeout
+// has passed.
+func Context(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	t := AfterFunc(d, func(time.Duration) { cancel(context.DeadlineExceeded) })
+	return ctx, func() {
+		t.Stop()
+		cancel(context.Canceled)
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -16,6 +16,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/chivefield/chivefield/timeout"
 )
 
 const (
@@ -169,7 +171,7 @@
 			return c, nil
 		}
 	}
-	dctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	dctx, cancel := timeout.Context(ctx, dialTimeout)
 	defer cancel()
 	nc, err := p.Dial(dctx, "tcp", address)
 	if err != nil {
