budget: the permit of a stalled request lasts until its retry is sent

Callers saw 502 "attempts_spent" though the endpoint was at work on the request.

Cause: the stall watchdog takes a retry from the budget, then takes the request from its endpoint. The oldest credit is spent first, and it may expire while the retry is being placed; with no other credit the retry is denied, and the request has neither endpoint (log: attempt_failed outcome=silent, placed, then "retry budget is exhausted" outcome=left, 502 after 2.1 and 2.9 s).

Mend: the watchdog's retry leaves credit that expires within twice the time after which a placer counts as lost. No more is spent than before, only younger. TestPermitLastsUntilItIsSent fails if the time to hold is left out.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -120,17 +120,26 @@
 // Balance returns the unspent credit, in retries.
 func (b *Budget) Balance(now time.Duration) float64 {
 	b.advance(now)
+	return b.creditSince(b.oldestSlice())
+}
+
+// creditSince returns the unspent credit of the slices from the given one on.
+func (b *Budget) creditSince(first int64) float64 {
 	sum := 0.0
-	for _, c := range b.credit {
-		sum += c
+	for n := first; n <= b.newestSlice; n++ {
+		sum += b.credit[n%windowSlices]
 	}
 	return sum
 }
 
 // Acquire spends the credit for one retry, the oldest first, or takes one of the fixed number. It
 // reports whether either sufficed.
-func (b *Budget) Acquire(now time.Duration) (Permit, bool) {
-	p, ok := b.acquireEarned(now)
+func (b *Budget) Acquire(now time.Duration) (Permit, bool) { return b.AcquireFor(now, 0) }
+
+// AcquireFor is Acquire for a retry that is sent within the given time: it leaves credit that
+// expires before, so that Renew cannot fail then.
+func (b *Budget) AcquireFor(now, hold time.Duration) (Permit, bool) {
+	p, ok := b.acquireEarned(now, hold)
 	if !ok {
 		p, ok = b.acquireFixed(now)
 	}
@@ -142,13 +151,15 @@
 	return p, ok
 }
 
-func (b *Budget) acquireEarned(now time.Duration) (Permit, bool) {
-	if b.Balance(now) < 1-roundingError {
+func (b *Budget) acquireEarned(now, hold time.Duration) (Permit, bool) {
+	b.advance(now)
+	first := max(b.oldestSlice(), int64((now+hold)/b.sliceDuration)-windowSlices+1)
+	if b.creditSince(first) < 1-roundingError {
 		return Permit{}, false
 	}
 	p := Permit{oldestSlice: -1}
 	missing := 1.0
-	for n := b.oldestSlice(); n <= b.newestSlice && missing > roundingError; n++ {
+	for n := first; n <= b.newestSlice && missing > roundingError; n++ {
 		used := min(missing, b.credit[n%windowSlices])
 		if used > 0 && p.oldestSlice < 0 {
 			p.oldestSlice = n
@@ -176,7 +187,7 @@
 	if p.fixed || p.oldestSlice >= b.oldestSlice() {
 		return p, true
 	}
-	p, ok := b.acquireEarned(now)
+	p, ok := b.acquireEarned(now, 0)
 	if !ok {
 		b.counts.Expired++
 	}
--- a/entry/retries.go
+++ b/entry/retries.go
@@ -39,13 +39,18 @@
 	r.budgetFor(service).RecordRequest(r.d.now())
 }
 
-// acquire takes one retry from the service's budget.
+// acquire takes one retry from the service's budget, to be sent at once.
 func (r *retryBudgets) acquire(service string) (budget.Permit, bool) {
+	return r.acquireFor(service, 0)
+}
+
+// acquireFor takes one retry that may be sent within the given time.
+func (r *retryBudgets) acquireFor(service string, hold time.Duration) (budget.Permit, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.budgetFor(service)
 	b.SetFixedRetries(r.fixedRetries())
-	p, ok := b.Acquire(r.d.now())
+	p, ok := b.AcquireFor(r.d.now(), hold)
 	if !ok {
 		r.d.count("repeats_refused." + service)
 		return p, false
--- a/entry/stall.go
+++ b/entry/stall.go
@@ -21,6 +21,9 @@
 	firstEventTimeoutFactor = 4
 	// nextEventTimeout is the timeout between two events of a stream.
 	nextEventTimeout = time.Second
+	// replacementTime is how long the retry of a stalled request may take to be placed; its permit
+	// must not expire before.
+	replacementTime = 2 * placerTimeout
 )
 
 // stallWatchdog cancels an attempt at an endpoint that has stopped responding, if the request may
@@ -48,7 +51,7 @@
 		if time.Until(c.deadline) < max(shortRetryAfter, late) || !c.d.sched.hasAlternative(c.service, tried) {
 			return
 		}
-		permit, ok := c.d.retryBudgets.acquire(c.service)
+		permit, ok := c.d.retryBudgets.acquireFor(c.service, replacementTime)
 		if !ok {
 			return
 		}
