entry: a waiting plain request is refused before its time limit, not at it

Callers saw (TestServiceWithAllEndpointsLimitedRefusesQuickly beside 80 and 100 busy processes, race detector): a response after more than 4.3 s, where 4 s were the limit; 16 of 477 refusals in one play came as "time_over" after 4.00 to 4.06 s.

Cause: a request that waits for an endpoint was refused at its time limit, not before: only streams had the margin in which the refusal still reaches the caller. What came first, the scheduler's tick or the end of the request, was chance, so the same wait ended as "too_late" or "time_over".

Mend: the same margin for all, an eighth of short limits.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -32,6 +32,8 @@
 	// so that the caller still receives the refusal: its timeout started a round trip earlier
 	// than this VM's.
 	disconnectMargin = 150 * time.Millisecond
+	// maxMarginShare limits the margin of a short timeout, to this fraction of it.
+	maxMarginShare = 8
 	// minEventTimeout is the shortest time for which a caller waits for a first event.
 	minEventTimeout = 2 * time.Second
 	// objectiveTimeoutFactor and pauseTimeoutFactor give the time for which a caller waits for an
@@ -252,7 +254,7 @@
 	j := dispatch.Job{
 		Handle: c.d.lastHandle.Add(1), Service: c.service, Tier: c.route.Tier,
 		PromptTokens: c.reqHeaders.PromptTokens, ExpectedEvents: c.expectedEvents(), Tried: c.tried, Avoided: c.avoided,
-		Objective: arrived + c.route.Objective, AbandonAt: deadline,
+		Objective: arrived + c.route.Objective, AbandonAt: deadline - refusalMargin(deadline-arrived),
 		Request: c.digest, Suspicion: suspicionFor(c.d.suspects.status(c.digest)),
 	}
 	if c.org != nil {
@@ -265,6 +267,12 @@
 	return j
 }
 
+// refusalMargin returns how long before the end of its timeout a waiting request is refused, so that
+// its caller gets the refusal.
+func refusalMargin(timeout time.Duration) time.Duration {
+	return min(disconnectMargin, timeout/maxMarginShare)
+}
+
 // expectedEvents returns the expected number of events in the response, from the caller's
 // estimate of the output; 0 if there is none.
 func (c *callerRequest) expectedEvents() int {
