dispatch: a late job at limited endpoints is not held until its time limit

Callers saw: where all endpoints of a service name limits, most refusals come within a second, but a few per queue after the whole time limit, with no time left to come back.

Cause: three late jobs of a tier may always wait, to find out whether there is capacity for them. On-time jobs take all that the limits leave, so these three wait in vain, and when their limit ends the next three do.

Mend: at endpoints whose limits tell their capacity nothing has to be found out. A late job there waits half of its caller's time while none of its class is placed; the other half is the caller's, to come back.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -153,9 +153,11 @@
 	latency   latencyModel
 	// scarce is set while few endpoints have capacity.
 	scarce bool
-	// placements is the recent rate of placements, classPlacements the rate for each class.
+	// placements is the recent rate of placements, classPlacements holds those of each class.
 	placements      decayingRate
-	classPlacements map[class]*decayingRate
+	classPlacements map[class]*classPlacements
+	// limited is set while all endpoints have rate limits.
+	limited bool
 	// usualWork is the moving average of the work of placed jobs.
 	usualWork float64
 }
@@ -231,7 +233,7 @@
 func (s *Scheduler) service(name string) *service {
 	sv := s.services[name]
 	if sv == nil {
-		sv = &service{name: name, disabled: s.disabled, latency: latencyModel{tokensPerEvent: defaultTokensPerEvent}, endpoints: make(map[string]*endpoint), classPlacements: make(map[class]*decayingRate)}
+		sv = &service{name: name, disabled: s.disabled, latency: latencyModel{tokensPerEvent: defaultTokensPerEvent}, endpoints: make(map[string]*endpoint), classPlacements: make(map[class]*classPlacements)}
 		s.services[name] = sv
 	}
 	return sv
@@ -417,7 +419,7 @@
 	s.startRun(now, j, c)
 	c.ep.turn.recordTake()
 	sv.placements.add(now)
-	sv.classRate(class{j.Tier, j.late}).add(now)
+	sv.placementsOf(class{j.Tier, j.late}).add(now)
 	sv.usualWork += (sv.work(j) - sv.usualWork) * workWeight
 	ep := c.ep.Endpoint
 	s.decisions = append(s.decisions, Decision{
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -133,6 +133,7 @@
 // early has time to retry; one that is held until its timeout does not.
 func (s *Scheduler) refuseUnservable(now time.Duration, sv *service) {
 	fastest := sv.fastestEndpoint()
+	sv.limited = s.rateLimitWait(sv) > 0
 	kept := sv.queue[:0]
 	ahead, late := make(map[class]int), sv.lateJobsByTier()
 	for _, j := range sv.queue {
--- a/core/dispatch/unservable.go
+++ b/core/dispatch/unservable.go
@@ -13,17 +13,44 @@
 	late bool
 }
 
-// minQueuedPerClass is the number of jobs of a class that may always wait, whatever the recent
-// rate of placements: they reveal when there is capacity for the class again.
-const minQueuedPerClass = 3
+const (
+	// minQueuedPerClass is the number of jobs of a class that may wait whatever the recent rate of
+	// placements: they reveal when there is capacity for the class again.
+	minQueuedPerClass = 3
+	// maxVainWait is the part of its caller's time for which a late job waits while none of its
+	// class is placed, at endpoints whose limits tell their capacity. The rest is for the caller to
+	// retry.
+	maxVainWait = 0.5
+)
+
+// classPlacements records the placements of a class.
+type classPlacements struct {
+	rate decayingRate
+	// last is when the newest one was made, if any was.
+	last time.Duration
+	any  bool
+}
+
+func (p *classPlacements) add(now time.Duration) {
+	p.rate.add(now)
+	p.last, p.any = now, true
+}
 
-func (sv *service) classRate(c class) *decayingRate {
-	r := sv.classPlacements[c]
-	if r == nil {
-		r = &decayingRate{}
-		sv.classPlacements[c] = r
+func (sv *service) placementsOf(c class) *classPlacements {
+	p := sv.classPlacements[c]
+	if p == nil {
+		p = &classPlacements{}
+		sv.classPlacements[c] = p
 	}
-	return r
+	return p
+}
+
+// waitsInVain reports whether none of a late job's class was placed while it waited, for most of its
+// caller's time.
+func (sv *service) waitsInVain(now time.Duration, j *Job) bool {
+	p := sv.placementsOf(class{j.Tier, true})
+	waited, callerTime := now-j.arrived, j.AbandonAt-j.arrived
+	return float64(waited) > maxVainWait*float64(callerTime) && (!p.any || p.last < j.arrived)
 }
 
 // expectedWait returns how long a job of a class waits behind others of it, at the recent rate
@@ -32,7 +59,7 @@
 	if ahead < minQueuedPerClass {
 		return 0, false
 	}
-	rate := sv.classRate(c).perSecond(now)
+	rate := sv.placementsOf(c).rate.perSecond(now)
 	if float64(ahead) > rate*maxWait.Seconds() {
 		return maxWait, true
 	}
@@ -47,12 +74,18 @@
 // late ones until its caller disconnects. Without this, most refused jobs of the lowest tier
 // would use up most of their callers' timeout.
 func (sv *service) unservable(now time.Duration, j *Job, ahead map[class]int, late int) bool {
+	if sv.disabled.Has(mechanism.Hopeless) {
+		return false
+	}
 	if j.late {
+		if sv.limited && sv.waitsInVain(now, j) {
+			return true
+		}
 		// Late jobs behind it in the queue do not count.
 		late = ahead[class{j.Tier, true}]
 	}
 	wait, known := sv.expectedWait(now, class{j.Tier, true}, late)
-	if sv.disabled.Has(mechanism.Hopeless) || !known || wait <= j.AbandonAt-now {
+	if !known || wait <= j.AbandonAt-now {
 		return false
 	}
 	if j.late {
