transfer: a late process takes no transfer for stalled

Cause: the stall of a transfer was a plain timer; in a process without processor time it fires before what arrived is read, and the transfer, which was under way or complete, is thrown away and begun anew elsewhere.

Mend: the timer that judges others only when this process is on time.

--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/chivefield/chivefield/timeout"
 )
 
 // Progress is how far the response to a request has arrived. It may be read while the transfer runs.
@@ -63,7 +65,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	b := &body{progress: p, stall: c.Stall, ctx: ctx, cancel: cancel}
-	b.timer = time.AfterFunc(c.Response, func() { cancel(&StalledError{Timeout: c.Response}) })
+	b.timer = timeout.AfterFunc(c.Response, func(time.Duration) { cancel(&StalledError{Timeout: c.Response}) })
 	resp, err := c.HTTP.Do(r.WithContext(ctx))
 	if err != nil {
 		defer b.release()
@@ -71,7 +73,7 @@
 	}
 	p.size.Store(max(0, resp.ContentLength))
 	b.timer.Stop()
-	b.timer = time.AfterFunc(c.Stall, func() { cancel(&StalledError{Timeout: c.Stall, Received: p.Received()}) })
+	b.timer = timeout.AfterFunc(c.Stall, func(time.Duration) { cancel(&StalledError{Timeout: c.Stall, Received: p.Received()}) })
 	b.ReadCloser = resp.Body
 	resp.Body = b
 	return resp, nil
@@ -82,7 +84,7 @@
 	io.ReadCloser
 	progress *Progress
 	stall    time.Duration
-	timer    *time.Timer
+	timer    *timeout.Timer
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 }
