--- a/entry/placement.go
+++ b/entry/placement.go
@@ -147,7 +147,6 @@
 	defer p.removePending(j.Handle)
 	timer := time.NewTimer(placeRetryInterval)
 	defer timer.Stop()
-	due := time.Now().Add(placeRetryInterval)
 	p.d.peers.send(p.placeRequestNote(j), placer.addr)
 	for sent := 1; ; {
 		select {
@@ -180,15 +179,6 @@
 				p.cancelRemote(placer, j.Handle)
 				return dec, false, localReasonPlacerChanged
 			}
-			late := time.Since(due)
-			due = time.Now().Add(placeRetryInterval)
-			if late > placeRetryInterval && p.livePlacer() == placer {
-				// This process got no processor time: the decision may have arrived meanwhile, and
-				// says nothing of the placer if not.
-				p.d.count("place_waits_late")
-				timer.Reset(placeRetryInterval)
-				continue
-			}
 			if sent == maxPlaceRequests {
 				p.cancelRemote(placer, j.Handle)
 				p.avoidPlacer(placer)
