daemon: a stream that another VM reads is resumed as long as it goes on

Each event read begins the intervals anew now, so breaks are counted only while nothing comes. Three comments reworded.

--- a/claim/roster.go
+++ b/claim/roster.go
@@ -77,7 +77,8 @@
 	// over the orphans.
 	standingIn bool
 	orphans    []request.Key
-	// orphanSeqs are the messages that carried all present orphans.
+	// orphanSeqs are the sequence numbers of the messages that carried all present
+	// orphans.
 	orphanSeqs    []uint64
 	orphansSentAt time.Duration
 
--- a/daemon/endpoints.go
+++ b/daemon/endpoints.go
@@ -155,20 +155,25 @@
 }
 
 // readAttached reads the response of another dispatch, which may still be in
-// transit: it asks a few times before it reports that there is none.
+// transit: it asks a few times before it reports that there is none. A stream that
+// breaks is resumed as long as it goes on.
 func (d *Daemon) readAttached(ctx context.Context, c *callerRequest, r *schema.Record) core.End {
 	resp := newResponseBuffer(nil)
+	read := 0
 	for interval := resumeInterval; interval < maxAttachInterval; interval *= 2 {
 		if end := d.readAttachedOnce(ctx, c, r, resp); end != core.NotStarted {
 			return end
 		}
+		if n := resp.tokenCount(); n > read {
+			read, interval = n, resumeInterval
+		}
 		select {
 		case <-ctx.Done():
 			return core.Broken
 		case <-time.After(interval):
 		}
 	}
-	if resp.tokenCount() > 0 {
+	if read > 0 {
 		return core.Broken
 	}
 	return core.NotStarted
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -29,8 +29,8 @@
 	overlapAfter = 500 * time.Millisecond
 	// maxOverlapping bounds the exchanges with one peer at a time.
 	maxOverlapping = 4
-	// exchangesPerLease is how many unanswered exchanges in a row fit into a
-	// lease: less than one would let a single loss end the lease.
+	// exchangesPerLease limits an exchange to this fraction of a lease, so that a
+	// lost one does not end the lease.
 	exchangesPerLease  = 3
 	watchRetryInterval = 50 * time.Millisecond
 )
