timeout: a timer that fired can be started again, and always ends

And a process that is late by over 100 ms at each confirmation never gave up a dial or a transfer.

Mend: only Stop ends a timer; after ten confirmations in a row it fires however late they are. Both tests fail on the code before: fired 1 time of 2, and 0 of 1 after 100 late confirmations; both pass now, and timeout, transfer, upstream and entry with the race detector.

--- a/timeout/timeout.go
+++ b/timeout/timeout.go
@@ -14,6 +14,10 @@
 // timer may fire in a process that runs as it should.
 const Confirmation = 100 * time.Millisecond
 
+// maxConfirmations bounds the Confirmations in a row for which the process may be late: a wait in a
+// process that is always late must end too.
+const maxConfirmations = 10
+
 // Timer calls a function once a timeout has passed and, after it, a Confirmation for which the
 // process was not late.
 type Timer struct {
@@ -22,10 +26,10 @@
 	f     func(late time.Duration)
 	// end is when a process that runs as it should calls f.
 	end time.Time
-	// due is when the running stage ends, confirming is set in the second one.
-	due        time.Time
-	confirming bool
-	stopped    bool
+	// due is when the running stage ends, confirmations counts those begun.
+	due           time.Time
+	confirmations int
+	stopped       bool
 }
 
 // AfterFunc starts a timer that calls f in a goroutine of its own, with how late this process is.
@@ -56,24 +60,24 @@
 	if t.stopped || now.Before(t.due) {
 		return 0, false
 	}
-	if t.confirming && now.Sub(t.due) <= Confirmation {
-		t.stopped = true
+	onTime := t.confirmations > 0 && now.Sub(t.due) <= Confirmation
+	if onTime || t.confirmations >= maxConfirmations {
 		return now.Sub(t.end), true
 	}
-	t.confirming = true
+	t.confirmations++
 	t.due = now.Add(Confirmation)
 	t.timer.Reset(Confirmation)
 	return 0, false
 }
 
-// Reset starts the timer anew unless it has been stopped or has fired.
+// Reset starts the timer anew unless it has been stopped.
 func (t *Timer) Reset(d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.stopped {
 		return
 	}
-	t.confirming = false
+	t.confirmations = 0
 	t.due = time.Now().Add(d)
 	t.end = t.due.Add(Confirmation)
 	t.timer.Reset(d)
--- a/timeout/timeout_test.go
+++ b/timeout/timeout_test.go
@@ -57,3 +57,39 @@
 		is.Equal(context.Cause(ctx), context.DeadlineExceeded)
 	})
 }
+
+// Guards against a stream whose later stalls go unnoticed because its caller had no alternative at the
+// first one, and against a timer that is started anew by an event that came before.
+func TestTimerFiresAgainAfterReset(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var fired atomic.Int32
+		timer := AfterFunc(time.Second, func(time.Duration) { fired.Add(1) })
+		time.Sleep(2 * time.Second)
+		timer.Reset(time.Second)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		is.Equal(fired.Load(), int32(2))
+		timer.Stop()
+		timer.Reset(time.Second)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		is.Equal(fired.Load(), int32(2))
+	})
+}
+
+// Guards against waits without an end in a process that is always late.
+func TestTimerEndsInProcessThatIsAlwaysLate(t *testing.T) {
+	is := is.New(t)
+	fired := 0
+	timer := AfterFunc(time.Hour, func(time.Duration) { fired++ })
+	defer timer.Stop()
+	for range 100 {
+		if fired > 0 {
+			break
+		}
+		timer.due = time.Now().Add(-time.Second)
+		timer.fire()
+	}
+	is.Equal(fired, 1)
+}
