claim: a transmission keeps a version for each key, not the key again

Worked out from sizes, at the bounds (64 batches of 256 records, 32 transmissions each): 40 bytes a record, 21 MB for one backup that stays silent, of 32 MB; now 4 bytes, 2.1 MB. Nothing else changes: claim with its search, core and daemon pass.

--- a/claim/duplicates.go
+++ b/claim/duplicates.go
@@ -31,16 +31,11 @@
 	transmissions []transmission
 }
 
-// transmission is one Duplicate message of a batch, with the versions that it
-// carried.
+// transmission is one Duplicate message of a batch, with the version of each of
+// its keys that it carried; 0 if there was no record.
 type transmission struct {
-	seq    uint64
-	copies []recordVersion
-}
-
-type recordVersion struct {
-	key     request.Key
-	version uint32
+	seq      uint64
+	versions []uint32
 }
 
 // transmissionOf returns the transmission of a batch with a sequence number.
@@ -135,10 +130,10 @@
 	batch.sentAt = n.now
 	batch.sends++
 	d := &schema.Duplicate{Seq: p.dupSeq, Epoch: p.epoch, SyncDone: batch.syncDone}
-	t := transmission{seq: p.dupSeq}
-	for _, key := range batch.keys {
+	t := transmission{seq: p.dupSeq, versions: make([]uint32, len(batch.keys))}
+	for i, key := range batch.keys {
 		if r := n.records[key]; r != nil {
-			t.copies = append(t.copies, recordVersion{key: key, version: r.version})
+			t.versions[i] = r.version
 			d.Records = append(d.Records, n.recordToWire(r))
 		}
 	}
@@ -227,7 +222,7 @@
 		if len(p.dirty) > 0 || !p.syncSent {
 			p.flushAt = min(p.flushAt, n.now)
 		}
-		n.markCopied(p, t.copies)
+		n.markCopied(p, batch.keys, t.versions)
 		return
 	}
 }
@@ -235,13 +230,13 @@
 // markCopied records that the peer has these versions. A version written since
 // is queued or in flight by itself; acks arrive in any order and never lower
 // what the peer is known to have.
-func (n *Node) markCopied(p *peer, copies []recordVersion) {
-	for _, c := range copies {
-		r := n.records[c.key]
-		if r == nil || r.copiedTo == p.id && r.copiedInc == p.inc && r.copiedVersion >= c.version {
+func (n *Node) markCopied(p *peer, keys []request.Key, versions []uint32) {
+	for i, key := range keys {
+		r, version := n.records[key], versions[i]
+		if r == nil || version == 0 || r.copiedTo == p.id && r.copiedInc == p.inc && r.copiedVersion >= version {
 			continue
 		}
-		r.copiedTo, r.copiedInc, r.copiedVersion = p.id, p.inc, c.version
+		r.copiedTo, r.copiedInc, r.copiedVersion = p.id, p.inc, version
 		if len(r.waiters) > 0 {
 			n.answerWaiters(r)
 		}
