entry: logs say how an endpoint's response was framed, and what followed its last event

Of the hypotheses for responses that broke off and looked complete, the logs could tell none from another: `streamed` and `answered` said neither whether the endpoint had stated a length or chunks nor what was left when its connection ended. Both lines now have `framing`, streams `partial`, and `responses_unframed` counts responses that end with their connection.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -326,7 +326,7 @@
 	}
 	c.tracked.markFirstEvent()
 	c.d.placement.recordEvents(handle, 1)
-	c.writeResponse(resp.Response, body)
+	c.writeResponse(resp, body)
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return attemptResult{outcome: dispatch.Failed, delivered: true}
 	}
@@ -334,22 +334,30 @@
 }
 
 // writeResponse sends a complete response to the caller.
-func (c *callerRequest) writeResponse(resp *http.Response, body []byte) {
+func (c *callerRequest) writeResponse(resp *upstream.Response, body []byte) {
 	copyHeaders(c.w.Header(), resp.Header)
 	c.w.Header().Set("Content-Length", itoa(len(body)))
 	c.w.WriteHeader(resp.StatusCode)
-	c.logAnswer(resp.StatusCode, c.writeToCaller(body))
+	c.logAnswer(resp, c.writeToCaller(body))
 }
 
 // logAnswer logs a response that was sent to the caller, or the error that ended it.
-func (c *callerRequest) logAnswer(status int, err error) {
+func (c *callerRequest) logAnswer(resp *upstream.Response, err error) {
 	took := time.Since(c.arrived)
 	c.d.count("answers")
+	c.countFraming(resp)
 	c.d.observe("answer", took)
-	c.d.log.Info().Str("request", c.reqHeaders.ID).Int("status", status).Dur("took", took).
+	c.d.log.Info().Str("request", c.reqHeaders.ID).Int("status", resp.StatusCode).Stringer("framing", resp.Framing()).Dur("took", took).
 		Bool("late", took > c.route.Objective).Int("sent", c.sendCount).Err(err).Msg("answered")
 }
 
+// countFraming counts the responses whose completeness cannot be verified.
+func (c *callerRequest) countFraming(resp *upstream.Response) {
+	if resp.Unframed() {
+		c.d.count("responses_unframed")
+	}
+}
+
 func copyHeaders(dst, src http.Header) {
 	h := src.Clone()
 	removeHopHeaders(h)
--- a/entry/responses.go
+++ b/entry/responses.go
@@ -46,14 +46,14 @@
 	c.tracked.markFirstEvent()
 	c.d.placement.recordEvents(handle, 1)
 	if err := c.writeToCaller(first); err != nil {
-		c.logAnswer(resp.StatusCode, err)
+		c.logAnswer(resp, err)
 		return attemptResult{outcome: dispatch.CallerDisconnected, err: err, delivered: true}
 	}
 	buf := make([]byte, forwardBufferSize)
 	for {
 		n, err := resp.Read(buf)
 		if werr := c.writeToCaller(buf[:n]); werr != nil {
-			c.logAnswer(resp.StatusCode, werr)
+			c.logAnswer(resp, werr)
 			return attemptResult{outcome: dispatch.CallerDisconnected, err: werr, delivered: true}
 		}
 		if err == io.EOF {
@@ -61,7 +61,7 @@
 		}
 		if err != nil {
 			c.d.count("answers_broken")
-			c.logAnswer(resp.StatusCode, err)
+			c.logAnswer(resp, err)
 			if ctx.Err() != nil {
 				return attemptResult{outcome: dispatch.CallerDisconnected, err: err, delivered: true, brokenOff: true}
 			}
@@ -69,7 +69,7 @@
 		}
 	}
 	c.d.suspects.recordSuccess(c.digest, resp)
-	c.logAnswer(resp.StatusCode, nil)
+	c.logAnswer(resp, nil)
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return attemptResult{outcome: dispatch.Failed, delivered: true}
 	}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -63,7 +63,7 @@
 		}
 		if err == io.EOF {
 			s.c.d.suspects.recordSuccess(s.c.digest, resp)
-			return s.finish(resp.Response)
+			return s.finish(resp)
 		}
 		if err != nil {
 			if ctx.Err() != nil {
@@ -75,16 +75,17 @@
 }
 
 // finish sends what is left of the last event and records the stream as complete.
-func (s *eventStream) finish(resp *http.Response) attemptResult {
-	if partial := s.splitter.Pending(); len(partial) > 0 {
-		if err := s.writeEvents(resp, partial); err != nil {
+func (s *eventStream) finish(resp *upstream.Response) attemptResult {
+	partial := s.splitter.Pending()
+	if len(partial) > 0 {
+		if err := s.writeEvents(resp.Response, partial); err != nil {
 			return attemptResult{outcome: dispatch.CallerDisconnected, err: err, delivered: true}
 		}
 	}
 	if !s.headersSent {
-		s.writeHeaders(resp)
+		s.writeHeaders(resp.Response)
 	}
-	s.c.logStream(resp.StatusCode, s)
+	s.c.logStream(resp, s, len(partial))
 	return attemptResult{outcome: dispatch.Answered, delivered: true}
 }
 
@@ -110,8 +111,9 @@
 	return http.NewResponseController(s.c.w).Flush()
 }
 
-// logStream logs a complete stream and whether it met its objective.
-func (c *callerRequest) logStream(status int, s *eventStream) {
+// logStream logs a complete stream and whether it met its objective. partial is the number of bytes
+// after the last complete event.
+func (c *callerRequest) logStream(resp *upstream.Response, s *eventStream, partial int) {
 	first := s.firstAt.Sub(c.arrived)
 	lateBy := ""
 	switch {
@@ -121,8 +123,9 @@
 		lateBy = "pause"
 	}
 	c.d.count("streams")
+	c.countFraming(resp)
 	c.d.observe("stream", time.Since(c.arrived))
-	c.d.log.Info().Str("request", c.reqHeaders.ID).Int("status", status).Int("events", s.events).Dur("took", time.Since(c.arrived)).
+	c.d.log.Info().Str("request", c.reqHeaders.ID).Int("status", resp.StatusCode).Stringer("framing", resp.Framing()).Int("partial", partial).Int("events", s.events).Dur("took", time.Since(c.arrived)).
 		Dur("first_event", first).Dur("longest_pause", s.longestPause).Bool("late", lateBy != "").Str("late_by", lateBy).
 		Int("sent", c.sendCount).Msg("streamed")
 }
