entry: a response whose end proves nothing is not passed on as complete

Callers saw (the users' record): status 200, the endpoint's signature, framed as complete, and half a stream; its endpoint had crashed.

Cause: the end of a connection was taken for the end of a response. A response without length and chunks was sent on with a length or in chunks, which says that it is whole; what followed its last whole event was sent too. So the VM said more than it knew.

Class: a thing that ended is framed anew by whoever passes it on, as if its end had been seen.

Mend: what the end says is decided in one place (`checkUnframedEnd`), and what the caller is told follows from it (`startResponse`): - inside an event, or before the first: broken off. Resumed where that is allowed, else broken off for the caller too, or 502. - between two events, and plain responses: unknown. The caller gets the same framing, neither a length nor chunks, and knows as much. - a stream promised in chunks and continued by such a response: its end is not claimed; another endpoint may confirm it, else it is broken off. In such framing a plain close looks like the end, so until the response is whole its connection is set to reset on close (linger of zero): that holds for errors, for a caller that stalls, for the server's shutdown and for the end of the process, which sends nothing of ours. It holds for callers of HTTP/1.0 too, who never get chunks.

Who else takes it as a success: suspects already ignored responses that end with their connection; health, roll-outs and permits now get `broken` with a lost connection for a partial event, as for a reset, and `answered` where the end proves nothing, since the endpoint did respond. An idempotent plain response that came short cannot be told from a whole one, so no second endpoint is asked.

A caller of an endpoint that never states a length loses its kept connection with each response; telling less than is true was the other choice.

--- a/core/sse/sse.go
+++ b/core/sse/sse.go
@@ -47,6 +47,9 @@
 // Pending returns the bytes after the last complete event.
 func (s *Splitter) Pending() []byte { return s.pending }
 
+// InsideEvent reports whether bytes of another event follow the last complete one.
+func (s *Splitter) InsideEvent() bool { return len(bytes.Trim(s.pending, "\r\n")) > 0 }
+
 // Reset discards a partial event before another endpoint sends it again.
 func (s *Splitter) Reset() { s.pending = s.pending[:0] }
 
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -69,6 +69,8 @@
 	canary bool
 	// tracked is the attempt in progress.
 	tracked *trackedAttempt
+	// endsWithConn is set if the caller gets a response that ends with its connection.
+	endsWithConn bool
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	// reservedBytes is the part of the memory budget held for the body.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -177,7 +177,7 @@
 	group, workCtx := errgroup.WithContext(workCtx)
 	callersServer := &http.Server{
 		Handler: http.HandlerFunc(d.serveCaller), ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnState: d.idleConns.connState, ErrorLog: nil,
+		MaxHeaderBytes: maxHeaderBytes, ConnState: d.idleConns.connState, ConnContext: withCallerConn, ErrorLog: nil,
 	}
 	d.serve(group, workCtx, callersServer, callersListener)
 	d.serve(group, workCtx, &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout}, readyListener)
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -30,6 +30,30 @@
 // Error implements error.
 func (e *FailedResponseError) Error() string { return "endpoint failed: status " + itoa(e.Status) }
 
+// PartialEventError reports a stream that ended with its connection inside an event, of which some
+// bytes had come: it has broken off.
+type PartialEventError struct{ Bytes int }
+
+// Error implements error.
+func (e *PartialEventError) Error() string {
+	return "connection ended inside an event, after " + itoa(e.Bytes) + " bytes of it"
+}
+
+// NoEventsError reports a stream that ended with its connection before its first event.
+type NoEventsError struct{}
+
+// Error implements error.
+func (e *NoEventsError) Error() string { return "connection ended before the first event" }
+
+// UnverifiedEndError reports a stream that ended with its connection between two events, after its
+// caller had been promised a response whose end is stated.
+type UnverifiedEndError struct{}
+
+// Error implements error.
+func (e *UnverifiedEndError) Error() string {
+	return "connection ended without the stream's stated end"
+}
+
 // RetryBudgetError reports a retry that was not sent: it waited until its part of the retry
 // budget had expired.
 type RetryBudgetError struct{ Service string }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -333,12 +333,14 @@
 	return attemptResult{outcome: dispatch.Answered, delivered: true}
 }
 
-// writeResponse sends a complete response to the caller.
+// writeResponse sends a response to the caller whose body has been read.
 func (c *callerRequest) writeResponse(resp *upstream.Response, body []byte) {
-	copyHeaders(c.w.Header(), resp.Header)
-	c.w.Header().Set("Content-Length", itoa(len(body)))
-	c.w.WriteHeader(resp.StatusCode)
-	c.logAnswer(resp, c.writeToCaller(body))
+	c.startResponse(resp, int64(len(body)))
+	err := c.writeToCaller(body)
+	if err == nil {
+		err = c.completeResponse()
+	}
+	c.logAnswer(resp, err)
 }
 
 // logAnswer logs a response that was sent to the caller, or the error that ended it.
--- a/entry/responses.go
+++ b/entry/responses.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/chivefield/chivefield/core/dispatch"
@@ -38,11 +37,7 @@
 // takes to read it: the attempt's watchdog must have been stopped. A response that breaks off
 // ends with the caller's connection, so that it does not look complete.
 func (c *callerRequest) forwardUnbuffered(ctx context.Context, handle uint64, resp *upstream.Response, first []byte) attemptResult {
-	copyHeaders(c.w.Header(), resp.Header)
-	if resp.ContentLength >= 0 {
-		c.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
-	}
-	c.w.WriteHeader(resp.StatusCode)
+	c.startResponse(resp, resp.ContentLength)
 	c.tracked.markFirstEvent()
 	c.d.placement.recordEvents(handle, 1)
 	if err := c.writeToCaller(first); err != nil {
@@ -69,7 +64,7 @@
 		}
 	}
 	c.d.suspects.recordSuccess(c.digest, resp)
-	c.logAnswer(resp, nil)
+	c.logAnswer(resp, c.completeResponse())
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return attemptResult{outcome: dispatch.Failed, delivered: true}
 	}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -56,13 +56,12 @@
 				watchdog.recordEvent()
 				s.c.tracked.markFirstEvent()
 				s.c.d.placement.recordEvents(handle, s.splitter.IDCount)
-				if werr := s.writeEvents(resp.Response, events); werr != nil {
+				if werr := s.writeEvents(resp, events); werr != nil {
 					return attemptResult{outcome: dispatch.CallerDisconnected, err: werr, delivered: true}
 				}
 			}
 		}
 		if err == io.EOF {
-			s.c.d.suspects.recordSuccess(s.c.digest, resp)
 			return s.finish(resp)
 		}
 		if err != nil {
@@ -74,30 +73,54 @@
 	}
 }
 
-// finish sends what is left of the last event and records the stream as complete.
+// finish sends what is left after the last event and records the stream as complete, unless its end
+// shows or suggests that it is not.
 func (s *eventStream) finish(resp *upstream.Response) attemptResult {
 	partial := s.splitter.Pending()
+	if resp.Unframed() {
+		if a, ended := s.checkUnframedEnd(len(partial)); !ended {
+			return a
+		}
+	}
+	s.c.d.suspects.recordSuccess(s.c.digest, resp)
 	if len(partial) > 0 {
-		if err := s.writeEvents(resp.Response, partial); err != nil {
+		if err := s.writeEvents(resp, partial); err != nil {
 			return attemptResult{outcome: dispatch.CallerDisconnected, err: err, delivered: true}
 		}
 	}
 	if !s.headersSent {
-		s.writeHeaders(resp.Response)
+		s.writeHeaders(resp)
+	}
+	if err := s.c.completeResponse(); err != nil {
+		return attemptResult{outcome: dispatch.CallerDisconnected, err: err, delivered: true}
 	}
 	s.c.logStream(resp, s, len(partial))
 	return attemptResult{outcome: dispatch.Answered, delivered: true}
 }
 
-func (s *eventStream) writeHeaders(resp *http.Response) {
+// checkUnframedEnd reports whether a response that ended with its connection may be the end of the
+// stream, and the attempt's result if not. partial is the number of bytes after the last event.
+func (s *eventStream) checkUnframedEnd(partial int) (a attemptResult, ended bool) {
+	switch {
+	case s.splitter.InsideEvent():
+		return attemptResult{outcome: dispatch.Broken, connectionLost: true, err: &PartialEventError{Bytes: partial}}, false
+	case s.events == 0 && s.c.reqHeaders.LastEventID == "":
+		return attemptResult{outcome: dispatch.Broken, connectionLost: true, err: &NoEventsError{}}, false
+	case s.headersSent && !s.c.endsWithConn:
+		// The caller was promised chunks, whose end would say more than is known.
+		return attemptResult{outcome: dispatch.Answered, err: &UnverifiedEndError{}}, false
+	}
+	return attemptResult{}, true
+}
+
+func (s *eventStream) writeHeaders(resp *upstream.Response) {
 	s.headersSent = true
-	copyHeaders(s.c.w.Header(), resp.Header)
-	s.c.w.WriteHeader(resp.StatusCode)
+	s.c.startResponse(resp, unknownLength)
 	s.c.d.observe("first_event", time.Since(s.c.arrived))
 }
 
 // writeEvents sends complete events to the caller without delay.
-func (s *eventStream) writeEvents(resp *http.Response, events []byte) error {
+func (s *eventStream) writeEvents(resp *upstream.Response, events []byte) error {
 	if !s.headersSent {
 		s.writeHeaders(resp)
 	}
