sse: a blank line may end otherwise than the line before it

An event whose lines end in LF and whose blank line ends in CRLF was held back until a later one, and at the end of its connection would now be taken for a partial event. TestMixedLineEnds fails before.

--- a/core/sse/sse.go
+++ b/core/sse/sse.go
@@ -53,16 +53,14 @@
 // Reset discards a partial event before another endpoint sends it again.
 func (s *Splitter) Reset() { s.pending = s.pending[:0] }
 
-// completeEnd returns the offset after the last blank line.
+// completeEnd returns the offset after the last blank line, whose end and the end of the line before
+// it may each be LF or CRLF.
 func completeEnd(b []byte) int {
-	lf := bytes.LastIndex(b, []byte("\n\n"))
-	crlf := bytes.LastIndex(b, []byte("\r\n\r\n"))
 	end := 0
-	if lf >= 0 {
-		end = lf + 2
-	}
-	if crlf >= 0 && crlf+4 > end {
-		end = crlf + 4
+	for _, blank := range []string{"\n\n", "\n\r\n"} {
+		if i := bytes.LastIndex(b, []byte(blank)); i >= 0 {
+			end = max(end, i+len(blank))
+		}
 	}
 	return end
 }
--- a/core/sse/sse_test.go
+++ b/core/sse/sse_test.go
@@ -49,3 +49,18 @@
 	_, err := s.Write(make([]byte, maxEvent+1))
 	is.True(err != nil)
 }
+
+// Guards against whole events that are held back, and taken for a partial one at the end, since the lines
+// of a stream end in different ways.
+func TestMixedLineEnds(t *testing.T) {
+	is := is.New(t)
+	var s Splitter
+	const stream = "id: 1\r\ndata: a\n\r\nid: 2\ndata: b\r\n\nid: 3\r\ndata: c\n\r\n"
+	whole, err := s.Write([]byte(stream))
+	is.NoErr(err)
+	is.Equal(string(whole), stream)
+	is.True(!s.InsideEvent())
+	_, err = s.Write([]byte("\r\nid: 4"))
+	is.NoErr(err)
+	is.True(s.InsideEvent())
+}
