endpoint: a plain response without proof of its end is not an answer

The same class at the product's own interface: a plain service's response that ended with its connection, or was longer than the 16 MiB that this client reads, was kept as complete, sent with a length, and given to each retry. It is `unknown` now, as any response that broke off. TestResponseWithoutProofOfItsEndIsBroken fails before in both cases. Streams of engines end with a mark and were not affected. Looked at and sound: configurations from other VMs (checksum), the store's replies (JSON and records that state their lengths), twirp messages (net/http's server always frames), transfers.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -131,14 +131,20 @@
 }
 
 func readResponse(resp *http.Response, sink Sink) Result {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBody))
-	if err != nil {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBody+1))
+	if err != nil || len(body) > maxResponseBody || !endIsStated(resp) {
 		return Broken
 	}
 	sink.Response(resp.StatusCode, resp.Header.Get("Content-Type"), body)
 	return Complete
 }
 
+// endIsStated reports whether a response states where its body ends, by a length, by chunks or by the
+// checksum of a compressed body. One that ends with its connection may have been cut short.
+func endIsStated(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Uncompressed
+}
+
 // resumeWithRetries tries up to MaxResumes times to resume a broken stream.
 func (c *Client) resumeWithRetries(ctx context.Context, call Call, next int, sink Sink) Result {
 	if call.Stream == "" {
--- /dev/null
+++ b/endpoint/client_test.go
@@ -0,0 +1,73 @@
+package endpoint
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// recorder is a Sink that keeps the response of a plain service.
+type recorder struct{ body []byte }
+
+// Token implements Sink.
+func (r *recorder) Token(int, []byte) {}
+
+// Response implements Sink.
+func (r *recorder) Response(_ int, _ string, body []byte) { r.body = body }
+
+// respond starts a plain service that sends the same bytes to each request and closes the connection.
+func respond(t *testing.T, response string) (base string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				_, _ = c.Read(make([]byte, 4<<10))
+				_, _ = io.WriteString(c, response)
+			}()
+		}
+	}()
+	return "http://" + l.Addr().String()
+}
+
+// Guards against a response that was cut short, by its endpoint or by this client, and is passed on as
+// complete.
+func TestResponseWithoutProofOfItsEndIsBroken(t *testing.T) {
+	long := strings.Repeat("x", maxResponseBody+1)
+	for _, c := range []struct {
+		name, response string
+		want           Result
+	}{
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", Complete},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", Complete},
+		{"no length, no chunks", "HTTP/1.1 200 OK\r\n\r\nhello", Broken},
+		{"short of its length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", Broken},
+		{"too long", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long), Broken},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			client := Client{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+			var got recorder
+			is.Equal(client.Run(context.Background(), Call{Base: respond(t, c.response), Path: "/"}, &got), c.want)
+			if c.want == Complete {
+				is.Equal(string(got.body), "hello")
+			}
+			is.Equal(got.body != nil, c.want == Complete)
+		})
+	}
+}
