entry: compressed contents over their limit are an error, not a part of them

The same class where VMs pass things on: what was larger than its limit was cut there without an error. Records are protobuf, of which a part that ends at a field's end reads as a whole message. Relays, registries and configurations are affected; none was seen to be.

--- a/entry/errors.go
+++ b/entry/errors.go
@@ -95,3 +95,11 @@
 
 // Error implements error.
 func (e *VMRecordError) Error() string { return "malformed VM record: " + strconv.Quote(e.Record) }
+
+// InflatedSizeError reports compressed contents that are larger than they may be.
+type InflatedSizeError struct{ Limit int64 }
+
+// Error implements error.
+func (e *InflatedSizeError) Error() string {
+	return "compressed contents exceed " + strconv.FormatInt(e.Limit, 10) + " bytes"
+}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -167,9 +167,14 @@
 	return out.Bytes(), nil
 }
 
-// inflate decompresses up to limit bytes.
+// inflate decompresses. Contents of more than limit bytes are an InflatedSizeError: a part of them
+// could pass for the whole.
 func inflate(packed []byte, limit int64) ([]byte, error) {
-	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), limit))
+	b, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), limit+1))
+	if err == nil && int64(len(b)) > limit {
+		return nil, &InflatedSizeError{Limit: limit}
+	}
+	return b, err
 }
 
 // unpackPart decompresses the records of a part in place.
