entry: a refusal says who decided it and how many endpoints were within reach

None of the three hypotheses on VMs cut from all endpoints could be told from another by the logs: a refusal named neither the VM that decided nor what that VM took to be reachable, and nothing counted connections that could not be opened.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -67,8 +67,9 @@
 	Reason string
 	// Predicted is the predicted time to the first event.
 	Predicted time.Duration
-	// Candidates is the number of endpoints in use. Waiting is the number of queued jobs.
-	Candidates, Waiting int
+	// Candidates is the number of endpoints in use. Reachable is how many of them the VM that decided
+	// takes to be reachable; it is counted for refusals. Waiting is the number of queued jobs.
+	Candidates, Reachable, Waiting int
 	// DecidedBy is the VM that made the decision; empty for this VM.
 	DecidedBy string
 	// Load is the known load of all VMs together at the endpoint, with the event gap assumed
@@ -441,6 +442,17 @@
 
 func (s *Scheduler) refuse(now time.Duration, sv *service, j *Job, reason string) {
 	s.decisions = append(s.decisions, Decision{
-		Handle: j.Handle, Reason: reason, RetryAfter: max(retryAfter(j), s.rateLimitWait(sv), s.backoffWait(now, sv, j)), Candidates: len(sv.list), Waiting: len(sv.queue),
+		Handle: j.Handle, Reason: reason, RetryAfter: max(retryAfter(j), s.rateLimitWait(sv), s.backoffWait(now, sv, j)), Candidates: len(sv.list), Reachable: sv.reachableCount(now), Waiting: len(sv.queue),
 	})
 }
+
+// reachableCount returns the number of endpoints that this VM takes to be reachable.
+func (sv *service) reachableCount(now time.Duration) int {
+	n := 0
+	for _, e := range sv.list {
+		if e.reachable(now) {
+			n++
+		}
+	}
+	return n
+}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -71,6 +71,8 @@
 	tracked *trackedAttempt
 	// endsWithConn is set if the caller gets a response that ends with its connection.
 	endsWithConn bool
+	// notPlaced is the decision not to place the request, if that is how it ends.
+	notPlaced *dispatch.Decision
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	// reservedBytes is the part of the memory budget held for the body.
@@ -297,8 +299,12 @@
 	if c.route != nil {
 		route = c.route.Name
 	}
-	c.d.log.Info().Str("request", c.reqHeaders.ID).Stringer("digest", c.digest).Str("route", route).Int("status", denied.status).Str("reason", denied.reason).
-		Dur("retry_after", denied.retryAfter).Int("sent", c.sendCount).Dur("held", time.Since(c.arrived)).Msg("refused")
+	e := c.d.log.Info().Str("request", c.reqHeaders.ID).Stringer("digest", c.digest).Str("route", route).Int("status", denied.status).Str("reason", denied.reason).
+		Dur("retry_after", denied.retryAfter).Int("sent", c.sendCount).Dur("held", time.Since(c.arrived))
+	if dec := c.notPlaced; dec != nil {
+		e = e.Str("by", dec.DecidedBy).Int("candidates", dec.Candidates).Int("reachable", dec.Reachable).Int("waiting", dec.Waiting)
+	}
+	e.Msg("refused")
 	if c.org != nil && c.units > 0 && !c.mayHaveRun {
 		c.d.peers.refund(allowance.Amount{Organisation: c.org.Name, Units: c.units})
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -134,7 +134,7 @@
 		opts: opts, settings: opts.Settings, log: opts.Log, codec: opts.Codec, start: time.Now(),
 		metrics: metrics.NewRegistry(), eras: newEraTracker(), startedAt: time.Now(), idleConns: newIdleConnCloser(), invalidEntries: make(map[string]string), initialised: make(chan struct{}), startList: make(chan []string, 1),
 	}
-	d.pool = upstream.NewPool(opts.Dial, maxIdlePerEndpoint)
+	d.pool = upstream.NewPool(d.dialEndpoint, maxIdlePerEndpoint)
 	d.bodyMemory = newMemoryBudget(int64(float64(d.settings.Limits.MemoryMb) * bodyMemoryShare * (1 << 20)))
 	d.responseMemory = newMemoryBudget(int64(float64(d.settings.Limits.MemoryMb) * responseMemoryShare * (1 << 20)))
 	d.sched = newSharedScheduler(d.settings.Vm.Name, d.settings.Vm.FailureDomain, d.settings.Disabled, d.now)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -62,6 +62,7 @@
 			return
 		}
 		if dec.Endpoint == nil {
+			c.notPlaced = &dec
 			c.fail(s, dec.Reason, dec.RetryAfter)
 			return
 		}
--- a/entry/placement.go
+++ b/entry/placement.go
@@ -156,7 +156,7 @@
 				p.markQueued(pending)
 				timer.Reset(placerTimeout)
 			case schema.PlaceDecision_REFUSED:
-				return refusedDecision(m), true, ""
+				return refusedDecision(placer, m), true, ""
 			case schema.PlaceDecision_PLACED:
 				dec, reason := p.adoptDecision(placer, j, m)
 				return dec, dec.Endpoint != nil, string(reason)
@@ -226,9 +226,9 @@
 	return *dec, ""
 }
 
-func refusedDecision(m *schema.PlaceDecision) dispatch.Decision {
+func refusedDecision(placer *peer, m *schema.PlaceDecision) dispatch.Decision {
 	return dispatch.Decision{
-		Handle: m.Handle, Reason: m.Reason, RetryAfter: micros(m.RetryAfterUs), Candidates: int(m.Candidates), Waiting: int(m.Waiting),
+		Handle: m.Handle, Reason: m.Reason, RetryAfter: micros(m.RetryAfterUs), Candidates: int(m.Candidates), Reachable: int(m.Reachable), Waiting: int(m.Waiting), DecidedBy: placer.addr.String(),
 	}
 }
 
--- a/entry/remote_jobs.go
+++ b/entry/remote_jobs.go
@@ -151,7 +151,7 @@
 	}
 	m := &schema.PlaceDecision{
 		Handle: dec.Handle, Verdict: schema.PlaceDecision_REFUSED, Reason: dec.Reason, RetryAfterUs: uint64(dec.RetryAfter.Microseconds()),
-		PredictedUs: uint64(dec.Predicted.Microseconds()), Candidates: uint32(dec.Candidates), Waiting: uint32(dec.Waiting),
+		PredictedUs: uint64(dec.Predicted.Microseconds()), Candidates: uint32(dec.Candidates), Reachable: uint32(dec.Reachable), Waiting: uint32(dec.Waiting),
 		Running: uint32(dec.Load.Running), PromptTokens: uint32(dec.Load.PromptTokens), EventGapUs: uint64(dec.Load.EventGap.Microseconds()),
 	}
 	if dec.Endpoint != nil {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -16,15 +16,9 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/chivefield/chivefield/timeout"
 )
 
 const (
-	// dialTimeout bounds the opening of a connection. Round trips take a few ms within a region
-	// and up to 100 ms between distant ones. A lost SYN packet is retransmitted after a second,
-	// by when another endpoint has responded.
-	dialTimeout = 200 * time.Millisecond
 	// defaultKeepAlive is how long a connection may be idle if the endpoint sends no Keep-Alive
 	// timeout.
 	defaultKeepAlive = 4 * time.Second
@@ -108,9 +102,13 @@
 	requests  int
 }
 
+// Dialer opens a connection to the incarnation of an endpoint with the given key. It bounds the time
+// that this takes.
+type Dialer func(ctx context.Context, key, address string) (net.Conn, error)
+
 // Pool keeps idle connections by endpoint.
 type Pool struct {
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial Dialer
 	// MaxIdle bounds the idle connections kept for one endpoint.
 	MaxIdle int
 
@@ -119,7 +117,7 @@
 }
 
 // NewPool returns an empty pool.
-func NewPool(dial func(ctx context.Context, network, address string) (net.Conn, error), maxIdle int) *Pool {
+func NewPool(dial Dialer, maxIdle int) *Pool {
 	return &Pool{Dial: dial, MaxIdle: maxIdle, idle: make(map[string][]*conn)}
 }
 
@@ -171,9 +169,7 @@
 			return c, nil
 		}
 	}
-	dctx, cancel := timeout.Context(ctx, dialTimeout)
-	defer cancel()
-	nc, err := p.Dial(dctx, "tcp", address)
+	nc, err := p.Dial(ctx, key, address)
 	if err != nil {
 		return nil, err
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -36,7 +36,9 @@
 		}
 		arrived <- err
 	}()
-	p := NewPool((&net.Dialer{}).DialContext, 1)
+	p := NewPool(func(ctx context.Context, _, address string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}, 1)
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
 	// More than the endpoint's receive buffer, less than the sender's send buffer.
