entry: a VM that has lost its link to the endpoints places for nobody else

Callers saw: with the placer of a cell cut from all endpoints, VMs that reach them served 1 to 6 of 834 (reset) or 1 to 251 of 556 (hang): 503 within a fraction of a second, nothing sent.

Cause: what one VM can reach was taken for the health of the endpoints, for all. The placer's own probes failed, so it took each endpoint to be down and refused what others asked. It was not silent, so nobody left it. Class: one VM's view decides for others, and does not say how it came about.

While others reach endpoints it accepts no requests to place, hands back those that wait, and tells no doubts or ejections; where nobody does, as when all endpoints are down, all goes on as before.

The cut VMs still serve nobody; that is the next matter. Elsewhere: suspects already compare with other endpoints before they blame a request; roll-outs compare versions in the same seconds; the reader of the registry and limits do not follow from connections to endpoints.

--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -204,6 +205,30 @@
 	return near[:min(maxControlProbes, len(near))]
 }
 
+// Endpoints returns all endpoints, ordered by service.
+func (s *Scheduler) Endpoints() []Probe {
+	list := make([]Probe, 0, s.EndpointCount())
+	for _, name := range slices.Sorted(maps.Keys(s.services)) {
+		for _, e := range s.services[name].list {
+			list = append(list, Probe{e.Key(), e.Address})
+		}
+	}
+	return list
+}
+
+// EndpointCount returns the number of endpoints.
+func (s *Scheduler) EndpointCount() int { return len(s.byHash) }
+
+// ForgetSuspicions makes all endpoints that were found unreachable usable again: the link by which
+// they were found so has failed, or is back.
+func (s *Scheduler) ForgetSuspicions() {
+	for _, sv := range s.services {
+		for _, e := range sv.list {
+			e.health.suspectedDown, e.health.probes = false, 0
+		}
+	}
+}
+
 // Probe is a request to open a connection to an endpoint, to check whether it is reachable. The
 // result must be passed to RecordProbe.
 type Probe struct{ Key, Address string }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -97,6 +97,7 @@
 	shares       *sharedAllowances
 	retryBudgets *retryBudgets
 	pool         *upstream.Pool
+	link         *endpointLink
 	idleConns    *idleConnCloser
 	bodyMemory   *memoryBudget
 	// responseMemory is for responses that are read before they are forwarded.
@@ -134,7 +135,8 @@
 		opts: opts, settings: opts.Settings, log: opts.Log, codec: opts.Codec, start: time.Now(),
 		metrics: metrics.NewRegistry(), eras: newEraTracker(), startedAt: time.Now(), idleConns: newIdleConnCloser(), invalidEntries: make(map[string]string), initialised: make(chan struct{}), startList: make(chan []string, 1),
 	}
-	d.pool = upstream.NewPool(d.dialEndpoint, maxIdlePerEndpoint)
+	d.link = newEndpointLink(d)
+	d.pool = upstream.NewPool(d.link.dial, maxIdlePerEndpoint)
 	d.bodyMemory = newMemoryBudget(int64(float64(d.settings.Limits.MemoryMb) * bodyMemoryShare * (1 << 20)))
 	d.responseMemory = newMemoryBudget(int64(float64(d.settings.Limits.MemoryMb) * responseMemoryShare * (1 << 20)))
 	d.sched = newSharedScheduler(d.settings.Vm.Name, d.settings.Vm.FailureDomain, d.settings.Disabled, d.now)
@@ -204,6 +206,7 @@
 	group.Go(func() error { return d.retryBudgets.logPeriodically(workCtx) })
 	group.Go(func() error { return d.sched.run(workCtx) })
 	group.Go(func() error { return d.sweep(workCtx) })
+	group.Go(func() error { return d.link.run(workCtx) })
 	group.Go(func() error { return d.reload(workCtx) })
 	group.Go(func() error { return d.shutdown(ctx, workCtx, callersServer, stop) })
 	d.log.Info().Str("failure_domain", d.settings.Vm.FailureDomain).
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -41,6 +41,7 @@
 		n.ConfigVersion = t.Document.Version
 	}
 	n.FollowsConfig, n.StoreLost = p.followsConfig.Load(), p.d.registryReadFailed(p.d.now())
+	n.EndpointsLost = p.d.link.failed()
 	return n
 }
 
@@ -104,11 +105,11 @@
 	if full {
 		state.Vms = p.listEntries()
 		// VMs that ask a placer need the event gaps in case they have to place requests themselves.
-		state.Loads, state.Uses = true, p.d.sched.endpointLoads(true)
+		state.Loads, state.Uses = true, p.endpointLoads(true)
 	}
 	p.writeAll(p.encode(state), to.State)
 	if !full {
-		state.Loads, state.Uses = true, p.d.sched.endpointLoads(false)
+		state.Loads, state.Uses = true, p.endpointLoads(false)
 	}
 	p.writeAll(p.encode(state), to.Loads)
 }
@@ -247,7 +248,7 @@
 		if n.Endpoints != nil || pe.storeLost && !n.StoreLost {
 			pe.relayedAt = p.d.now()
 		}
-		pe.followsConfig, pe.storeLost = n.FollowsConfig, n.StoreLost
+		pe.followsConfig, pe.storeLost, pe.endpointsLost = n.FollowsConfig, n.StoreLost, n.EndpointsLost
 		if placer := p.byAddress[n.Placer]; placer != nil {
 			placer.namedAt = p.d.now()
 			p.placing[placer] = true
@@ -278,6 +279,18 @@
 	p.grantWants(n, from)
 }
 
+// endpointLoads returns this VM's load at the endpoints it uses, for a note. A VM that has lost its
+// link would make others doubt all endpoints.
+func (p *peers) endpointLoads(withGaps bool) []*schema.EndpointUse {
+	list := p.d.sched.endpointLoads(withGaps)
+	if p.d.link.failed() {
+		for _, use := range list {
+			use.Doubted, use.Ejected = false, false
+		}
+	}
+	return list
+}
+
 // endpointLoads returns this VM's load at the endpoints it uses. With withGaps it includes the
 // other endpoints whose event gap this VM knows.
 func (s *sharedScheduler) endpointLoads(withGaps bool) []*schema.EndpointUse {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -97,9 +97,9 @@
 	// usualInterval is the usual time between two notes of the peer.
 	usualInterval time.Duration
 	// State from the peer's own notes: it reads the configuration from the store, failed to read
-	// the store, places requests for others, asks a placer; below, its share of a core and the
-	// number of VMs that ask it.
-	followsConfig, storeLost, placesForOthers, asksPlacer bool
+	// the store, reaches no endpoint, places requests for others, asks a placer; below, its share of
+	// a core and the number of VMs that ask it.
+	followsConfig, storeLost, endpointsLost, placesForOthers, asksPlacer bool
 
 	cpuShare float64
 	members  int
--- a/entry/remote_jobs.go
+++ b/entry/remote_jobs.go
@@ -54,8 +54,31 @@
 	return &remoteJobs{d: d, jobs: make(map[uint64]*remoteJob), requesters: make(map[string]*requester)}
 }
 
-// acceptsJobs reports whether this VM places requests for others.
-func (r *remoteJobs) acceptsJobs() bool { return r.d.ready() && r.d.peers.eligible.Load() }
+// acceptsJobs reports whether this VM places requests for others. One that reaches no endpoint takes
+// all of them to be down, and would refuse requests of VMs that reach them.
+func (r *remoteJobs) acceptsJobs() bool {
+	return r.d.ready() && r.d.peers.eligible.Load() && !r.d.link.lost()
+}
+
+// handBack returns the requests that wait here to the VMs that sent them, which then place them
+// themselves.
+func (r *remoteJobs) handBack() {
+	if r.acceptsJobs() {
+		return
+	}
+	waiting := make(map[uint64]*net.UDPAddr)
+	r.mu.Lock()
+	for h, job := range r.jobs {
+		if job.decision == nil {
+			waiting[h] = job.addr
+		}
+	}
+	r.mu.Unlock()
+	for h, addr := range waiting {
+		r.drop(h, dispatch.CallerDisconnected)
+		r.sendDecision(addr, &schema.PlaceDecision{Handle: h})
+	}
+}
 
 // handleNote processes the placement requests of another VM, and the progress of its requests.
 func (r *remoteJobs) handleNote(n *schema.PeerNote, from *net.UDPAddr) {
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -294,6 +294,28 @@
 	return s.sched.ControlProbes(s.now(), e.Key(), e.FailureDomain)
 }
 
+// endpoints returns all endpoints, ordered by service.
+func (s *sharedScheduler) endpoints() []dispatch.Probe {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sched.Endpoints()
+}
+
+// endpointCount returns the number of endpoints.
+func (s *sharedScheduler) endpointCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sched.EndpointCount()
+}
+
+// forgetSuspicions makes all endpoints that were found unreachable usable again.
+func (s *sharedScheduler) forgetSuspicions() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.touch()
+	s.sched.ForgetSuspicions()
+}
+
 // markLeaving stops the use of an endpoint that has reported that it is leaving.
 func (s *sharedScheduler) markLeaving(endpoint uint64) {
 	s.updateMembers(func(_ time.Duration, m *members.Set) { m.MarkLeaving(endpoint) })
