entry: a VM that has lost its link to the endpoints has others carry its connections

Cause: a VM had one way to an endpoint, its own link. Whoever placed a request, its connection failed. Class: a role that only one VM can fill for a request, with nobody to stand in.

Placing, retries, permits, resuming, suspects and at-most-once stay where they are; a carrier that fails is a connection that breaks. Requests are sent only once the carrier has the connection, so "not run" stays true. Ends and resets are passed on as what they are, and the end of the carrier's process is a reset. Carriers serve VMs of the deployment only, to endpoints that their registry lists, 256 connections at most, one hop. Idle connections that nothing was received on since the link began to fail are closed, and doubts that it caused are forgotten.

--- a/core/mechanism/mechanism.go
+++ b/core/mechanism/mechanism.go
@@ -43,12 +43,14 @@
 	Trials
 	// Bootstrap: each process reads the registry of endpoints from the store when it starts.
 	Bootstrap
+	// Carriers: a VM that reaches no endpoint refuses its callers.
+	Carriers
 )
 
 // names are the names in settings, indexed by Mechanism.
 var names = [...]string{
 	"turns", "stale_cost", "near_first", "scarce_slow_first", "short_first", "hopeless", "ejection",
-	"peer_doubts", "cells", "tier_reserve", "restart_allowance", "start_wait", "stall_retry", "trials", "bootstrap",
+	"peer_doubts", "cells", "tier_reserve", "restart_allowance", "start_wait", "stall_retry", "trials", "bootstrap", "carriers",
 }
 
 // String returns the name of the mechanism in settings.
--- a/core/members/members.go
+++ b/core/members/members.go
@@ -69,9 +69,9 @@
 	availableSince  time.Duration
 	everUnavailable bool
 	byService       map[string][]*Endpoint
-	// endpointHashes are the endpoint hashes of the known incarnations; nil after a change.
-	endpointHashes map[uint64]bool
-	version        uint64
+	// byHash maps endpoint hashes to the known incarnations; nil after a change.
+	byHash  map[uint64]*Endpoint
+	version uint64
 	// latestBorn is the latest start known of each id, including ids that are gone. A record
 	// of an earlier incarnation may arrive late, from a VM that lags.
 	latestBorn map[string]int64
@@ -323,14 +323,18 @@
 
 // Contains reports whether an incarnation is known, by its endpoint hash. Leaving ones are
 // included.
-func (s *Set) Contains(hash uint64) bool {
-	if s.endpointHashes == nil {
-		s.endpointHashes = make(map[uint64]bool, len(s.known))
+func (s *Set) Contains(hash uint64) bool { return s.Lookup(hash) != nil }
+
+// Lookup returns a known incarnation by its endpoint hash, or nil. Leaving ones are included. It must
+// not be modified.
+func (s *Set) Lookup(hash uint64) *Endpoint {
+	if s.byHash == nil {
+		s.byHash = make(map[uint64]*Endpoint, len(s.known))
 		for _, e := range s.known {
-			s.endpointHashes[EndpointHash(e.Key())] = true
+			s.byHash[EndpointHash(e.Key())] = &e.Endpoint
 		}
 	}
-	return s.endpointHashes[hash]
+	return s.byHash[hash]
 }
 
 // Serving reports whether an incarnation is listed and not leaving.
@@ -364,7 +368,7 @@
 
 func (s *Set) invalidate() {
 	s.version++
-	s.byService, s.endpointHashes = nil, nil
+	s.byService, s.byHash = nil, nil
 }
 
 // Usable returns the endpoints of a service that may get new requests, ordered by id.
--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -39,6 +39,8 @@
 	// failed holds the endpoints, by hash, whose last connection failed after the last that was
 	// opened to any, and when.
 	failed map[uint64]time.Duration
+	// failingSince is when the first connection of those was begun.
+	failingSince time.Duration
 	// reachedAt is when a connection was last opened.
 	reachedAt time.Duration
 	lost      bool
@@ -78,8 +80,12 @@
 	if d.failed == nil {
 		d.failed = make(map[uint64]time.Duration)
 	}
-	d.failed[endpoint] = now
 	d.expire(now)
+	if len(d.failed) == 0 {
+		d.failingSince = started
+	}
+	d.failingSince = min(d.failingSince, started)
+	d.failed[endpoint] = now
 	if d.lost || len(d.failed) < needed(known) {
 		return Unchanged
 	}
@@ -101,6 +107,9 @@
 // LostSince returns since when the link counts as failed; it is only meaningful while it does.
 func (d *Detector) LostSince() time.Duration { return d.lostSince }
 
+// FailingSince returns since when connections have failed; it is only meaningful while some have.
+func (d *Detector) FailingSince() time.Duration { return d.failingSince }
+
 // ReachedAt returns when a connection was last opened, 0 for never.
 func (d *Detector) ReachedAt() time.Duration { return d.reachedAt }
 
--- a/entry/caller_conn.go
+++ b/entry/caller_conn.go
@@ -67,11 +67,24 @@
 }
 
 func (c *callerRequest) setLinger(seconds int) {
-	conn, ok := c.r.Context().Value(callerConnKey{}).(interface{ SetLinger(seconds int) error })
+	conn, ok := c.r.Context().Value(callerConnKey{}).(net.Conn)
 	if !ok {
 		return
 	}
-	if err := conn.SetLinger(seconds); err != nil && !errors.Is(err, net.ErrClosed) {
+	if err := setLinger(conn, seconds); err != nil {
 		c.d.log.Warn().Str("request", c.reqHeaders.ID).Int("seconds", seconds).Err(err).Msg("linger_not_set")
 	}
 }
+
+// setLinger sets what happens to unsent data when a connection is closed. One that is closed already
+// has none.
+func setLinger(c net.Conn, seconds int) error {
+	l, ok := c.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return nil
+	}
+	if err := l.SetLinger(seconds); err != nil && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/carrier.go
@@ -0,0 +1,249 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Statuses with which a carrier says why it does not carry, beside 403 and 503.
+const (
+	statusEndpointUnknown   = http.StatusNotFound
+	statusEndpointRefuses   = http.StatusGone
+	statusEndpointUnreached = http.StatusBadGateway
+)
+
+const (
+	// maxCarried bounds the connections that this VM carries for others. Each takes two descriptors,
+	// of some thousands that a VM has, and about 20 KiB of memory.
+	maxCarried = 256
+	// carryBufferSize is how much is read of one connection before it is written to the other. What a
+	// reader does not take waits in the buffers of the connections, up to its sender.
+	carryBufferSize = 4 << 10
+	// carryIdleTimeout is how long nothing may pass over a carried connection. It outlasts what an
+	// endpoint takes for a response, and frees what a VM that lost its power has left open.
+	carryIdleTimeout = time.Minute
+)
+
+// carryAccepted is the response after which the connection is one to the endpoint.
+const carryAccepted = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + carryProtocol + "\r\n\r\n"
+
+// carrier copies bytes between endpoints and VMs whose links to the endpoints are lost.
+type carrier struct {
+	d *Daemon
+	// carried is the number of connections that are carried now.
+	carried atomic.Int64
+}
+
+// ServeHTTP opens a connection to the endpoint that a request names and makes the request's
+// connection a part of it.
+func (c *carrier) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c.carried.Add(1) > maxCarried {
+		c.carried.Add(-1)
+		c.refuse(w, r, http.StatusServiceUnavailable, nil)
+		return
+	}
+	defer c.carried.Add(-1)
+	if status := c.mayCarry(r); status != http.StatusOK {
+		c.refuse(w, r, status, nil)
+		return
+	}
+	key, address, ok := c.target(r)
+	if !ok {
+		c.refuse(w, r, statusEndpointUnknown, nil)
+		return
+	}
+	ep, err := c.d.link.dialDirect(r.Context(), key, address)
+	if err != nil {
+		status := statusEndpointUnreached
+		if isConnectionRefused(err) {
+			status = statusEndpointRefuses
+		}
+		c.refuse(w, r, status, err)
+		return
+	}
+	c.carry(w, r, key, ep)
+}
+
+// mayCarry returns the status with which a request is refused whatever endpoint it names; 200 if it
+// is not. Only VMs of the deployment are served, and a VM that has lost its own link, or shuts down,
+// carries nothing.
+func (c *carrier) mayCarry(r *http.Request) int {
+	switch {
+	case r.Method != http.MethodPost || r.Header.Get("Upgrade") != carryProtocol:
+		return http.StatusBadRequest
+	case !c.d.peers.isKnownHost(r.RemoteAddr):
+		return http.StatusForbidden
+	case c.d.draining.Load() || c.d.link.failed():
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusOK
+}
+
+// target returns the incarnation that a request names, if the registry lists it.
+func (c *carrier) target(r *http.Request) (key, address string, ok bool) {
+	hash, err := strconv.ParseUint(r.Header.Get(headerIncarnation), 16, 64)
+	if err != nil {
+		return "", "", false
+	}
+	return c.d.sched.lookup(hash)
+}
+
+func (c *carrier) refuse(w http.ResponseWriter, r *http.Request, status int, err error) {
+	c.d.count("carries_refused")
+	c.d.log.Info().Str("from", r.RemoteAddr).Str("endpoint_hash", r.Header.Get(headerIncarnation)).Int("status", status).Err(err).Msg("carry_refused")
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(status)
+}
+
+// carry copies between the connection of a request and one to an endpoint until both have ended.
+func (c *carrier) carry(w http.ResponseWriter, r *http.Request, key string, ep net.Conn) {
+	vm, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		_ = ep.Close()
+		c.refuse(w, r, http.StatusInternalServerError, err)
+		return
+	}
+	c.d.count("carried")
+	started := time.Now()
+	p := newConnPair(vm, ep)
+	stop := context.AfterFunc(r.Context(), p.reset)
+	defer stop()
+	defer p.reset()
+	if n := buffered.Reader.Buffered(); n > 0 {
+		err = &EarlyBytesError{Bytes: n}
+	} else {
+		err = p.run()
+	}
+	c.d.log.Info().Str("from", r.RemoteAddr).Str("endpoint", key).Int64("sent", p.sent.Load()).Int64("received", p.received.Load()).
+		Dur("took", time.Since(started)).Err(err).Msg("carried")
+}
+
+// connPair is a carried connection: the part to the VM and the part to the endpoint.
+//
+// Unless their peers ended them properly, both are reset when they are closed, whatever closes them,
+// the end of this process included: where a response ends with its connection, a break must not look
+// like that end.
+type connPair struct {
+	vm, ep         net.Conn
+	sent, received atomic.Int64
+	idle           *time.Timer
+}
+
+func newConnPair(vm, ep net.Conn) *connPair {
+	p := &connPair{vm: vm, ep: ep}
+	p.idle = time.AfterFunc(carryIdleTimeout, p.reset)
+	return p
+}
+
+// run tells the VM that the endpoint is reached and copies until both directions have ended.
+func (p *connPair) run() error {
+	if err := errors.Join(setLinger(p.vm, resetOnClose), setLinger(p.ep, resetOnClose)); err != nil {
+		return err
+	}
+	if _, err := io.WriteString(p.vm, carryAccepted); err != nil {
+		return err
+	}
+	return p.copyBothWays()
+}
+
+// reset closes both parts.
+func (p *connPair) reset() {
+	p.idle.Stop()
+	_ = p.vm.Close()
+	_ = p.ep.Close()
+}
+
+// copyBothWays copies until both directions have ended, and returns the first error.
+func (p *connPair) copyBothWays() error {
+	var toVM error
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		toVM = p.copy(p.vm, p.ep, &p.received)
+		if toVM == nil {
+			toVM = endWriting(p.vm)
+		}
+		if toVM != nil {
+			p.reset()
+		}
+	})
+	toEndpoint := p.copy(p.ep, p.vm, &p.sent)
+	if toEndpoint == nil {
+		// The VM has closed its connection, as it would a direct one.
+		toEndpoint = setLinger(p.ep, sendOnClose)
+	}
+	p.reset()
+	wg.Wait()
+	if errors.Is(toVM, net.ErrClosed) {
+		// The other direction ended first.
+		return toEndpoint
+	}
+	return toVM
+}
+
+// copy copies from one part to the other until the first ends.
+func (p *connPair) copy(to, from net.Conn, n *atomic.Int64) error {
+	buf := make([]byte, carryBufferSize)
+	for {
+		size, err := from.Read(buf)
+		if size > 0 {
+			p.idle.Reset(carryIdleTimeout)
+			written, werr := to.Write(buf[:size])
+			n.Add(int64(written))
+			if werr != nil {
+				return werr
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// endWriting passes on that the other side has ended its connection properly.
+func endWriting(c net.Conn) error {
+	if err := setLinger(c, sendOnClose); err != nil {
+		return err
+	}
+	if half, ok := c.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return c.Close()
+}
+
+// isKnownHost reports whether an address is on the host of a known VM.
+func (p *peers) isKnownHost(remote string) bool {
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pe := range p.byAddress {
+		if pe.addr.IP.Equal(ip) {
+			return true
+		}
+	}
+	return false
+}
+
+// lookup returns the key and the address of an incarnation that the registry lists, by its hash.
+func (s *sharedScheduler) lookup(hash uint64) (key, address string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ep := s.members.Lookup(hash)
+	if ep == nil {
+		return "", "", false
+	}
+	return ep.Key(), ep.Address, true
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -98,6 +98,7 @@
 	retryBudgets *retryBudgets
 	pool         *upstream.Pool
 	link         *endpointLink
+	carrier      *carrier
 	idleConns    *idleConnCloser
 	bodyMemory   *memoryBudget
 	// responseMemory is for responses that are read before they are forwarded.
@@ -135,7 +136,7 @@
 		opts: opts, settings: opts.Settings, log: opts.Log, codec: opts.Codec, start: time.Now(),
 		metrics: metrics.NewRegistry(), eras: newEraTracker(), startedAt: time.Now(), idleConns: newIdleConnCloser(), invalidEntries: make(map[string]string), initialised: make(chan struct{}), startList: make(chan []string, 1),
 	}
-	d.link = newEndpointLink(d)
+	d.link, d.carrier = newEndpointLink(d), &carrier{d: d}
 	d.pool = upstream.NewPool(d.link.dial, maxIdlePerEndpoint)
 	d.bodyMemory = newMemoryBudget(int64(float64(d.settings.Limits.MemoryMb) * bodyMemoryShare * (1 << 20)))
 	d.responseMemory = newMemoryBudget(int64(float64(d.settings.Limits.MemoryMb) * responseMemoryShare * (1 << 20)))
@@ -193,7 +194,9 @@
 	if err != nil {
 		return err
 	}
-	d.serve(group, workCtx, &http.Server{Handler: d.peers.relayHandler(), ReadHeaderTimeout: headerTimeout}, relayListener)
+	d.serve(group, workCtx, &http.Server{
+		Handler: d.peerHandler(), ReadHeaderTimeout: headerTimeout, BaseContext: func(net.Listener) context.Context { return workCtx },
+	}, relayListener)
 	group.Go(func() error { return d.peers.receiveNotes(workCtx) })
 	group.Go(func() error { return d.peers.sendNotes(workCtx) })
 	group.Go(func() error { return d.followConfig(workCtx) })
@@ -230,6 +233,14 @@
 	})
 }
 
+// peerHandler serves other VMs.
+func (d *Daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", d.peers.relayHandler())
+	mux.Handle(carryPath, d.carrier)
+	return mux
+}
+
 // serveReady handles the load balancer's readiness checks.
 func (d *Daemon) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != d.codec.ReadyPath() {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -351,7 +351,7 @@
 	c.countFraming(resp)
 	c.d.observe("answer", took)
 	c.d.log.Info().Str("request", c.reqHeaders.ID).Int("status", resp.StatusCode).Stringer("framing", resp.Framing()).Dur("took", took).
-		Bool("late", took > c.route.Objective).Int("sent", c.sendCount).Err(err).Msg("answered")
+		Bool("late", took > c.route.Objective).Int("sent", c.sendCount).Str("carrier", resp.Carrier()).Err(err).Msg("answered")
 }
 
 // countFraming counts the responses whose completeness cannot be verified.
--- a/entry/link.go
+++ b/entry/link.go
@@ -11,6 +11,7 @@
 	"github.com/chivefield/chivefield/core/dispatch"
 	"github.com/chivefield/chivefield/core/reach"
 	"github.com/chivefield/chivefield/timeout"
+	"github.com/chivefield/chivefield/upstream"
 )
 
 // endpointDialTimeout bounds the opening of a connection to an endpoint. Round trips take a few ms
@@ -32,8 +33,20 @@
 	return &endpointLink{d: d, evidence: make(chan struct{}, 1)}
 }
 
-// dial opens a connection to the incarnation of an endpoint with the given key.
-func (l *endpointLink) dial(ctx context.Context, key, address string) (net.Conn, error) {
+// dial opens a connection to the incarnation of an endpoint with the given key, by way of another VM
+// if this one's link is lost.
+func (l *endpointLink) dial(ctx context.Context, key, address string) (upstream.Connection, error) {
+	if l.failed() {
+		if carriers := l.carriers(key); len(carriers) > 0 {
+			return l.dialCarried(ctx, key, carriers)
+		}
+	}
+	c, err := l.dialDirect(ctx, key, address)
+	return upstream.Connection{Conn: c}, err
+}
+
+// dialDirect opens a connection to an endpoint over this VM's own link.
+func (l *endpointLink) dialDirect(ctx context.Context, key, address string) (net.Conn, error) {
 	started := l.d.now()
 	l.d.count("dials")
 	dialCtx, cancel := timeout.Context(ctx, endpointDialTimeout)
@@ -67,13 +80,14 @@
 	l.mu.Lock()
 	reachedAt := l.detector.ReachedAt()
 	change := l.detector.RecordFailed(now, started, dispatch.EndpointHash(key), known)
-	failures := l.detector.Failures()
+	failures, failingSince := l.detector.Failures(), l.detector.FailingSince()
 	l.mu.Unlock()
 	if change == reach.Lost {
 		l.d.count("endpoint_links_lost")
 		l.d.log.Warn().Int("failures", failures).Int("endpoints", known).Dur("reached_ago", now-reachedAt).
 			Bool("others_reach", l.d.peers.anyReachesEndpoints()).Msg("endpoints_lost")
 		l.d.remoteJobs.handBack()
+		l.leave(failingSince)
 	}
 	select {
 	case l.evidence <- struct{}{}:
@@ -81,6 +95,13 @@
 	}
 }
 
+// leave stops the use of a lost link: connections that nothing was received on since it began to fail
+// may hang, and endpoints that could not be reached over it may be reached by way of other VMs.
+func (l *endpointLink) leave(failingSince time.Duration) {
+	l.d.pool.CloseIdleSince(l.d.start.Add(failingSince))
+	l.d.sched.forgetSuspicions()
+}
+
 // lost reports whether this VM reaches no endpoint though others do. What it finds out about
 // endpoints then tells something of its link and nothing of them.
 func (l *endpointLink) lost() bool {
@@ -137,7 +158,7 @@
 // try opens a connection to an endpoint only to learn whether that is possible.
 func (l *endpointLink) try(ctx context.Context, p dispatch.Probe) {
 	l.d.count("probes")
-	c, err := l.dial(ctx, p.Key, p.Address)
+	c, err := l.dialDirect(ctx, p.Key, p.Address)
 	l.d.log.Info().Str("endpoint", p.Key).Str("address", p.Address).Err(err).Msg("link_probed")
 	if err == nil {
 		_ = c.Close()
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -111,6 +111,8 @@
 	relayedAt time.Duration
 	// avoidUntil is the time until which the peer is not asked for placements.
 	avoidUntil time.Duration
+	// avoidCarryUntil is the time until which the peer is not asked to carry connections.
+	avoidCarryUntil time.Duration
 	// wentSilent means that the peer was this VM's placer and stopped sending.
 	wentSilent bool
 }
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -150,5 +150,5 @@
 	c.d.observe("stream", time.Since(c.arrived))
 	c.d.log.Info().Str("request", c.reqHeaders.ID).Int("status", resp.StatusCode).Stringer("framing", resp.Framing()).Int("partial", partial).Int("events", s.events).Dur("took", time.Since(c.arrived)).
 		Dur("first_event", first).Dur("longest_pause", s.longestPause).Bool("late", lateBy != "").Str("late_by", lateBy).
-		Int("sent", c.sendCount).Msg("streamed")
+		Int("sent", c.sendCount).Str("carrier", resp.Carrier()).Msg("streamed")
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -94,7 +94,7 @@
 }
 
 type conn struct {
-	net.Conn
+	Connection
 	br        *bufio.Reader
 	key       string
 	idleSince time.Time
@@ -102,9 +102,16 @@
 	requests  int
 }
 
+// Connection is a connection to an endpoint.
+type Connection struct {
+	net.Conn
+	// Carrier is the address of the VM that carries it; empty for a direct connection.
+	Carrier string
+}
+
 // Dialer opens a connection to the incarnation of an endpoint with the given key. It bounds the time
 // that this takes.
-type Dialer func(ctx context.Context, key, address string) (net.Conn, error)
+type Dialer func(ctx context.Context, key, address string) (Connection, error)
 
 // Pool keeps idle connections by endpoint.
 type Pool struct {
@@ -173,7 +180,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), key: key, keepAlive: defaultKeepAlive}, nil
+	return &conn{Connection: nc, br: bufio.NewReaderSize(nc, readBuffer), key: key, keepAlive: defaultKeepAlive}, nil
 }
 
 // takeIdle returns the most recently used idle connection that is still reusable.
@@ -306,6 +313,9 @@
 	r.pool.put(c)
 }
 
+// Carrier returns the address of the VM that carries the response's connection; empty if it is direct.
+func (r *Response) Carrier() string { return r.conn.Carrier }
+
 // Framing is how a response states where its body ends.
 type Framing int
 
@@ -381,15 +391,24 @@
 	p.idle[c.key] = append(p.idle[c.key], c)
 }
 
+// CloseIdleSince closes connections that have been idle since before the given time.
+func (p *Pool) CloseIdleSince(t time.Time) {
+	p.closeIdle(func(c *conn) bool { return c.idleSince.Before(t) })
+}
+
 // CloseExpired closes connections that were idle for too long.
 func (p *Pool) CloseExpired() {
 	now := time.Now()
+	p.closeIdle(func(c *conn) bool { return now.Sub(c.idleSince) >= c.keepAlive })
+}
+
+func (p *Pool) closeIdle(unwanted func(*conn) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for key, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Sub(c.idleSince) >= c.keepAlive {
+			if unwanted(c) {
 				_ = c.Close()
 				continue
 			}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -36,8 +36,9 @@
 		}
 		arrived <- err
 	}()
-	p := NewPool(func(ctx context.Context, _, address string) (net.Conn, error) {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	p := NewPool(func(ctx context.Context, _, address string) (Connection, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		return Connection{Conn: c}, err
 	}, 1)
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
