--- a/entry/carrier_test.go
+++ b/entry/carrier_test.go
@@ -31,7 +31,7 @@
 	stopCarrier context.CancelFunc
 }
 
-func newCarried(t *testing.T) *carried {
+func newCarried(t testing.TB) *carried {
 	t.Helper()
 	c := &carried{I: is.New(t)}
 	var err error
--- a/entry/carry.go
+++ b/entry/carry.go
@@ -77,7 +77,7 @@
 
 // dialCarried opens a connection to an endpoint by way of another VM.
 func (l *endpointLink) dialCarried(ctx context.Context, key string, carriers []*peer) (c upstream.Connection, err error) {
-	for _, carrier := range carriers[:min(maxCarriersAsked, len(carriers))] {
+	for _, carrier := range carriers {
 		l.d.count("carried_dials")
 		var nc net.Conn
 		if nc, err = l.askCarrier(ctx, key, carrier); err == nil {
@@ -143,7 +143,7 @@
 	return nil
 }
 
-// carriers returns the VMs that may carry connections to an endpoint, in order of preference: the
+// carriers returns the VMs to ask for a connection to an endpoint, the preferred one first: the
 // connections of all VMs that have lost their links spread over those that have not.
 func (l *endpointLink) carriers(key string) []*peer {
 	if l.d.settings.Disabled.Has(mechanism.Carriers) {
@@ -151,8 +151,18 @@
 	}
 	able := l.d.peers.ableToCarry()
 	rankKey := l.d.settings.Listen.Peers + " " + key
-	slices.SortFunc(able, func(a, b *peer) int { return rendezvous.Compare(rankKey, a.address, b.address) })
-	return able
+	var chosen []*peer
+	for len(able) > 0 && len(chosen) < maxCarriersAsked {
+		best, highest := 0, uint64(0)
+		for i, pe := range able {
+			if h := rendezvous.Hash(rankKey, pe.address); h >= highest {
+				best, highest = i, h
+			}
+		}
+		chosen = append(chosen, able[best])
+		able = slices.Delete(able, best, best+1)
+	}
+	return chosen
 }
 
 // ableToCarry returns the VMs that are alive, reach endpoints and have not just failed to carry.
--- a/entry/link_test.go
+++ b/entry/link_test.go
@@ -14,7 +14,7 @@
 )
 
 // linkedDaemon returns a daemon that knows six endpoints and one other VM that reaches them.
-func linkedDaemon(t *testing.T) (d *Daemon, other *peer) {
+func linkedDaemon(t testing.TB) (d *Daemon, other *peer) {
 	t.Helper()
 	d = newDaemonWithUptime(t, time.Minute)
 	var list []*members.Endpoint
