dispatch: a plain endpoint that was silent once is used again

Callers saw nothing failed while a sound endpoint was silent for 1.2 s (whole VMs, 120 requests of four kinds: none failed, none ran twice, no event lost), but the plain endpoint got no request in the ten seconds after.

Cause: its mean response time was learned from requests that waited out the silence, and stayed above what the others reach, so no request came that would have shown it well again. Class: an estimate that only its own consequences could correct.

Mend: what was learned of a slow plain endpoint is forgotten while it gets no requests, most of it in three seconds. Whole VMs: TestSilenceOfSoundEndpointHarmsNobody (failed before: never used again in 10 s), TestSilenceWithinStreamLosesNoEvent (held before). observeFirstEvent takes the time of the event in place of a duration; its test calls it with the same values.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -176,6 +176,8 @@
 	// for jobs without a prompt, both in seconds.
 	eventGap     lowEstimate
 	responseTime float64
+	// responseObserved is when responseTime was last learned.
+	responseObserved time.Duration
 	// recentGaps are the last two times between events observed here, in seconds. gapUnreported
 	// is set if one was observed since the last report to peers. gapObserved is the time at
 	// which the gap was last learned from events rather than from other VMs' estimates.
@@ -320,7 +322,7 @@
 	r.ep.health.recordContact(now)
 	switch {
 	case !r.started:
-		sv.latency.observeFirstEvent(r, now-r.sent)
+		sv.latency.observeFirstEvent(now, r)
 		r.ep.lastFirstEvent = now
 		if r.job.Remote {
 			r.started = true
--- a/core/dispatch/latency.go
+++ b/core/dispatch/latency.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// peerGapWeight is small because this VM's own estimate is as good. stalePeerGapWeight
@@ -122,17 +125,38 @@
 	// the first event.
 	minPrefillPrompt   = 500
 	responseTimeWeight = 0.1
+	// slowMemory is the time in which most of what was learned of a slow plain endpoint is forgotten
+	// while it gets no requests: sound ones fall silent for about a second.
+	slowMemory = 3 * time.Second
 	// maxAheadShare is the largest amount of prompt tokens queued ahead, as a share of the
 	// prompt, with which the time to the first event still measures prefill: the amount is
 	// known with a delay.
 	maxAheadShare = 0.25
 )
 
-// observeFirstEvent records the time to the first event of a run.
-func (m *latencyModel) observeFirstEvent(r *run, took time.Duration) {
-	seconds := took.Seconds()
+// expectedResponse returns the response time, in seconds, of an idle endpoint for a job without a
+// prompt. An endpoint that was slow is expected to be like the others again the longer ago that was:
+// no request would ever show it, as all go to those that are faster.
+func (m *latencyModel) expectedResponse(now time.Duration, e *endpoint) float64 {
+	usual := orDefault(m.responseTime, defaultResponseTime)
+	own := orDefault(e.responseTime, usual)
+	if own <= usual {
+		return own
+	}
+	remembered := math.Exp(-(now - e.responseObserved).Seconds() / slowMemory.Seconds())
+	return usual + (own-usual)*remembered
+}
+
+// observeFirstEvent records the time to the first event of a run, which came just now.
+func (m *latencyModel) observeFirstEvent(now time.Duration, r *run) {
+	seconds := (now - r.sent).Seconds()
 	if r.job.PromptTokens == 0 {
-		r.ep.responseTime = orDefault(r.ep.responseTime, defaultResponseTime)
+		if r.ep.responseTime == 0 {
+			r.ep.responseTime = defaultResponseTime
+		} else {
+			r.ep.responseTime = m.expectedResponse(now, r.ep)
+		}
+		r.ep.responseObserved = now
 		r.ep.responseTime += (seconds - r.ep.responseTime) * responseTimeWeight
 		m.responseTime = orDefault(m.responseTime, defaultResponseTime)
 		m.responseTime += (seconds - m.responseTime) * meanWeight
--- a/core/dispatch/latency_test.go
+++ b/core/dispatch/latency_test.go
@@ -246,7 +246,7 @@
 	var p latencyModel
 	for i := range n {
 		prompt := prompts[i%len(prompts)]
-		p.observeFirstEvent(&run{job: &Job{PromptTokens: prompt}, ep: e}, toDuration(took(i, 0.3*gap, read*float64(prompt))))
+		p.observeFirstEvent(toDuration(took(i, 0.3*gap, read*float64(prompt))), &run{job: &Job{PromptTokens: prompt}, ep: e})
 	}
 	for _, prompt := range checked {
 		got := p.prefillTime(e, prompt) / read
--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -53,7 +53,7 @@
 	if e.engine {
 		sv.scoreEngine(now, j, &c)
 	} else {
-		responseTime := orDefault(e.responseTime, orDefault(sv.latency.responseTime, defaultResponseTime))
+		responseTime := sv.latency.expectedResponse(now, e)
 		firstEvent := responseTime * (1 + float64(load.Running+load.Waiting)/float64(max(1, e.Slots)))
 		c.firstEvent = toDuration(firstEvent)
 		c.onTime = true
