dispatch: brittle endpoints are not made to reject more than they bear

Callers saw (whole VMs, 600 requests a second at four endpoints that run 400): the endpoints, which say that they are brittle, fell over 127 times in four seconds; 1,072 requests served in seven, 2,912 refused.

Cause: nothing read what they say, plain services got two requests a slot, and each rejection was answered by the next request.

Mend: the number is decoded, kept and told to other VMs as a limit is; the logic of "for as long as it is said" is one type now, for both.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -44,8 +44,8 @@
 	Suspicion Suspicion
 	// Canary marks a request that was chosen to test a new version of the service.
 	Canary bool
-	// LimitCharged reports whether the VM that placed the job charged it to the endpoint's rate
-	// limit.
+	// LimitCharged reports whether the VM that placed the job charged it to what the endpoint states
+	// of itself: its rate limit, or what it bears to reject.
 	LimitCharged bool
 
 	arrived time.Duration
@@ -75,7 +75,7 @@
 	// Load is the known load of all VMs together at the endpoint, with the event gap assumed
 	// for it.
 	Load Load
-	// LimitCharged reports whether the job was charged to the endpoint's rate limit.
+	// LimitCharged reports whether the job was charged to what the endpoint states of itself.
 	LimitCharged bool
 }
 
@@ -142,6 +142,8 @@
 	limitShare float64
 	// backoffs maps endpoint hashes to the backoffs that the endpoints asked for.
 	backoffs map[uint64]backoff
+	// brittle maps endpoint hashes to those that are brittle.
+	brittle map[uint64]*brittleEndpoint
 }
 
 type service struct {
@@ -226,7 +228,7 @@
 	return &Scheduler{
 		self: xxhash.Sum64String(vm), placer: xxhash.Sum64String(vm), domain: domain,
 		services: make(map[string]*service), running: make(map[uint64]*run),
-		byHash: make(map[uint64]*endpoint), peerIndex: make(map[string]int), quarantinedRuns: make(map[suspect.Digest]int), limits: make(map[uint64]*limit.Bucket), backoffs: make(map[uint64]backoff),
+		byHash: make(map[uint64]*endpoint), peerIndex: make(map[string]int), quarantinedRuns: make(map[suspect.Digest]int), limits: make(map[uint64]*limit.Bucket), backoffs: make(map[uint64]backoff), brittle: make(map[uint64]*brittleEndpoint),
 	}
 }
 
@@ -322,6 +324,9 @@
 	r.ep.health.recordContact(now)
 	switch {
 	case !r.started:
+		if b := s.brittle[r.ep.hash]; b != nil {
+			b.RecordAccepted(handle)
+		}
 		sv.latency.observeFirstEvent(now, r)
 		r.ep.lastFirstEvent = now
 		if r.job.Remote {
@@ -382,6 +387,7 @@
 	delete(s.running, handle)
 	delete(r.ep.runs, handle)
 	s.countSuspects(r, -1)
+	s.recordBrittleOutcome(now, r, o)
 	if !r.adopted && (o == Answered || o == CallerDisconnected) {
 		// A slot freed by a failure does not indicate spare capacity.
 		r.ep.turn.recordEnd(now)
@@ -426,7 +432,7 @@
 	sv.usualWork += (sv.work(j) - sv.usualWork) * workWeight
 	ep := c.ep.Endpoint
 	s.decisions = append(s.decisions, Decision{
-		Handle: j.Handle, Endpoint: &ep, Predicted: c.firstEvent, Candidates: len(sv.list), Waiting: len(sv.queue), Load: c.load, LimitCharged: s.chargeLimit(c.ep),
+		Handle: j.Handle, Endpoint: &ep, Predicted: c.firstEvent, Candidates: len(sv.list), Waiting: len(sv.queue), Load: c.load, LimitCharged: s.charge(now, c.ep, j.Handle),
 	})
 }
 
--- a/core/dispatch/limits.go
+++ b/core/dispatch/limits.go
@@ -39,32 +39,57 @@
 	if s.delegates {
 		return 0
 	}
+	if before, _ := s.placersBefore(now, e); before > 0 {
+		return 0
+	}
+	return s.limitShare
+}
+
+// placersBefore returns how many reachable placers come before this VM in the order for an endpoint,
+// and how many there are, this one included.
+func (s *Scheduler) placersBefore(now time.Duration, e *endpoint) (before, placers int) {
 	self := peerVM{hash: s.self, domain: s.domain}
+	placers = 1
 	for i, o := range s.peers {
-		if o.isPlacer && !o.presumedDown(now-s.lastNote[i]) && precedes(e, o, self) {
-			return 0
+		if !o.isPlacer || o.presumedDown(now-s.lastNote[i]) {
+			continue
+		}
+		placers++
+		if precedes(e, o, self) {
+			before++
 		}
 	}
-	return s.limitShare
+	return before, placers
 }
 
-// withinLimit reports whether an endpoint's limit allows a request to be sent now.
+// withinLimit reports whether what an endpoint states of itself allows a request to be sent now: its
+// limit, and what it bears to reject.
 func (s *Scheduler) withinLimit(now time.Duration, e *endpoint) bool {
-	b := s.limits[e.hash]
-	if b == nil {
-		return true
+	if b := s.limits[e.hash]; b != nil {
+		b.Refill(now, s.limitShareAt(now, e))
+		if !b.Ready() {
+			return false
+		}
 	}
-	b.Refill(now, s.limitShareAt(now, e))
-	return b.Ready()
+	return s.mayBeRejected(now, e)
 }
 
-// chargeLimit charges a request to an endpoint's limit, and reports whether there is one.
-func (s *Scheduler) chargeLimit(e *endpoint) bool {
-	b := s.limits[e.hash]
-	if b != nil {
+// charge counts a request towards what an endpoint states of itself, and reports whether it states
+// anything.
+func (s *Scheduler) charge(now time.Duration, e *endpoint, handle uint64) bool {
+	if b := s.limits[e.hash]; b != nil {
 		b.Take()
 	}
-	return b != nil
+	if b := s.brittle[e.hash]; b != nil {
+		b.RecordSent(now, handle)
+	}
+	return s.mustBeCharged(e.hash)
+}
+
+// mustBeCharged reports whether each request to an endpoint must have been charged by the VM that
+// placed it.
+func (s *Scheduler) mustBeCharged(endpointHash uint64) bool {
+	return s.limits[endpointHash] != nil || s.brittle[endpointHash] != nil
 }
 
 // rateLimitWait returns how long the queue of a service takes to clear if all its endpoints
--- a/core/dispatch/remote.go
+++ b/core/dispatch/remote.go
@@ -23,7 +23,7 @@
 	IncarnationReplaced UnusableReason = "gone"
 	// ProbeFailed: a probe from this VM failed.
 	ProbeFailed UnusableReason = "not_reached"
-	// OverLimit: it has a rate limit to which the request was not charged.
+	// OverLimit: it has a rate limit, or is brittle, and the request was not charged to that.
 	OverLimit UnusableReason = "limited"
 	// BackingOff: it asked this VM to send nothing for a time.
 	BackingOff UnusableReason = "resting"
@@ -48,7 +48,7 @@
 		return nil, ProbeFailed
 	case s.inBackoff(now, e):
 		return nil, BackingOff
-	case s.limits[endpointHash] != nil && !j.LimitCharged:
+	case s.mustBeCharged(endpointHash) && !j.LimitCharged:
 		return nil, OverLimit
 	}
 	s.clampJob(&j)
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -12,6 +12,12 @@
 	HasLimit bool
 	// LimitUnknown is set if the response does not tell whether there is a limit.
 	LimitUnknown bool
+	// Brittle is how many requests the incarnation bears to reject in a second, from all VMs together,
+	// if IsBrittle is set: beyond that it falls over.
+	Brittle   float64
+	IsBrittle bool
+	// BrittleUnknown is set if the response does not tell whether the incarnation is brittle.
+	BrittleUnknown bool
 	// Leaving is set if the incarnation takes no new requests for the rest of its life.
 	Leaving bool
 	// Backoff is for how long it wants no requests from the VM that it refused; 0 if it did not ask for any.
--- a/core/notice/tracker.go
+++ b/core/notice/tracker.go
@@ -25,23 +25,39 @@
 // Never is the age of an event that has not happened.
 const Never time.Duration = -1
 
+// Statement is what one VM gossips about a number that an incarnation states in its responses for as long as it
+// holds. Ages are relative to when it is sent.
+type Statement struct {
+	// Value is from the response to the latest request whose response stated one. Asked is the time since that request
+	// was sent, Named the time since the last response that stated one arrived, and Lifted the time since the latest
+	// request was sent whose response stated none.
+	Value                float64
+	Asked, Named, Lifted time.Duration
+}
+
+// Unstated is the statement of an incarnation that never stated a number.
+var Unstated = Statement{Asked: Never, Named: Never, Lifted: Never}
+
+// valid reports whether the value is a finite number that is not negative.
+func (s Statement) valid() bool { return s.Value >= 0 && !math.IsInf(s.Value, 0) }
+
+// active reports whether the statement holds.
+func (s Statement) active() bool { return s.Named >= 0 && (s.Lifted < 0 || s.Lifted >= s.Named) }
+
 // Record is what one VM gossips about an incarnation. Ages are relative to when it is sent.
 type Record struct {
 	// Endpoint is the hash of the incarnation's key.
 	Endpoint uint64
-	// Limit is the limit, in requests a second, from the response to the latest request whose response named one.
-	// Asked is the time since that request was sent, Named the time since the last response that named a limit
-	// arrived, and Lifted the time since the latest request was sent whose response named none.
-	Limit                float64
-	Asked, Named, Lifted time.Duration
+	// Limit is in requests a second, Brittle in rejected requests a second.
+	Limit, Brittle Statement
 	// Leaving is set if the incarnation announced that it leaves. That is permanent.
 	Leaving bool
 	// Backoff is for how much longer the incarnation wants no requests from the VM that sends the record.
 	Backoff time.Duration
 }
 
-// Valid reports whether the limit is a finite number that is not negative.
-func (r Record) Valid() bool { return r.Limit >= 0 && !math.IsInf(r.Limit, 0) }
+// Valid reports whether the numbers are finite and not negative.
+func (r Record) Valid() bool { return r.Limit.valid() && r.Brittle.valid() }
 
 // stamp is a time of the VM's process, if set.
 type stamp struct {
@@ -74,11 +90,63 @@
 	return stamp{at: now - min(age, maxAge), set: true}
 }
 
+// statement is the state of a number that an incarnation states. Responses on different connections overtake each
+// other. A number therefore holds until a response states none to a request that was sent after the last response
+// with one had arrived. Of two, that of the later request holds, or the lower one if the response to the earlier
+// request arrives last.
+type statement struct {
+	value                float64
+	asked, named, lifted stamp
+}
+
+// current returns the number, if one holds.
+func (s *statement) current() (value float64, holds bool) {
+	if s.named.set && !s.lifted.after(s.named) {
+		return s.value, true
+	}
+	return 0, false
+}
+
+// recordNamed records a response with a number to a request that was sent at the given time.
+func (s *statement) recordNamed(now, sent time.Duration, value float64) {
+	asked := stamp{sent, true}
+	if s.asked.after(asked) {
+		s.value = min(s.value, value)
+	} else {
+		s.asked, s.value = asked, value
+	}
+	s.named = latest(s.named, stamp{now, true})
+}
+
+// recordLifted records a response without a number to a request that was sent at the given time.
+func (s *statement) recordLifted(sent time.Duration) { s.lifted = latest(s.lifted, stamp{sent, true}) }
+
+// merge merges what another VM knows.
+func (s *statement) merge(now time.Duration, o Statement) {
+	if asked := stampFromAge(now, o.Asked).lessTransit(); asked.after(s.asked) {
+		s.asked, s.value = asked, o.Value
+	}
+	s.named = latest(s.named, stampFromAge(now, o.Named))
+	s.lifted = latest(s.lifted, stampFromAge(now, o.Lifted).lessTransit())
+}
+
+// gossip returns the statement for a record.
+func (s *statement) gossip(now time.Duration) Statement {
+	return Statement{Value: s.value, Asked: s.asked.age(now), Named: s.named.age(now), Lifted: s.lifted.age(now)}
+}
+
+// latest returns the later of two stamps.
+func latest(a, b stamp) stamp {
+	if b.after(a) {
+		return b
+	}
+	return a
+}
+
 // entry is the state of one incarnation.
 type entry struct {
-	limit                float64
-	asked, named, lifted stamp
-	leaving              bool
+	limit, brittle statement
+	leaving        bool
 	// backoffUntil is when the backoff ends that the incarnation asked of this VM, othersBackoffUntil the latest end
 	// of those that it asked of other VMs.
 	backoffUntil, othersBackoffUntil time.Duration
@@ -91,9 +159,8 @@
 
 func (e *entry) current() Notice {
 	n := Notice{Leaving: e.leaving}
-	if e.named.set && !e.lifted.after(e.named) {
-		n.Limit, n.HasLimit = e.limit, true
-	}
+	n.Limit, n.HasLimit = e.limit.current()
+	n.Brittle, n.IsBrittle = e.brittle.current()
 	return n
 }
 
@@ -109,13 +176,10 @@
 func New() *Tracker { return &Tracker{entries: make(map[uint64]*entry)} }
 
 // RecordResponse records a response of an incarnation to a request that was sent at the given time, and reports
-// whether its notice or a backoff changed. Responses on different connections overtake each other. A limit
-// therefore holds until a response names none to a request that was sent after the last response with a limit had
-// arrived. Of two limits, that of the later request holds, or the lower one if the response to the earlier request
-// arrives last.
+// whether its notice or a backoff changed.
 func (t *Tracker) RecordResponse(now, sent time.Duration, endpoint uint64, n Notice) bool {
 	e := t.entries[endpoint]
-	if e == nil && !n.HasLimit && !n.Leaving && n.Backoff == 0 {
+	if e == nil && !n.HasLimit && !n.IsBrittle && !n.Leaving && n.Backoff == 0 {
 		return false
 	}
 	return t.update(now, endpoint, func(e *entry) {
@@ -124,35 +188,19 @@
 		if n.Backoff > 0 {
 			e.backoffUntil = max(e.backoffUntil, now+n.Backoff)
 		}
-		switch {
-		case n.LimitUnknown:
-			return
-		case !n.HasLimit:
-			e.setLifted(stamp{sent, true})
-			return
+		if n.HasLimit {
+			e.limit.recordNamed(now, sent, n.Limit)
+		} else if !n.LimitUnknown {
+			e.limit.recordLifted(sent)
 		}
-		asked := stamp{sent, true}
-		if e.asked.after(asked) {
-			e.limit = min(e.limit, n.Limit)
-		} else {
-			e.asked, e.limit = asked, n.Limit
+		if n.IsBrittle {
+			e.brittle.recordNamed(now, sent, n.Brittle)
+		} else if !n.BrittleUnknown {
+			e.brittle.recordLifted(sent)
 		}
-		e.setNamed(stamp{now, true})
 	})
 }
 
-func (e *entry) setNamed(at stamp) {
-	if at.after(e.named) {
-		e.named = at
-	}
-}
-
-func (e *entry) setLifted(at stamp) {
-	if at.after(e.lifted) {
-		e.lifted = at
-	}
-}
-
 // update applies a change to an entry and reports whether its notice or a backoff changed.
 func (t *Tracker) update(now time.Duration, endpoint uint64, apply func(*entry)) bool {
 	e := t.entries[endpoint]
@@ -174,8 +222,7 @@
 
 // active reports whether the record contains a limit, a backoff or that the incarnation leaves.
 func (r Record) active() bool {
-	limited := r.Named >= 0 && (r.Lifted < 0 || r.Lifted >= r.Named)
-	return limited || r.Leaving || r.Backoff > 0
+	return r.Limit.active() || r.Brittle.active() || r.Leaving || r.Backoff > 0
 }
 
 // Merge merges a record of another VM, and reports whether the notice or a backoff changed. listed is whether the
@@ -188,15 +235,12 @@
 		if listed {
 			e.listed = stamp{now, true}
 		}
-		if asked := stampFromAge(now, r.Asked).lessTransit(); asked.after(e.asked) {
-			e.asked, e.limit = asked, r.Limit
-		}
+		e.limit.merge(now, r.Limit)
+		e.brittle.merge(now, r.Brittle)
 		e.leaving = e.leaving || r.Leaving
 		if r.Backoff > 0 {
 			e.othersBackoffUntil = max(e.othersBackoffUntil, now+min(r.Backoff, maxAge))
 		}
-		e.setNamed(stampFromAge(now, r.Named))
-		e.setLifted(stampFromAge(now, r.Lifted).lessTransit())
 	})
 }
 
@@ -239,7 +283,7 @@
 
 func (t *Tracker) record(now time.Duration, endpoint uint64) Record {
 	e := t.entries[endpoint]
-	return Record{Endpoint: endpoint, Limit: e.limit, Asked: e.asked.age(now), Named: e.named.age(now), Lifted: e.lifted.age(now), Leaving: e.leaving, Backoff: max(0, e.backoffUntil-now)}
+	return Record{Endpoint: endpoint, Limit: e.limit.gossip(now), Brittle: e.brittle.gossip(now), Leaving: e.leaving, Backoff: max(0, e.backoffUntil-now)}
 }
 
 // Recent returns at most n records that changed recently, for one note. Records with a notice that holds
--- a/core/notice/tracker_test.go
+++ b/core/notice/tracker_test.go
@@ -64,18 +64,19 @@
 	is := is.New(t)
 	tr := New()
 	tr.RecordResponse(10*time.Second, 9900*ms, endpoint, limited(2.5))
-	is.True(!tr.Merge(11*time.Second, Record{Endpoint: endpoint, Limit: 5, Asked: 3 * time.Second, Named: 3 * time.Second, Lifted: 2 * time.Second}, true))
+	is.True(!tr.Merge(11*time.Second, Record{Endpoint: endpoint, Limit: Statement{Value: 5, Asked: 3 * time.Second, Named: 3 * time.Second, Lifted: 2 * time.Second}, Brittle: Unstated}, true))
 	is.Equal(tr.Current(endpoint), limited(2.5))
-	is.True(tr.Merge(12*time.Second, Record{Endpoint: endpoint, Limit: 5, Asked: 5 * time.Second, Named: 5 * time.Second, Lifted: 100 * ms}, true))
+	is.True(tr.Merge(12*time.Second, Record{Endpoint: endpoint, Limit: Statement{Value: 5, Asked: 5 * time.Second, Named: 5 * time.Second, Lifted: 100 * ms}, Brittle: Unstated}, true))
 	is.Equal(tr.Current(endpoint), Notice{})
 }
 
 func TestInvalidRecords(t *testing.T) {
 	is := is.New(t)
 	for _, limit := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1} {
-		is.True(!Record{Limit: limit}.Valid())
+		is.True(!Record{Limit: Statement{Value: limit}}.Valid())
+		is.True(!Record{Brittle: Statement{Value: limit}}.Valid())
 	}
-	is.True(Record{Limit: math.MaxFloat64}.Valid())
+	is.True(Record{Limit: Statement{Value: math.MaxFloat64}}.Valid())
 }
 
 // Guards against VMs that reach different results from the same records in different order.
@@ -149,7 +150,7 @@
 	tr := New()
 	is.True(tr.RecordResponse(20*ms, 10*ms, endpoint, Notice{Leaving: true}))
 	is.True(!tr.RecordResponse(40*ms, 30*ms, endpoint, Notice{}))
-	is.True(!tr.Merge(50*ms, Record{Endpoint: endpoint, Asked: Never, Named: Never, Lifted: 0}, true))
+	is.True(!tr.Merge(50*ms, Record{Endpoint: endpoint, Limit: Statement{Asked: Never, Named: Never}, Brittle: Unstated}, true))
 	is.Equal(tr.Current(endpoint), Notice{Leaving: true})
 	other := New()
 	is.True(other.Merge(0, tr.NextInRotation(50*ms, 1)[0], true))
@@ -171,7 +172,7 @@
 					end = max(end, now+n.Backoff)
 				}
 			} else {
-				tr.Merge(now, Record{Endpoint: endpoint, Asked: Never, Named: Never, Lifted: 0, Backoff: n.Backoff}, true)
+				tr.Merge(now, Record{Endpoint: endpoint, Limit: Statement{Asked: Never, Named: Never}, Brittle: Unstated, Backoff: n.Backoff}, true)
 			}
 			tr.Expire(now, time.Second, func(uint64) bool { return true })
 			if own, _ := tr.BackoffEnds(endpoint); own < end && end > now {
@@ -198,8 +199,8 @@
 	is := is.New(t)
 	tr := New()
 	tr.RecordResponse(20*ms, 10*ms, endpoint, limited(2.5))
-	is.True(!tr.RecordResponse(40*ms, 30*ms, endpoint, Notice{LimitUnknown: true}))
-	is.True(tr.RecordResponse(60*ms, 50*ms, endpoint, Notice{LimitUnknown: true, Leaving: true}))
+	is.True(!tr.RecordResponse(40*ms, 30*ms, endpoint, Notice{LimitUnknown: true, BrittleUnknown: true}))
+	is.True(tr.RecordResponse(60*ms, 50*ms, endpoint, Notice{LimitUnknown: true, BrittleUnknown: true, Leaving: true}))
 	is.Equal(tr.Current(endpoint), Notice{Limit: 2.5, HasLimit: true, Leaving: true})
 }
 
@@ -237,3 +238,19 @@
 		}
 	}
 }
+
+// Guards against an endpoint that is taken to be brittle for good, or no longer though it is: what holds is told
+// apart from its limit, by the same rules.
+func TestBrittleHoldsAsLongAsStated(t *testing.T) {
+	is := is.New(t)
+	tr, other := New(), New()
+	is.True(tr.RecordResponse(20*ms, 10*ms, endpoint, Notice{IsBrittle: true, Brittle: 5}))
+	is.Equal(tr.Current(endpoint), Notice{IsBrittle: true, Brittle: 5})
+	is.True(other.Merge(0, tr.NextInRotation(30*ms, 1)[0], true))
+	is.Equal(other.Current(endpoint), Notice{IsBrittle: true, Brittle: 5})
+	// A response to an earlier request says nothing of now, nor does one that cannot be read.
+	is.True(!tr.RecordResponse(40*ms, 5*ms, endpoint, Notice{}))
+	is.True(!tr.RecordResponse(50*ms, 45*ms, endpoint, Notice{BrittleUnknown: true}))
+	is.True(tr.RecordResponse(60*ms, 50*ms, endpoint, Notice{}))
+	is.Equal(tr.Current(endpoint), Notice{})
+}
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -31,7 +31,7 @@
 	noticeReceived = "told"
 )
 
-// notices merges what endpoints announce in their responses (rate limit, backoff, leaving) with
+// notices merges what endpoints announce in their responses (rate limit, brittle, backoff, leaving) with
 // what other VMs received, and passes changes to the scheduler and to other VMs.
 type notices struct {
 	d *Daemon
@@ -59,8 +59,9 @@
 	n.logUnreadableHeaders(ep, headers.HeaderErrors)
 	received := headers.Notice
 	// A response without an id may come from something other than the incarnation: it does not lift
-	// a limit.
+	// what another one stated.
 	received.LimitUnknown = received.LimitUnknown || headers.ID == "" && !received.HasLimit
+	received.BrittleUnknown = received.BrittleUnknown || headers.ID == "" && !received.IsBrittle
 	n.count(received)
 	hash := dispatch.EndpointHash(ep.Key())
 	before := n.tracker.Current(hash)
@@ -84,6 +85,9 @@
 	if received.HasLimit {
 		n.d.count("answers_naming_a_limit")
 	}
+	if received.IsBrittle {
+		n.d.count("answers_saying_brittle")
+	}
 	if received.Leaving {
 		n.d.count("answers_saying_leaving")
 	}
@@ -122,6 +126,7 @@
 	current := n.tracker.Current(hash)
 	ownEnd, othersEnd := n.tracker.BackoffEnds(hash)
 	n.d.sched.setRateLimit(hash, current)
+	n.d.sched.setBrittle(hash, current)
 	n.d.sched.setBackoff(hash, n.jitteredBackoffEnd(hash, ownEnd), othersEnd)
 	if current.Leaving {
 		n.d.sched.markLeaving(hash)
@@ -134,7 +139,7 @@
 	current := n.tracker.Current(hash)
 	own, _ := n.tracker.BackoffEnds(hash)
 	n.d.log.Info().Str("endpoint", id).Uint64("endpoint_hash", hash).Str("learned", learned).
-		Dur("rest", max(0, own-n.d.now())).Bool("limited", current.HasLimit).Float64("per_second", current.Limit).Bool("leaving", current.Leaving).Msg("endpoint_notice")
+		Dur("rest", max(0, own-n.d.now())).Bool("limited", current.HasLimit).Float64("per_second", current.Limit).Bool("brittle", current.IsBrittle).Float64("bears", current.Brittle).Bool("leaving", current.Leaving).Msg("endpoint_notice")
 }
 
 // maxBackoffJitter limits how much longer than asked this VM backs off from an endpoint.
@@ -186,14 +191,20 @@
 	var encoded []*schema.EndpointNotice
 	for _, r := range list {
 		encoded = append(encoded, &schema.EndpointNotice{
-			Endpoint: r.Endpoint, Limit: r.Limit, AskedMs: ageToWire(r.Asked), NamedMs: ageToWire(r.Named), LiftedMs: ageToWire(r.Lifted), Leaving: r.Leaving, RestMs: uint64(r.Backoff.Milliseconds()),
+			Endpoint: r.Endpoint, Leaving: r.Leaving, RestMs: uint64(r.Backoff.Milliseconds()),
+			Limit: r.Limit.Value, AskedMs: ageToWire(r.Limit.Asked), NamedMs: ageToWire(r.Limit.Named), LiftedMs: ageToWire(r.Limit.Lifted),
+			Brittle: r.Brittle.Value, BrittleAskedMs: ageToWire(r.Brittle.Asked), BrittleNamedMs: ageToWire(r.Brittle.Named), BrittleLiftedMs: ageToWire(r.Brittle.Lifted),
 		})
 	}
 	return encoded
 }
 
 func noticeFromWire(m *schema.EndpointNotice) notice.Record {
-	return notice.Record{Endpoint: m.Endpoint, Limit: m.Limit, Asked: ageFromWire(m.AskedMs), Named: ageFromWire(m.NamedMs), Lifted: ageFromWire(m.LiftedMs), Leaving: m.Leaving, Backoff: durationFromWire(m.RestMs)}
+	return notice.Record{
+		Endpoint: m.Endpoint, Leaving: m.Leaving, Backoff: durationFromWire(m.RestMs),
+		Limit:   notice.Statement{Value: m.Limit, Asked: ageFromWire(m.AskedMs), Named: ageFromWire(m.NamedMs), Lifted: ageFromWire(m.LiftedMs)},
+		Brittle: notice.Statement{Value: m.Brittle, Asked: ageFromWire(m.BrittleAskedMs), Named: ageFromWire(m.BrittleNamedMs), Lifted: ageFromWire(m.BrittleLiftedMs)},
+	}
 }
 
 // ageToWire encodes an age for notes: milliseconds plus one, 0 for never.
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -326,6 +326,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sched.RemoveLimit(endpoint)
+	s.sched.RemoveBrittle(endpoint)
 	s.sched.SetBackoff(endpoint, 0, 0)
 	s.members.ClearLeaving(endpoint)
 }
@@ -342,6 +343,18 @@
 	s.sched.SetLimit(s.now(), endpoint, n.Limit)
 }
 
+// setBrittle records how many requests an endpoint bears to reject in a second, or that it states
+// nothing of the kind.
+func (s *sharedScheduler) setBrittle(endpoint uint64, n notice.Notice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !n.IsBrittle {
+		s.sched.RemoveBrittle(endpoint)
+		return
+	}
+	s.sched.SetBrittle(s.now(), endpoint, n.Brittle)
+}
+
 // setCoverage records how many of the known VMs are served by the placers from which notes are
 // received.
 func (s *sharedScheduler) setCoverage(served, known int) {
