dispatch: a job that its sender can send nowhere waits some notes long before it is refused

Cause: a VM declines what it does not know yet, and names it when it asks anew. For the moment in which VMs differ no endpoint is left, and the refusal that was right for a lost link came too soon.

Mend: such a job waits three notes, and counts as congestion for nobody meanwhile. Tried endpoints are final, as before.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -49,9 +49,10 @@
 	LimitCharged bool
 
 	arrived time.Duration
-	// late is set once the objective can no longer be met. rank orders the queue.
-	late bool
-	rank int
+	// late is set once the objective can no longer be met. rank orders the queue. excluded is set while
+	// the VM sending it can use none of the endpoints.
+	late, excluded bool
+	rank           int
 }
 
 // Decision is the result for a queued job: an endpoint or a refusal.
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -135,11 +135,16 @@
 	fastest := sv.fastestEndpoint()
 	sv.limited = s.rateLimitWait(sv) > 0
 	kept := sv.queue[:0]
+	for _, j := range sv.queue {
+		j.excluded = len(j.Avoided) > 0 && !sv.mayRunSomewhere(j)
+	}
 	ahead, late := make(map[class]int), sv.lateJobsByTier()
 	for _, j := range sv.queue {
 		switch {
-		case len(sv.list) == 0 || len(j.Tried)+len(j.Avoided) > 0 && !sv.mayRunSomewhere(j):
+		case len(sv.list) == 0 || len(j.Tried) > 0 && !sv.hasUntriedEndpoint(j) || j.excluded && now-j.arrived >= maxExcludedWait:
 			s.refuse(now, sv, j, ReasonNoEndpoint)
+		case j.excluded && now < j.AbandonAt:
+			kept = append(kept, j)
 		case now+sv.minFirstEventTime(j, fastest) >= j.AbandonAt || sv.unservable(now, j, ahead, late[j.Tier]):
 			s.refuse(now, sv, j, ReasonTooLate)
 		case now+s.backoffWait(now, sv, j) >= j.AbandonAt:
@@ -155,9 +160,19 @@
 	sv.queue = kept
 }
 
+// hasUntriedEndpoint reports whether an endpoint is left that the job has not tried.
+func (sv *service) hasUntriedEndpoint(j *Job) bool {
+	return slices.ContainsFunc(sv.list, func(e *endpoint) bool {
+		return admitsVersion(j, e) && !slices.Contains(j.Tried, e.hash)
+	})
+}
+
+// maxExcludedWait is how long a job waits that the VM sending it can send to none of the endpoints:
+// VMs that differ in what they know of endpoints agree some notes later, a tenth of a second each.
+const maxExcludedWait = 300 * time.Millisecond
+
 // mayRunSomewhere reports whether an endpoint is left that the job has not tried and that the VM
-// sending it can use. A job without one would wait in vain, and count as congestion against
-// others.
+// sending it can use. A job without one does not count as congestion against others.
 func (sv *service) mayRunSomewhere(j *Job) bool {
 	return slices.ContainsFunc(sv.list, func(e *endpoint) bool {
 		return admitsVersion(j, e) && !slices.Contains(j.Tried, e.hash) && !slices.Contains(j.Avoided, e.hash)
--- a/core/dispatch/unservable.go
+++ b/core/dispatch/unservable.go
@@ -100,7 +100,7 @@
 func (sv *service) lateJobsByTier() map[int]int {
 	late := make(map[int]int)
 	for _, j := range sv.queue {
-		if j.late {
+		if j.late && !j.excluded {
 			late[j.Tier]++
 		}
 	}
