--- a/entry/carrier.go
+++ b/entry/carrier.go
@@ -113,9 +113,9 @@
 	c.d.count("carried")
 	started := time.Now()
 	p := newConnPair(vm, ep)
-	stop := context.AfterFunc(r.Context(), p.reset)
+	stop := context.AfterFunc(r.Context(), p.close)
 	defer stop()
-	defer p.reset()
+	defer p.close()
 	if n := buffered.Reader.Buffered(); n > 0 {
 		err = &EarlyBytesError{Bytes: n}
 	} else {
@@ -138,7 +138,7 @@
 
 func newConnPair(vm, ep net.Conn) *connPair {
 	p := &connPair{vm: vm, ep: ep}
-	p.idle = time.AfterFunc(carryIdleTimeout, p.reset)
+	p.idle = time.AfterFunc(carryIdleTimeout, p.close)
 	return p
 }
 
@@ -153,8 +153,8 @@
 	return p.copyBothWays()
 }
 
-// reset closes both parts.
-func (p *connPair) reset() {
+// close closes both parts.
+func (p *connPair) close() {
 	p.idle.Stop()
 	_ = p.vm.Close()
 	_ = p.ep.Close()
@@ -170,7 +170,7 @@
 			toVM = endWriting(p.vm)
 		}
 		if toVM != nil {
-			p.reset()
+			p.close()
 		}
 	})
 	toEndpoint := p.copy(p.ep, p.vm, &p.sent)
@@ -178,7 +178,7 @@
 		// The VM has closed its connection, as it would a direct one.
 		toEndpoint = setLinger(p.ep, sendOnClose)
 	}
-	p.reset()
+	p.close()
 	wg.Wait()
 	if errors.Is(toVM, net.ErrClosed) {
 		// The other direction ended first.
@@ -219,31 +219,3 @@
 	}
 	return c.Close()
 }
-
-// isKnownHost reports whether an address is on the host of a known VM.
-func (p *peers) isKnownHost(remote string) bool {
-	host, _, err := net.SplitHostPort(remote)
-	if err != nil {
-		return false
-	}
-	ip := net.ParseIP(host)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, pe := range p.byAddress {
-		if pe.addr.IP.Equal(ip) {
-			return true
-		}
-	}
-	return false
-}
-
-// lookup returns the key and the address of an incarnation that the registry lists, by its hash.
-func (s *sharedScheduler) lookup(hash uint64) (key, address string, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	ep := s.members.Lookup(hash)
-	if ep == nil {
-		return "", "", false
-	}
-	return ep.Key(), ep.Address, true
-}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -377,3 +377,20 @@
 		p.placing[pe] = true
 	}
 }
+
+// isKnownHost reports whether an address is on the host of a known VM.
+func (p *peers) isKnownHost(remote string) bool {
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pe := range p.byAddress {
+		if pe.addr.IP.Equal(ip) {
+			return true
+		}
+	}
+	return false
+}
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -294,6 +294,17 @@
 	return s.sched.ControlProbes(s.now(), e.Key(), e.FailureDomain)
 }
 
+// lookup returns the key and the address of an incarnation that the registry lists, by its hash.
+func (s *sharedScheduler) lookup(hash uint64) (key, address string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ep := s.members.Lookup(hash)
+	if ep == nil {
+		return "", "", false
+	}
+	return ep.Key(), ep.Address, true
+}
+
 // endpoints returns all endpoints, ordered by service.
 func (s *sharedScheduler) endpoints() []dispatch.Probe {
 	s.mu.Lock()
