reach: endpoints that end under requests are no lost link, and stay out of use until a probe succeeds

Cause: after two or three endpoints had ended in a row the VM took its link for lost, and made all endpoints usable again that it had found unreachable. Ended ones were then the endpoints with which another end is compared, so the end was not believed.

Mend: one of the endpoints that fail must have been chosen for comparison, with no request on its way there. And unreachable endpoints are probed at once when the link is lost or back, in place of being taken for reachable.

TestEndpointsThatEndUnderRequestsAreNoLostLink fails before. TestLinkIsLostWhenDifferentEndpointsFail and its like now let the comparison fail, as it does on a lost link.

--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -219,12 +219,12 @@
 // EndpointCount returns the number of endpoints.
 func (s *Scheduler) EndpointCount() int { return len(s.byHash) }
 
-// ForgetSuspicions makes all endpoints that were found unreachable usable again: the link by which
-// they were found so has failed, or is back.
-func (s *Scheduler) ForgetSuspicions() {
+// ProbeSuspected makes probes due of all endpoints that were found unreachable: they are reached in
+// another way now. Until a probe succeeds they stay out of use, since some of them may be down.
+func (s *Scheduler) ProbeSuspected(now time.Duration) {
 	for _, sv := range s.services {
 		for _, e := range sv.list {
-			e.health.suspectedDown, e.health.probes = false, 0
+			e.health.nextProbe, e.health.probes = now, min(e.health.probes, 1)
 		}
 	}
 }
--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -6,6 +6,9 @@
 // that can be reached between them, are hardly all down. Taken one by one, they would be: a VM that
 // places requests for others would refuse these for want of endpoints that all others reach.
 //
+// A request that ends the endpoints that run it takes several in a row, too. So one of those that fail
+// must have been chosen for comparison, with no request on its way there.
+//
 // Whether other VMs reach the endpoints is for the caller to ask: where all endpoints are down, every
 // VM comes to the same conclusion about its own link.
 package reach
@@ -39,8 +42,10 @@
 	// failed holds the endpoints, by hash, whose last connection failed after the last that was
 	// opened to any, and when.
 	failed map[uint64]time.Duration
-	// failingSince is when the first connection of those was begun.
+	// failingSince is when the first connection of those was begun. chosen holds the endpoints chosen
+	// for comparison since then.
 	failingSince time.Duration
+	chosen       map[uint64]bool
 	// reachedAt is when a connection was last opened.
 	reachedAt time.Duration
 	lost      bool
@@ -64,6 +69,7 @@
 func (d *Detector) RecordOpened(now time.Duration) Change {
 	d.reachedAt = now
 	clear(d.failed)
+	clear(d.chosen)
 	if !d.lost {
 		return Unchanged
 	}
@@ -78,7 +84,7 @@
 		return Unchanged
 	}
 	if d.failed == nil {
-		d.failed = make(map[uint64]time.Duration)
+		d.failed, d.chosen = make(map[uint64]time.Duration), make(map[uint64]bool)
 	}
 	d.expire(now)
 	if len(d.failed) == 0 {
@@ -86,19 +92,41 @@
 	}
 	d.failingSince = min(d.failingSince, started)
 	d.failed[endpoint] = now
-	if d.lost || len(d.failed) < needed(known) {
+	if d.lost || len(d.failed) < needed(known) || len(d.failed) < known && !d.comparisonFailed() {
 		return Unchanged
 	}
 	d.lost, d.lostSince, d.triedAt = true, now, now
 	return Lost
 }
 
+// comparisonFailed reports whether an endpoint chosen for comparison has failed.
+func (d *Detector) comparisonFailed() bool {
+	for e := range d.failed {
+		if d.chosen[e] {
+			return true
+		}
+	}
+	return false
+}
+
+// comparisonDue reports whether endpoints are to be chosen for comparison: after a first failure, and
+// before the link is taken for lost.
+func (d *Detector) comparisonDue(now time.Duration) bool {
+	if d.lost || len(d.failed) == 0 {
+		return false
+	}
+	return !d.compared || now-d.comparedAt >= comparisonInterval || len(d.failed) >= failuresToLose && len(d.chosen) == 0
+}
+
 // needed returns the number of endpoints that must fail. With one endpoint there is nothing to compare
 // it with.
 func needed(known int) int { return max(2, min(failuresToLose, known)) }
 
 func (d *Detector) expire(now time.Duration) {
 	maps.DeleteFunc(d.failed, func(_ uint64, at time.Duration) bool { return now-at > failureTTL })
+	if len(d.failed) == 0 {
+		clear(d.chosen)
+	}
 }
 
 // Lost reports whether the link has failed.
@@ -125,10 +153,14 @@
 	case d.lost && now-d.triedAt >= trialInterval:
 		d.triedAt = now
 		return spread(endpoints, start, 1)
-	case !d.lost && len(d.failed) > 0 && (!d.compared || now-d.comparedAt >= comparisonInterval):
+	case d.comparisonDue(now):
 		d.compared, d.comparedAt = true, now
 		others := slices.DeleteFunc(slices.Clone(endpoints), func(e uint64) bool { return d.hasFailed(e) })
-		return spread(others, start, needed(len(endpoints))-len(d.failed))
+		due := spread(others, start, max(1, needed(len(endpoints))-len(d.failed)))
+		for _, e := range due {
+			d.chosen[e] = true
+		}
+		return due
 	}
 	return nil
 }
@@ -140,7 +172,7 @@
 		return max(0, d.triedAt+trialInterval-now), true
 	case len(d.failed) == 0:
 		return 0, false
-	case !d.compared:
+	case d.comparisonDue(now):
 		return 0, true
 	}
 	return max(0, d.comparedAt+comparisonInterval-now), true
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -27,7 +27,9 @@
 	is.Equal(d.RecordFailed(3*time.Second, 2800*time.Millisecond, 1, known), Unchanged)
 	is.Equal(d.RecordFailed(3*time.Second, 2800*time.Millisecond, 2, known), Unchanged)
 	is.True(!d.Lost())
-	is.Equal(d.RecordFailed(3*time.Second, 2800*time.Millisecond, 3, known), Lost)
+	due := d.Due(3*time.Second, hashes(known), 5)
+	is.Equal(len(due), 1)
+	is.Equal(d.RecordFailed(3200*time.Millisecond, 3*time.Second, due[0], known), Lost)
 	is.True(d.Lost())
 	is.Equal(d.RecordOpened(9*time.Second), Regained)
 	is.True(!d.Lost())
@@ -78,9 +80,11 @@
 func TestLostLinkIsTried(t *testing.T) {
 	is := is.New(t)
 	var d Detector
-	for e := range uint64(failuresToLose) {
+	d.RecordFailed(time.Second, time.Second, 1, known)
+	for _, e := range d.Due(time.Second, hashes(known), 3) {
 		d.RecordFailed(time.Second, time.Second, e, known)
 	}
+	is.True(d.Lost())
 	tried := 0
 	for now := time.Second; now < 11*time.Second; now += 20 * time.Millisecond {
 		tried += len(d.Due(now, hashes(known), tried))
@@ -88,6 +92,22 @@
 	is.True(tried >= 18 && tried <= 20)
 }
 
+// Guards against a VM whose endpoints end one after the other under a request, and that takes its link for
+// lost: an endpoint with no request on its way there must fail too.
+func TestEndpointsThatEndUnderRequestsAreNoLostLink(t *testing.T) {
+	is := is.New(t)
+	var d Detector
+	now := time.Second
+	for e := range uint64(9) {
+		now += 80 * time.Millisecond
+		is.Equal(d.RecordFailed(now, now, e+1, known), Unchanged)
+		for range d.Due(now, hashes(known), 10) {
+			d.RecordOpened(now)
+		}
+	}
+	is.True(!d.Lost())
+}
+
 // Guards against a deployment of few endpoints whose VMs never notice a lost link, or notice one where a
 // single endpoint is down.
 func TestFewEndpoints(t *testing.T) {
--- a/entry/link.go
+++ b/entry/link.go
@@ -70,7 +70,7 @@
 	l.mu.Unlock()
 	if change == reach.Regained {
 		l.d.log.Info().Dur("lost_for", now-since).Msg("endpoints_regained")
-		l.d.sched.forgetSuspicions()
+		l.d.sched.probeSuspected()
 	}
 }
 
@@ -99,7 +99,7 @@
 // may hang, and endpoints that could not be reached over it may be reached by way of other VMs.
 func (l *endpointLink) leave(failingSince time.Duration) {
 	l.d.pool.CloseIdleSince(l.d.start.Add(failingSince))
-	l.d.sched.forgetSuspicions()
+	l.d.sched.probeSuspected()
 }
 
 // lost reports whether this VM reaches no endpoint though others do. What it finds out about
--- a/entry/link_test.go
+++ b/entry/link_test.go
@@ -35,10 +35,10 @@
 	return d, other
 }
 
-// loseLink has connections to three endpoints fail.
+// loseLink has connections to all endpoints fail.
 func loseLink(d *Daemon) {
-	for i := range 3 {
-		d.link.recordFailed(d.now(), fmt.Sprint("e", i))
+	for _, p := range d.sched.endpoints() {
+		d.link.recordFailed(d.now(), p.Key)
 	}
 }
 
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -319,12 +319,12 @@
 	return s.sched.EndpointCount()
 }
 
-// forgetSuspicions makes all endpoints that were found unreachable usable again.
-func (s *sharedScheduler) forgetSuspicions() {
+// probeSuspected has all endpoints probed at once that were found unreachable.
+func (s *sharedScheduler) probeSuspected() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.touch()
-	s.sched.ForgetSuspicions()
+	s.sched.ProbeSuspected(s.now())
 }
 
 // markLeaving stops the use of an endpoint that has reported that it is leaving.
