dispatch: jobs that no endpoint may run cost a placer little while they wait

Found in the last reading: each request that came or ended went through all endpoints for each of them, times the endpoints that the job names.

--- a/core/dispatch/avoided_test.go
+++ b/core/dispatch/avoided_test.go
@@ -56,3 +56,24 @@
 	is.Equal(refused[true], int(end/interval))
 	is.True(longest <= 500*time.Millisecond)
 }
+
+// BenchmarkExcludedJobs measures what a request costs a placer of 128 endpoints while 30 requests wait that
+// no endpoint may run.
+func BenchmarkExcludedJobs(b *testing.B) {
+	s := New("vm", "a")
+	var list []*members.Endpoint
+	var avoided []uint64
+	for i := range 128 {
+		ep := &members.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:1", i), Slots: 4}
+		list = append(list, ep)
+		avoided = append(avoided, EndpointHash(ep.Key()))
+	}
+	s.SetEndpoints(0, "s", list, false)
+	for h := range uint64(30) {
+		s.Submit(0, Job{Handle: h + 1, Service: "s", Objective: time.Second, AbandonAt: time.Second, Avoided: avoided, Remote: true})
+	}
+	for h := uint64(100); b.Loop(); h++ {
+		s.Submit(0, Job{Handle: h, Service: "s", Objective: time.Second, AbandonAt: time.Second})
+		s.EndRun(0, h, Answered)
+	}
+}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -53,6 +53,8 @@
 	// the VM sending it can use none of the endpoints.
 	late, excluded bool
 	rank           int
+	// checkedList is the listNumber for which excluded was found out.
+	checkedList int
 }
 
 // Decision is the result for a queued job: an endpoint or a refusal.
@@ -153,8 +155,10 @@
 	// endpoints maps incarnation keys to endpoints.
 	endpoints map[string]*endpoint
 	list      []*endpoint
-	queue     []*Job
-	latency   latencyModel
+	// listNumber counts the lists of endpoints, from 1.
+	listNumber int
+	queue      []*Job
+	latency    latencyModel
 	// scarce is set while few endpoints have capacity.
 	scarce bool
 	// placements is the recent rate of placements, classPlacements holds those of each class.
@@ -260,6 +264,7 @@
 	}
 	sv.endpoints = make(map[string]*endpoint, len(list))
 	sv.list = sv.list[:0]
+	sv.listNumber++
 	for _, m := range s.chooseSubset(list) {
 		key := m.Key()
 		ep := old[key]
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -34,6 +34,10 @@
 	sv.scarce = !s.disabled.Has(mechanism.ScarceSlowFirst) && float64(len(open)) < 0.25*float64(len(sv.list))
 	kept := sv.queue[:0]
 	for _, j := range sv.queue {
+		if j.excluded {
+			kept = append(kept, j)
+			continue
+		}
 		c := s.bestCandidate(now, sv, j, open)
 		// A job that can still be on time elsewhere waits for capacity there.
 		if c.ep == nil || !c.onTime && !j.late && !isCanaryRun(j, c.ep) {
@@ -135,9 +139,7 @@
 	fastest := sv.fastestEndpoint()
 	sv.limited = s.rateLimitWait(sv) > 0
 	kept := sv.queue[:0]
-	for _, j := range sv.queue {
-		j.excluded = len(j.Avoided) > 0 && !sv.mayRunSomewhere(j)
-	}
+	sv.markExcluded()
 	ahead, late := make(map[class]int), sv.lateJobsByTier()
 	for _, j := range sv.queue {
 		switch {
@@ -171,6 +173,16 @@
 // VMs that differ in what they know of endpoints agree some notes later, a tenth of a second each.
 const maxExcludedWait = 300 * time.Millisecond
 
+// markExcluded marks the jobs that no endpoint may run. Each is looked at once for a list of endpoints:
+// a job may name all of them, and the queue is gone through with each request that comes or ends.
+func (sv *service) markExcluded() {
+	for _, j := range sv.queue {
+		if len(j.Avoided) > 0 && j.checkedList != sv.listNumber {
+			j.excluded, j.checkedList = !sv.mayRunSomewhere(j), sv.listNumber
+		}
+	}
+}
+
 // mayRunSomewhere reports whether an endpoint is left that the job has not tried and that the VM
 // sending it can use. A job without one does not count as congestion against others.
 func (sv *service) mayRunSomewhere(j *Job) bool {
