entry: requests at a placer without a link are handed back also when others reach endpoints later

Where all had lost theirs and another's came back first they waited until they were too late. TestWaitingRequestsAreHandedBackOnceOthersReach fails before.

--- a/entry/link_test.go
+++ b/entry/link_test.go
@@ -99,3 +99,21 @@
 	is.True(!d.remoteJobs.isWaiting(7))
 	is.Equal(d.sched.sched.QueuedJobs(), 0)
 }
+
+// Guards against requests that stay at a placer whose link was lost while all others' were, once one of
+// these is back.
+func TestWaitingRequestsAreHandedBackOnceOthersReach(t *testing.T) {
+	is := is.New(t)
+	d, other := linkedDaemon(t)
+	other.endpointsLost = true
+	for i := range 6 {
+		d.sched.reportUnreachable(fmt.Sprint("e", i))
+	}
+	d.remoteJobs.handleRequest(&schema.PlaceAsk{Handle: 7, Service: "plain", ObjectiveUs: 300_000, AbandonUs: 4_000_000}, other.addr)
+	loseLink(d)
+	d.peers.step(0)
+	is.True(d.remoteJobs.isWaiting(7))
+	other.endpointsLost = false
+	d.peers.step(1)
+	is.True(!d.remoteJobs.isWaiting(7))
+}
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -69,6 +69,10 @@
 // step does the i-th round: it updates this VM's role in its cell and sends notes.
 func (p *peers) step(i uint64) {
 	p.d.remoteJobs.expireRequesters()
+	if p.d.link.lost() {
+		// Others may have begun to reach endpoints only after this VM's link was lost.
+		p.d.remoteJobs.handBack()
+	}
 	p.updatePlacerRole()
 	p.d.placement.updatePlacer()
 	p.d.sched.setCoverage(p.coverage())
