--- a/entry/carrier.go
+++ b/entry/carrier.go
@@ -26,9 +26,6 @@
 	// carryBufferSize is how much is read of one connection before it is written to the other. What a
 	// reader does not take waits in the buffers of the connections, up to its sender.
 	carryBufferSize = 4 << 10
-	// carryIdleTimeout is how long nothing may pass over a carried connection. It outlasts what an
-	// endpoint takes for a response, and frees what a VM that lost its power has left open.
-	carryIdleTimeout = time.Minute
 )
 
 // carryAccepted is the response after which the connection is one to the endpoint.
@@ -112,7 +109,7 @@
 	}
 	c.d.count("carried")
 	started := time.Now()
-	p := newConnPair(vm, ep)
+	p := &connPair{vm: vm, ep: ep}
 	stop := context.AfterFunc(r.Context(), p.close)
 	defer stop()
 	defer p.close()
@@ -130,16 +127,12 @@
 // Unless their peers ended them properly, both are reset when they are closed, whatever closes them,
 // the end of this process included: where a response ends with its connection, a break must not look
 // like that end.
+//
+// How long nothing may pass is for the VM to decide, which knows its callers' deadlines. One that has
+// lost its power is noticed by the keep-alive probes of accepted connections.
 type connPair struct {
 	vm, ep         net.Conn
 	sent, received atomic.Int64
-	idle           *time.Timer
-}
-
-func newConnPair(vm, ep net.Conn) *connPair {
-	p := &connPair{vm: vm, ep: ep}
-	p.idle = time.AfterFunc(carryIdleTimeout, p.close)
-	return p
 }
 
 // run tells the VM that the endpoint is reached and copies until both directions have ended.
@@ -155,7 +148,6 @@
 
 // close closes both parts.
 func (p *connPair) close() {
-	p.idle.Stop()
 	_ = p.vm.Close()
 	_ = p.ep.Close()
 }
@@ -193,7 +185,6 @@
 	for {
 		size, err := from.Read(buf)
 		if size > 0 {
-			p.idle.Reset(carryIdleTimeout)
 			written, werr := to.Write(buf[:size])
 			n.Add(int64(written))
 			if werr != nil {
--- a/entry/user_timeout_test.go
+++ b/entry/user_timeout_test.go
@@ -15,16 +15,22 @@
 const tcpUserTimeout = 18
 
 // userTimeout returns the TCP_USER_TIMEOUT of a connection in milliseconds.
-func userTimeout(t *testing.T, c net.Conn) (ms int) {
+func userTimeout(t *testing.T, c net.Conn) int {
+	t.Helper()
+	return socketOption(t, c, syscall.IPPROTO_TCP, tcpUserTimeout)
+}
+
+// socketOption returns an option of a connection's socket.
+func socketOption(t *testing.T, c net.Conn, level, option int) (value int) {
 	t.Helper()
 	raw, err := c.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if cerr := raw.Control(func(fd uintptr) { ms, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout) }); cerr != nil || err != nil {
+	if cerr := raw.Control(func(fd uintptr) { value, err = syscall.GetsockoptInt(int(fd), level, option) }); cerr != nil || err != nil {
 		t.Fatal(cerr, err)
 	}
-	return ms
+	return value
 }
 
 // Guards against a library that sets TCP_USER_TIMEOUT, which ends connections whose keep-alive probes were
@@ -46,5 +52,8 @@
 	is.NoErr(err)
 	defer func() { _ = c.Close() }()
 	is.Equal(userTimeout(t, c), 0)
-	is.Equal(userTimeout(t, <-accepted), 0)
+	peer := <-accepted
+	is.Equal(userTimeout(t, peer), 0)
+	// Carried connections rely on the probes to notice a VM that has lost its power.
+	is.Equal(socketOption(t, peer, syscall.SOL_SOCKET, syscall.SO_KEEPALIVE), 1)
 }
