entry: logs name the software version of a stream, and the stream that a request takes up

placed has the endpoint's version, streamed and stream_broken all versions whose events the caller got; a request that takes up a stream has resumes and after. A stream that could have gone on ends with retry_budget where the repeats were spent: attempts_spent said the same of one that may not be repeated.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/chivefield/chivefield/core/dispatch"
@@ -93,8 +94,8 @@
 			c.endCancelled(s)
 			return
 		}
-		if !c.mayRetry(last, try) {
-			c.fail(s, "attempts_spent", shortRetryAfter)
+		if reason := c.retryRefusal(last, try); reason != "" {
+			c.fail(s, reason, shortRetryAfter)
 			return
 		}
 	}
@@ -116,18 +117,27 @@
 	return j
 }
 
-// mayRetry reports whether another endpoint may be tried.
-func (c *callerRequest) mayRetry(last attemptResult, try int) bool {
-	if try >= maxRetries {
-		return false
-	}
-	if last.outcome == dispatch.Unreachable {
-		return true
-	}
-	if last.retryDenied || c.mayHaveRun && !c.route.Retryable() {
-		return false
-	}
-	return c.sendCount < c.route.MaxEndpoints && (c.sendCount == 0 || c.retryPermit.acquire())
+// Reasons for not trying another endpoint.
+const (
+	reasonAttemptsSpent = "attempts_spent"
+	reasonRetryBudget   = "retry_budget"
+)
+
+// retryRefusal returns why no other endpoint may be tried; empty if one may.
+func (c *callerRequest) retryRefusal(last attemptResult, try int) string {
+	switch {
+	case try >= maxRetries:
+		return reasonAttemptsSpent
+	case last.outcome == dispatch.Unreachable:
+		return ""
+	case last.retryDenied:
+		return reasonRetryBudget
+	case c.mayHaveRun && !c.route.Retryable(), c.sendCount >= c.route.MaxEndpoints:
+		return reasonAttemptsSpent
+	case c.sendCount > 0 && !c.retryPermit.acquire():
+		return reasonRetryBudget
+	}
+	return ""
 }
 
 // endCancelled ends a request whose caller has disconnected, that was blocked, or whose deadline
@@ -152,7 +162,8 @@
 func (c *callerRequest) fail(s *eventStream, reason string, retryAfter time.Duration) {
 	if s != nil && s.headersSent {
 		c.d.count("streams_broken")
-		c.d.log.Warn().Str("request", c.reqHeaders.ID).Str("reason", reason).Int("events", s.events).Msg("stream_broken")
+		c.d.log.Warn().Str("request", c.reqHeaders.ID).Str("reason", reason).Int("events", s.events).
+			Str("versions", strings.Join(s.versions, ",")).Str("after", s.lastEventID).Msg("stream_broken")
 		panic(http.ErrAbortHandler)
 	}
 	switch {
@@ -168,7 +179,8 @@
 func (c *callerRequest) logPlacement(dec dispatch.Decision) {
 	c.d.log.Info().Str("request", c.reqHeaders.ID).Str("route", c.route.Name).Str("endpoint", dec.Endpoint.ID).
 		Str("address", dec.Endpoint.Address).Str("by", dec.DecidedBy).Dur("predicted", dec.Predicted).Int("candidates", dec.Candidates).
-		Int("waiting", dec.Waiting).Int("running", dec.Load.Running).Int("unread", dec.Load.PromptTokens).Int("prompt", c.reqHeaders.PromptTokens).Int("output", c.reqHeaders.EstimatedOutputTokens).Dur("gap", dec.Load.EventGap).Dur("waited", time.Since(c.arrived)).Int("try", len(c.tried)).Msg("placed")
+		Int("waiting", dec.Waiting).Int("running", dec.Load.Running).Int("unread", dec.Load.PromptTokens).Int("prompt", c.reqHeaders.PromptTokens).Int("output", c.reqHeaders.EstimatedOutputTokens).Dur("gap", dec.Load.EventGap).Dur("waited", time.Since(c.arrived)).Int("try", len(c.tried)).
+		Str("version", dec.Endpoint.Version).Str("resumes", c.reqHeaders.Resumes).Str("after", c.reqHeaders.LastEventID).Msg("placed")
 }
 
 // upstreamHeaders returns the request headers for an endpoint.
@@ -208,7 +220,7 @@
 	}
 	lastID := c.reqHeaders.LastEventID
 	if s != nil {
-		lastID = s.lastEventID
+		lastID, s.version = s.lastEventID, ep.Version
 	}
 	req := &upstream.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: c.upstreamHeaders(ep, lastID),
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/chivefield/chivefield/core/dispatch"
@@ -18,7 +19,11 @@
 	headersSent bool
 	// lastEventID is the ID of the last complete event sent to the caller.
 	lastEventID string
-	events      int
+	// versions lists the software versions whose events the caller got, in order; version is that of
+	// the endpoint in use.
+	versions []string
+	version  string
+	events   int
 	splitter    sse.Splitter
 	// firstAt and lastAt are the times of the first and the last event, longestPause is the
 	// longest interval between two events.
@@ -26,7 +31,7 @@
 	longestPause    time.Duration
 }
 
-// recordEvent records the arrival time of events.
+// recordEvent records the arrival time of events and the version that sent them.
 func (s *eventStream) recordEvent() {
 	now := time.Now()
 	if s.events == 0 {
@@ -36,6 +41,9 @@
 	}
 	s.lastAt = now
 	s.events++
+	if len(s.versions) == 0 || s.versions[len(s.versions)-1] != s.version {
+		s.versions = append(s.versions, s.version)
+	}
 }
 
 // readBufferSize is the size of the read buffer in bytes.
@@ -150,5 +158,6 @@
 	c.d.observe("stream", time.Since(c.arrived))
 	c.d.log.Info().Str("request", c.reqHeaders.ID).Int("status", resp.StatusCode).Stringer("framing", resp.Framing()).Int("partial", partial).Int("events", s.events).Dur("took", time.Since(c.arrived)).
 		Dur("first_event", first).Dur("longest_pause", s.longestPause).Bool("late", lateBy != "").Str("late_by", lateBy).
-		Int("sent", c.sendCount).Str("carrier", resp.Carrier()).Msg("streamed")
+		Int("sent", c.sendCount).Str("carrier", resp.Carrier()).
+		Str("versions", strings.Join(s.versions, ",")).Str("resumes", c.reqHeaders.Resumes).Str("after", c.reqHeaders.LastEventID).Msg("streamed")
 }
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -31,6 +31,8 @@
 	// LastEventID is the ID of the last event that the caller received of a stream that it
 	// resumes.
 	LastEventID string
+	// Resumes is the ID of the caller's attempt that brought the first event of that stream.
+	Resumes string
 }
 
 // PromptPart is a part of a prompt that other requests may share.
