--- a/entry/stream.go
+++ b/entry/stream.go
@@ -24,7 +24,7 @@
 	versions []string
 	version  string
 	events   int
-	splitter    sse.Splitter
+	splitter sse.Splitter
 	// firstAt and lastAt are the times of the first and the last event, longestPause is the
 	// longest interval between two events.
 	firstAt, lastAt time.Time
