entry, dispatch: a stream goes on within its response only at the software version that began it

Cause: nothing ties the rest of a stream to its beginning but the number of the last event; jobs, asks to placers and the check before sending know tried endpoints only. Ruled out: a late registry (versions were listed for seconds).

The version whose first event goes to the caller is kept with the request, as listed when the request was sent. The same cause elsewhere: a silent endpoint was given up though only other versions had room, waits for a backoff counted them, and a placer of over 128 endpoints might use none of a version that has few. Exposure's bound of a roll-out wins over a stream that must go on at the version under test.

--- a/core/dispatch/backoff.go
+++ b/core/dispatch/backoff.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // An endpoint that rejects a request may ask the sending VM for backoff. That VM then sends it
 // nothing until the backoff expires. The endpoint may still serve other VMs, but is likely to
@@ -47,15 +44,15 @@
 	return 0
 }
 
-// BackoffWait returns the time until the first untried endpoint of a service accepts requests
-// of this VM; 0 if one does now.
-func (s *Scheduler) BackoffWait(now time.Duration, service string, tried []uint64) time.Duration {
+// BackoffWait returns the time until the first untried endpoint for a job accepts requests of this
+// VM; 0 if one does now.
+func (s *Scheduler) BackoffWait(now time.Duration, j *Job) time.Duration {
 	if len(s.backoffs) == 0 {
 		return 0
 	}
 	least := time.Duration(-1)
-	for _, e := range s.service(service).list {
-		if slices.Contains(tried, e.hash) {
+	for _, e := range s.service(j.Service).list {
+		if !j.mayStillTry(e) {
 			continue
 		}
 		if !s.inBackoff(now, e) {
@@ -74,5 +71,5 @@
 	if j.Remote {
 		return 0
 	}
-	return s.BackoffWait(now, sv.name, j.Tried)
+	return s.BackoffWait(now, j)
 }
--- a/core/dispatch/canary.go
+++ b/core/dispatch/canary.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "slices"
+
 // While a service is rolled out to a new version, a few canary requests test it. The VM that
 // sends a request selects it as a canary, so that the traffic to a bad version is bounded by
 // each VM's own counters. All other requests stay away from the endpoints under test.
@@ -10,7 +12,17 @@
 const canaryPreference = 2 * lateCost
 
 // admitsVersion reports whether a job may run on an endpoint's version.
-func admitsVersion(j *Job, e *endpoint) bool { return j.Canary || !e.Canary }
+func admitsVersion(j *Job, e *endpoint) bool {
+	return (j.Canary || !e.Canary) && !j.versionDiffers(e.Version)
+}
+
+// versionDiffers reports whether a job is the rest of a stream that another version began.
+func (j *Job) versionDiffers(version string) bool { return j.Continues && version != j.Version }
+
+// mayStillTry reports whether a job has not tried an endpoint, whose version it may run at.
+func (j *Job) mayStillTry(e *endpoint) bool {
+	return !slices.Contains(j.Tried, e.hash) && !j.versionDiffers(e.Version)
+}
 
 // canaryCost returns the cost of an endpoint's version for a job; negative for a canary.
 func canaryCost(j *Job, e *endpoint) float64 {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -44,6 +44,10 @@
 	Suspicion Suspicion
 	// Canary marks a request that was chosen to test a new version of the service.
 	Canary bool
+	// Continues marks the rest of a stream whose first events have reached the caller. Only endpoints of
+	// Version, which sent them, may run it.
+	Continues bool
+	Version   string
 	// LimitCharged reports whether the VM that placed the job charged it to what the endpoint states
 	// of itself: its rate limit, or what it bears to reject.
 	LimitCharged bool
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -169,11 +169,10 @@
 	}
 }
 
-// HasAlternative reports whether a service has an untried endpoint to which a request may be
-// sent now.
-func (s *Scheduler) HasAlternative(now time.Duration, service string, tried []uint64) bool {
-	for _, e := range s.service(service).list {
-		if e.eligible(now) && s.withinLimit(now, e) && !s.inBackoff(now, e) && !slices.Contains(tried, e.hash) {
+// HasAlternative reports whether there is an untried endpoint to which a job may be sent now.
+func (s *Scheduler) HasAlternative(now time.Duration, j *Job) bool {
+	for _, e := range s.service(j.Service).list {
+		if e.eligible(now) && s.withinLimit(now, e) && !s.inBackoff(now, e) && j.mayStillTry(e) {
 			return true
 		}
 	}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -105,7 +105,7 @@
 		switch {
 		case a.rank != b.rank:
 			return a.rank - b.rank
-		case a.late:
+		case a.late, a.Continues:
 			return int(a.arrived - b.arrived)
 		default:
 			return int(a.Objective - b.Objective)
@@ -177,7 +177,7 @@
 // a job may name all of them, and the queue is gone through with each request that comes or ends.
 func (sv *service) markExcluded() {
 	for _, j := range sv.queue {
-		if len(j.Avoided) > 0 && j.checkedList != sv.listNumber {
+		if (j.Continues || len(j.Avoided) > 0) && j.checkedList != sv.listNumber {
 			j.excluded, j.checkedList = !sv.mayRunSomewhere(j), sv.listNumber
 		}
 	}
--- a/core/dispatch/rank.go
+++ b/core/dispatch/rank.go
@@ -9,10 +9,13 @@
 // jobs that they delay. No job that can be on time waits for the exception.
 
 const (
-	// Each tier has three ranks: on time, short jobs of the tier below, late.
-	ranksPerTier   = 3
-	rankShortBelow = 1
-	rankLate       = 2
+	// Each tier has four ranks. First come streams that go on: their callers hold a part already, and
+	// they have fewer endpoints to wait for than all others.
+	ranksPerTier   = 4
+	rankContinues  = 0
+	rankOnTime     = 1
+	rankShortBelow = 2
+	rankLate       = 3
 	// shortShare is the share of the usual work below which a job counts as short.
 	shortShare = 0.2
 	// workWeight is the weight of one job in the moving average of work.
@@ -22,12 +25,14 @@
 // rankOf returns a job's rank in the queue; the lowest comes first.
 func (sv *service) rankOf(j *Job) int {
 	switch {
+	case j.Continues:
+		return ranksPerTier*j.Tier + rankContinues
 	case j.late:
 		return ranksPerTier*j.Tier + rankLate
 	case j.Tier > 0 && !sv.disabled.Has(mechanism.ShortFirst) && sv.work(j) < shortShare*sv.usualWork:
 		return ranksPerTier*(j.Tier-1) + rankShortBelow
 	}
-	return ranksPerTier * j.Tier
+	return ranksPerTier*j.Tier + rankOnTime
 }
 
 // work returns the engine time that a job takes, as a multiple of the event gap.
--- a/core/dispatch/remote.go
+++ b/core/dispatch/remote.go
@@ -29,6 +29,8 @@
 	BackingOff UnusableReason = "resting"
 	// CanaryOnly: its version gets canary requests only.
 	CanaryOnly UnusableReason = "held_back"
+	// OtherVersion: the request is the rest of a stream that another version began.
+	OtherVersion UnusableReason = "other_version"
 )
 
 // Adopt records that another VM placed a job at an endpoint, with the predicted time to the
@@ -42,6 +44,8 @@
 		return nil, NotListed
 	case e.health.replaced:
 		return nil, IncarnationReplaced
+	case j.versionDiffers(e.Version):
+		return nil, OtherVersion
 	case !admitsVersion(&j, e):
 		return nil, CanaryOnly
 	case e.health.probeFailed():
--- a/core/dispatch/subset.go
+++ b/core/dispatch/subset.go
@@ -18,6 +18,9 @@
 	maxUsedEndpoints = 128
 	// minFarEndpoints of them are in other failure domains, in case the VM's own domain fails.
 	minFarEndpoints = maxUsedEndpoints / 4
+	// minVersionEndpoints of each software version are used besides, if the subset has fewer: streams
+	// that the version began can go on nowhere else.
+	minVersionEndpoints = 4
 )
 
 // chooseSubset returns the endpoints that this VM uses.
@@ -35,11 +38,39 @@
 	}
 	near = s.highestWeighted(near, max(maxUsedEndpoints-minFarEndpoints, maxUsedEndpoints-len(far)))
 	far = s.highestWeighted(far, maxUsedEndpoints-len(near))
-	chosen := append(near, far...)
+	chosen := s.addVersions(append(near, far...), list)
 	slices.SortFunc(chosen, func(a, b *members.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	return chosen
 }
 
+// addVersions adds endpoints of the versions in list of which fewer than minVersionEndpoints were chosen.
+func (s *Scheduler) addVersions(chosen, list []*members.Endpoint) []*members.Endpoint {
+	byVersion := make(map[string][]*members.Endpoint)
+	for _, m := range list {
+		byVersion[m.Version] = append(byVersion[m.Version], m)
+	}
+	if len(byVersion) == 1 {
+		return chosen
+	}
+	used := make(map[string]bool, len(chosen))
+	count := make(map[string]int, len(byVersion))
+	for _, m := range chosen {
+		used[m.Key()] = true
+		count[m.Version]++
+	}
+	for version, all := range byVersion {
+		if count[version] >= minVersionEndpoints {
+			continue
+		}
+		for _, m := range s.highestWeighted(all, minVersionEndpoints) {
+			if !used[m.Key()] {
+				chosen = append(chosen, m)
+			}
+		}
+	}
+	return chosen
+}
+
 // highestWeighted returns the n endpoints with the highest rendezvous-hash weight for this VM.
 func (s *Scheduler) highestWeighted(list []*members.Endpoint, n int) []*members.Endpoint {
 	if len(list) <= n {
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -73,6 +73,8 @@
 	endsWithConn bool
 	// notPlaced is the decision not to place the request, if that is how it ends.
 	notPlaced *dispatch.Decision
+	// version is the software version that began the stream; nil while the caller has no event of it.
+	version atomic.Pointer[string]
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	// reservedBytes is the part of the memory budget held for the body.
@@ -268,9 +270,23 @@
 		j.AbandonAt = min(deadline, arrived+c.eventTimeout()) - disconnectMargin
 		j.MaxPause, j.Deadline = c.route.MaxPause, deadline
 	}
+	c.restrictVersion(&j)
 	return j
 }
 
+// restrictVersion restricts the job of a stream that has begun to the version that began it.
+func (c *callerRequest) restrictVersion(j *dispatch.Job) {
+	if version := c.version.Load(); version != nil {
+		j.Continues, j.Version = true, *version
+	}
+}
+
+// mayRunAt reports whether a version may send events to the caller.
+func (c *callerRequest) mayRunAt(version string) bool {
+	began := c.version.Load()
+	return began == nil || *began == version
+}
+
 // refusalMargin returns how long before the end of its timeout a waiting request is refused, so that
 // its caller gets the refusal.
 func refusalMargin(timeout time.Duration) time.Duration {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -40,9 +40,9 @@
 	// connectionLost is set if the connection broke, or the endpoint stopped responding, during
 	// the request.
 	connectionLost bool
-	// blocked is set if the request was not sent because it terminates endpoints, rolloutBlocked
+	// blocked is set if the request was not sent because it terminates endpoints, versionBlocked
 	// if it was not sent because the endpoint's version is not allowed for it.
-	blocked, rolloutBlocked bool
+	blocked, versionBlocked bool
 	err                     error
 }
 
@@ -83,7 +83,7 @@
 			c.fail(s, reasonEndsEndpoints, 0)
 			return
 		}
-		if last.rolloutBlocked && try < maxRetries {
+		if last.versionBlocked && try < maxRetries {
 			c.avoided = append(c.avoided, dispatch.EndpointHash(dec.Endpoint.Key()))
 			continue
 		}
@@ -220,16 +220,24 @@
 	}
 	lastID := c.reqHeaders.LastEventID
 	if s != nil {
-		lastID, s.version = s.lastEventID, ep.Version
+		lastID = s.lastEventID
 	}
 	req := &upstream.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: c.upstreamHeaders(ep, lastID),
 		Body: c.body, HasBody: c.r.ContentLength != 0 || c.r.Header.Get("Content-Length") != "",
 		Matches: func(resp *http.Response) bool { return c.ownsResponse(resp) },
 	}
+	version := c.d.sched.listedVersion(ep)
+	if !c.mayRunAt(version) {
+		c.d.count("other_version")
+		return attemptResult{outcome: dispatch.CallerDisconnected, versionBlocked: true}
+	}
+	if s != nil {
+		s.version = version
+	}
 	tracked, ok := c.d.rollouts.beginAttempt(c, ep, c.canary)
 	if !ok {
-		return attemptResult{outcome: dispatch.CallerDisconnected, rolloutBlocked: true}
+		return attemptResult{outcome: dispatch.CallerDisconnected, versionBlocked: true}
 	}
 	c.tracked = tracked
 	before := c.sendCount
--- a/entry/placement.go
+++ b/entry/placement.go
@@ -105,7 +105,7 @@
 // ended.
 func (p *placement) awaitBackoff(ctx context.Context, j dispatch.Job) (dec dispatch.Decision, ok, ended bool) {
 	for {
-		wait := p.d.sched.backoffWait(j.Service, j.Tried)
+		wait := p.d.sched.backoffWait(&j)
 		if wait == 0 {
 			return dec, false, false
 		}
@@ -327,6 +327,7 @@
 		ObjectiveUs: (j.Objective - now).Microseconds(), AbandonUs: (j.AbandonAt - now).Microseconds(),
 		MaxPauseUs: uint64(j.MaxPause.Microseconds()), Tried: j.Tried, Avoided: j.Avoided,
 		FailureDomain: p.d.settings.Vm.FailureDomain, Digest: j.Request[:], Suspicion: uint32(j.Suspicion), Trial: j.Canary,
+		Continues: j.Continues, Version: j.Version,
 	}
 	if j.Deadline > 0 {
 		m.LimitUs = (j.Deadline - now).Microseconds()
--- a/entry/remote_jobs.go
+++ b/entry/remote_jobs.go
@@ -279,6 +279,7 @@
 		Objective: now + time.Duration(m.ObjectiveUs)*time.Microsecond, AbandonAt: now + time.Duration(m.AbandonUs)*time.Microsecond,
 		MaxPause: micros(m.MaxPauseUs), Tried: m.Tried, Avoided: m.Avoided, Remote: true, SenderDomain: m.FailureDomain,
 		Request: digestFromWire(m.Digest), Suspicion: dispatch.Suspicion(min(m.Suspicion, uint32(dispatch.Quarantined))), Canary: m.Trial,
+		Continues: m.Continues, Version: m.Version,
 	}
 	if m.LimitUs != 0 {
 		j.Deadline = now + time.Duration(m.LimitUs)*time.Microsecond
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -181,12 +181,11 @@
 	return s.sched.Unavailable(s.now(), service)
 }
 
-// backoffWait returns for how long all untried endpoints of a service have asked this VM to back
-// off.
-func (s *sharedScheduler) backoffWait(service string, tried []uint64) time.Duration {
+// backoffWait returns for how long all untried endpoints for a job have asked this VM to back off.
+func (s *sharedScheduler) backoffWait(j *dispatch.Job) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.sched.BackoffWait(s.now(), service, tried)
+	return s.sched.BackoffWait(s.now(), j)
 }
 
 // setBackoff sets until when an endpoint has asked this VM to back off, and until when it has
@@ -238,11 +237,11 @@
 	s.sched.RecordEvents(s.now(), handle, n)
 }
 
-// hasAlternative reports whether another endpoint could serve a request.
-func (s *sharedScheduler) hasAlternative(service string, tried []uint64) bool {
+// hasAlternative reports whether another endpoint could serve a job.
+func (s *sharedScheduler) hasAlternative(j *dispatch.Job) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.sched.HasAlternative(s.now(), service, tried)
+	return s.sched.HasAlternative(s.now(), j)
 }
 
 func (s *sharedScheduler) endRun(handle uint64, o dispatch.Outcome) {
@@ -279,6 +278,17 @@
 	s.onDepartures(departures)
 }
 
+// listedVersion returns the software version that the registry lists for an incarnation, which may be newer
+// than e; that of e if it is not listed.
+func (s *sharedScheduler) listedVersion(e *members.Endpoint) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if listed := s.members.Lookup(members.EndpointHash(e.Key())); listed != nil {
+		return listed.Version
+	}
+	return e.Version
+}
+
 // isServing reports whether the registry lists an incarnation and it is not leaving.
 func (s *sharedScheduler) isServing(e *members.Endpoint) bool {
 	s.mu.Lock()
--- a/entry/stall.go
+++ b/entry/stall.go
@@ -45,10 +45,11 @@
 	if c.d.settings.Disabled.Has(mechanism.StallRetry) || !c.route.Retryable() || c.sendCount+1 >= c.route.MaxEndpoints {
 		return w
 	}
-	tried := append(slices.Clone(c.tried), dispatch.EndpointHash(dec.Endpoint.Key()))
+	next := dispatch.Job{Service: c.service, Tried: append(slices.Clone(c.tried), dispatch.EndpointHash(dec.Endpoint.Key()))}
 	w.start(max(firstEventTimeout, firstEventTimeoutFactor*dec.Predicted), func(late time.Duration) {
 		// What another endpoint sends would be read as late.
-		if time.Until(c.deadline) < max(shortRetryAfter, late) || !c.d.sched.hasAlternative(c.service, tried) {
+		c.restrictVersion(&next)
+		if time.Until(c.deadline) < max(shortRetryAfter, late) || !c.d.sched.hasAlternative(&next) {
 			return
 		}
 		permit, ok := c.d.retryBudgets.acquireFor(c.service, replacementTime)
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -31,8 +31,13 @@
 	longestPause    time.Duration
 }
 
-// recordEvent records the arrival time of events and the version that sent them.
+// recordEvent records the arrival time of events and the version that sent them. The version of the first
+// ones, which are about to reach the caller, is the stream's from then on.
 func (s *eventStream) recordEvent() {
+	if s.c.version.Load() == nil {
+		version := s.version
+		s.c.version.Store(&version)
+	}
 	now := time.Now()
 	if s.events == 0 {
 		s.firstAt = now
