entry, core/resume: a stream that its caller takes up goes on only at the software version that began it

Cause: Resumes was read nowhere, so any endpoint of the service was taken for the rest. Class: a continuation that is taken for free of its beginning. Ruled out: that the first mend carries it (the VM that is asked has not seen the stream); computing the version from the id (docs/design/streams.md).

While a service may have had several versions, the VM that begins a stream tells two keepers, found by rendezvous hashing of the stream's key, in two failure domains; the VM that is asked asks them. While a VM is sure of a single version nothing is told: it has listed that one alone for as long as a stream may live, and a read of the store confirmed it within the time after which a new version is first used (that time now covers the confirmation: 1.8 s in place of 1.5 where the drain bound is 2 s). Once it is not sure it tells what it holds. A mark in the store carries the certainty over an end of all VMs. Nobody knows: 503, never a guess.

--- a/core/members/members.go
+++ b/core/members/members.go
@@ -337,6 +337,18 @@
 	return s.byHash[hash]
 }
 
+// Versions returns the software versions of the known endpoints by service. Leaving ones are included.
+func (s *Set) Versions() map[string]map[string]bool {
+	versions := make(map[string]map[string]bool)
+	for _, e := range s.known {
+		if versions[e.Service] == nil {
+			versions[e.Service] = make(map[string]bool)
+		}
+		versions[e.Service][e.Version] = true
+	}
+	return versions
+}
+
 // Serving reports whether an incarnation is listed and not leaving.
 func (s *Set) Serving(e *Endpoint) bool {
 	known := s.known[e.ID]
--- /dev/null
+++ b/core/resume/versions.go
@@ -0,0 +1,101 @@
+package resume
+
+import "time"
+
+// Versions tracks which software versions of the services are listed, leaving endpoints included: streams
+// run there, too. It is not safe for concurrent use.
+type Versions struct {
+	services map[string]*serviceVersions
+	// vouched holds the services of which the store says that only one version has served.
+	vouched map[string]string
+	// first is set if no stream is older than this process.
+	first bool
+}
+
+type serviceVersions struct {
+	// since is when the service was first seen listed.
+	since time.Duration
+	// listed holds the versions that are listed now, gone when others were last seen.
+	listed map[string]bool
+	gone   map[string]time.Duration
+}
+
+// NewVersions returns a Versions without services.
+func NewVersions() *Versions {
+	return &Versions{services: make(map[string]*serviceVersions), vouched: make(map[string]string)}
+}
+
+// Observe records the versions that are listed, by service.
+func (v *Versions) Observe(now time.Duration, listed map[string]map[string]bool) {
+	for name, versions := range listed {
+		s := v.services[name]
+		if s == nil {
+			s = &serviceVersions{since: now, gone: make(map[string]time.Duration)}
+			v.services[name] = s
+		}
+		s.update(now, versions)
+	}
+	for name, s := range v.services {
+		if listed[name] == nil {
+			s.update(now, nil)
+		}
+	}
+}
+
+func (s *serviceVersions) update(now time.Duration, listed map[string]bool) {
+	for version := range s.listed {
+		if !listed[version] {
+			s.gone[version] = now
+		}
+	}
+	for version := range listed {
+		delete(s.gone, version)
+	}
+	s.listed = listed
+}
+
+// Vouch records what the store says of a service: that only the given version has served for as long as a
+// stream may live. It counts while no other version has been seen.
+func (v *Versions) Vouch(service, version string) { v.vouched[service] = version }
+
+// ClearVouched forgets what the store said.
+func (v *Versions) ClearVouched() { clear(v.vouched) }
+
+// MarkFirst records that no stream is older than this process.
+func (v *Versions) MarkFirst() { v.first = true }
+
+// ListsOnly reports whether no other version of a service is listed than the given one.
+func (v *Versions) ListsOnly(service, version string) bool {
+	s := v.services[service]
+	if s == nil {
+		return true
+	}
+	for listed := range s.listed {
+		if listed != version {
+			return false
+		}
+	}
+	return true
+}
+
+// Single returns the only version that can have begun a stream of a service within lifetime, if that is sure.
+func (v *Versions) Single(now time.Duration, service string, lifetime time.Duration) (version string, sure bool) {
+	s := v.services[service]
+	if s == nil || len(s.listed) != 1 {
+		return "", false
+	}
+	for listed := range s.listed {
+		version = listed
+	}
+	for other, at := range s.gone {
+		if now-at < lifetime {
+			return "", false
+		}
+		delete(s.gone, other)
+	}
+	vouched, ok := v.vouched[service]
+	if now-s.since < lifetime && !v.first && (!ok || vouched != version) {
+		return "", false
+	}
+	return version, true
+}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -115,6 +115,10 @@
 		return
 	}
 	defer d.suspects.unregister(c)
+	if denied := d.resumption.resolve(ctx, c); denied != nil {
+		c.refuse(*denied)
+		return
+	}
 	if denied := c.chargeAllowance(ctx); denied != nil {
 		c.refuse(*denied)
 		return
@@ -143,7 +147,7 @@
 	if denied := c.checkConfig(); denied != nil {
 		return denied
 	}
-	c.service = c.route.PickService(xxhash.Sum64String(c.reqHeaders.ID))
+	c.service = c.route.PickService(xxhash.Sum64String(c.firstAttempt()))
 	c.setDeadline()
 	if denied := c.readBody(limits.MaxBodyBytes); denied != nil {
 		return denied
@@ -152,6 +156,20 @@
 	return nil
 }
 
+// firstAttempt returns the ID of the attempt that began the stream which the request resumes; its own if it
+// resumes none.
+func (c *callerRequest) firstAttempt() string {
+	if c.resumes() && c.reqHeaders.Resumes != "" {
+		return c.reqHeaders.Resumes
+	}
+	return c.reqHeaders.ID
+}
+
+// resumes reports whether the caller has events of the stream already.
+func (c *callerRequest) resumes() bool {
+	return c.route.Kind == routing.Stream && c.reqHeaders.LastEventID != ""
+}
+
 // identity returns the parts of the request that stay the same when the caller retries it.
 func (c *callerRequest) identity() suspect.Identity {
 	i := suspect.Identity{Method: c.r.Method, Host: strings.ToLower(c.r.Host), Target: c.r.RequestURI, Body: c.body}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,6 +67,9 @@
 	// registryLostAt is when this VM last failed to read the registry; 0 if it never failed or
 	// has succeeded since.
 	registryLostAt atomic.Int64
+	// registryConfirmedAt is when this VM's copy of the registry was last known to be up to date, by a
+	// read of its own or a relay; 0 for never.
+	registryConfirmedAt atomic.Int64
 	// registryRegainedAt is when this VM last read the registry after it had failed to; 0 for never.
 	registryRegainedAt atomic.Int64
 	registry           registryCache
@@ -91,6 +94,7 @@
 	suspects   *suspects
 	notices    *notices
 	rollouts   *rollouts
+	resumption *resumption
 	eras       *eraTracker
 	// startedAt is when the process started, by the VM's wall clock.
 	startedAt    time.Time
@@ -146,7 +150,7 @@
 	d.placement, d.remoteJobs = newPlacement(d), newRemoteJobs(d)
 	d.sched.deliverRemote = d.remoteJobs.deliver
 	d.suspects, d.notices = newSuspects(d), newNotices(d)
-	d.rollouts = newRollouts(d)
+	d.rollouts, d.resumption = newRollouts(d), newResumption(d)
 	d.sched.filterUsable = d.rollouts.usableEndpoints
 	d.sched.onDepartures = d.suspects.recordDepartures
 	d.sched.setPlacer(d.settings.Listen.Peers, false)
@@ -205,6 +209,7 @@
 	group.Go(func() error { return d.followVMs(workCtx) })
 	group.Go(func() error { return d.suspects.processStoreQueue(workCtx) })
 	group.Go(func() error { return d.rollouts.processStatusQueue(workCtx) })
+	group.Go(func() error { return d.resumption.processMarkQueue(workCtx) })
 	group.Go(func() error { return d.rollouts.announceChanges(workCtx) })
 	group.Go(func() error { return d.retryBudgets.logPeriodically(workCtx) })
 	group.Go(func() error { return d.sched.run(workCtx) })
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -96,6 +96,14 @@
 // Error implements error.
 func (e *VMRecordError) Error() string { return "malformed VM record: " + strconv.Quote(e.Record) }
 
+// VersionMarkError reports the record of a service's single version that cannot be parsed.
+type VersionMarkError struct{ Record string }
+
+// Error implements error.
+func (e *VersionMarkError) Error() string {
+	return "malformed version mark: " + strconv.Quote(e.Record)
+}
+
 // InflatedSizeError reports compressed contents that are larger than they may be.
 type InflatedSizeError struct{ Limit int64 }
 
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -77,6 +77,7 @@
 	p.d.placement.updatePlacer()
 	p.d.sched.setCoverage(p.coverage())
 	p.d.rollouts.step()
+	p.d.resumption.step()
 	p.sendRound(i)
 	p.sendDoubts()
 }
@@ -232,6 +233,7 @@
 func (p *peers) handleNote(n *schema.PeerNote, from *net.UDPAddr) {
 	p.d.placement.handleDecisions(n, from)
 	p.d.remoteJobs.handleNote(n, from)
+	p.d.resumption.handleNote(n, from)
 	if n.Address == "" {
 		// Notes about single requests contain nothing else.
 		return
@@ -273,6 +275,7 @@
 	p.d.rollouts.mergeReports(n)
 	if started {
 		p.sendStartState(pe)
+		p.d.resumption.tellAgain(pe.address)
 	}
 	p.handleRelay(n)
 	p.handleLifeSigns(n, pe)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -15,6 +15,7 @@
 
 	"github.com/chivefield/chivefield/core/allowance"
 	"github.com/chivefield/chivefield/core/cell"
+	"github.com/chivefield/chivefield/core/resume"
 	"github.com/chivefield/chivefield/schema"
 	"github.com/chivefield/chivefield/timeout"
 )
@@ -66,6 +67,8 @@
 	placing, willing map[*peer]bool
 	// counts is the number of known VMs in this VM's region and failure domain, itself included.
 	counts cell.FleetSize
+	// regionList holds the VMs of this VM's region, itself included. It is made anew once counts differs.
+	regionList []resume.VM
 	// listIsComplete is set once the whole list of VMs was read, from the store or from a VM that
 	// had read it. Before that, shared amounts would be divided by too few VMs.
 	listIsComplete bool
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"net"
 	"time"
 
 	"github.com/chivefield/chivefield/core/cell"
 	"github.com/chivefield/chivefield/core/mechanism"
+	"github.com/chivefield/chivefield/core/resume"
 )
 
 // updatePlacer selects the placer from the VMs that are alive. This VM takes over the runs placed
@@ -120,6 +122,33 @@
 	}
 }
 
+// regionVMs returns the known VMs of this VM's region, itself included.
+func (p *peers) regionVMs() []resume.VM {
+	own := p.d.settings.Vm.FailureDomain
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.regionList) == p.counts.Region {
+		return p.regionList
+	}
+	p.regionList = []resume.VM{resume.NewVM(p.d.settings.Listen.Peers, own)}
+	for address, pe := range p.byAddress {
+		if p.d.settings.Region(pe.domain) == p.d.settings.Region(own) {
+			p.regionList = append(p.regionList, resume.NewVM(address, pe.domain))
+		}
+	}
+	return p.regionList
+}
+
+// udpAddress returns the address of another VM; nil for this VM.
+func (p *peers) udpAddress(address string) *net.UDPAddr {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pe := p.byAddress[address]; pe != nil {
+		return pe.addr
+	}
+	return nil
+}
+
 // willingPlacers returns this VM and the VMs that are willing to place requests for others, which
 // may include this one.
 func (p *peers) willingPlacers(now time.Duration) (self cell.VM, willing []cell.VM) {
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -96,6 +96,7 @@
 			continue
 		}
 		delay.reset()
+		d.registryConfirmedAt.Store(int64(d.now()))
 		if d.registryLostAt.Swap(0) > 0 {
 			d.registryRegainedAt.Store(int64(d.now()))
 		}
@@ -135,6 +136,12 @@
 // failure domain's reader to others.
 const readFailureWindow = 5 * time.Second
 
+// registryConfirmed reports whether this VM's copy of the registry was up to date a moment ago.
+func (d *Daemon) registryConfirmed() bool {
+	at := time.Duration(d.registryConfirmedAt.Load())
+	return at > 0 && d.now()-at < d.registryConfirmTimeout()
+}
+
 // registryReadFailed reports whether this VM failed to read the registry within readFailureWindow.
 func (d *Daemon) registryReadFailed(now time.Duration) bool {
 	at := time.Duration(d.registryLostAt.Load())
@@ -156,6 +163,7 @@
 		if r.Before == nil && !next.Before(c.next) {
 			c.next = next
 			d.applyEndpoints(readResult{records: recordsFromRelay(r.Records, r.Era)}, next)
+			d.registryConfirmedAt.Store(int64(d.now()))
 		}
 		return true
 	case c.known && r.Before != nil && c.next == (Position{Era: r.Before.Era, Offset: r.Before.Offset}):
--- a/entry/rollout_versions.go
+++ b/entry/rollout_versions.go
@@ -39,16 +39,22 @@
 		}
 		known[e.Version] = now
 		if first {
-			known[e.Version] = now - versionSettleTime - resyncMargin
+			known[e.Version] = now - r.d.versionSettleTime() - resyncMargin
 		}
 	}
 }
 
-// settledEndpoints returns the endpoints of versions that have been listed for versionSettleTime,
-// or all if there are none.
+// versionSettleTime returns how long a version without an order must be listed before it is used: at least
+// for as long as a VM takes the registry that it has for up to date, so that no stream begins at a version
+// of which such a VM does not know.
+func (d *Daemon) versionSettleTime() time.Duration {
+	return max(minVersionSettleTime, d.registryConfirmTimeout())
+}
+
+// settledEndpoints returns the endpoints of versions that have settled, or all if there are none.
 func (r *rollouts) settledEndpoints(now time.Duration, service string, list []*members.Endpoint) []*members.Endpoint {
-	known := r.versions[service]
-	unsettled := func(e *members.Endpoint) bool { return now-known[e.Version] < versionSettleTime }
+	known, settle := r.versions[service], r.d.versionSettleTime()
+	unsettled := func(e *members.Endpoint) bool { return now-known[e.Version] < settle }
 	if !slices.ContainsFunc(list, unsettled) {
 		return list
 	}
@@ -142,9 +148,10 @@
 			return true
 		}
 	}
+	settle := r.d.versionSettleTime()
 	for _, known := range r.versions {
 		for _, since := range known {
-			if now-since >= versionSettleTime && now-since < versionSettleTime+resyncMargin {
+			if now-since >= settle && now-since < settle+resyncMargin {
 				return true
 			}
 		}
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -73,10 +73,10 @@
 }
 
 const (
-	// versionSettleTime is how long a version without an order must be listed before it is used.
-	// Endpoints of a version may be listed a moment before its order arrives, and until then all
-	// VMs would use them. A release without an order also waits this long at its start.
-	versionSettleTime = 1500 * time.Millisecond
+	// minVersionSettleTime is the least time for which a version without an order must be listed before
+	// it is used. Endpoints of a version may be listed a moment before its order arrives, and until
+	// then all VMs would use them. A release without an order also waits this long at its start.
+	minVersionSettleTime = 1500 * time.Millisecond
 	// oldVersionGoneAfter is how long after the completion of a rollout endpoints of the old
 	// version get no requests: they have stopped, and the registry drops them some seconds later.
 	oldVersionGoneAfter = 10 * time.Second
--- a/entry/rollouts_test.go
+++ b/entry/rollouts_test.go
@@ -111,7 +111,7 @@
 	return &RolloutStatus{Service: "s", Version: "v2", Phase: rollout.RolledBack}, nil
 }
 
-// A version without an order is used once it has been listed for versionSettleTime; versions found
+// A version without an order is used once it has been listed for its settle time; versions found
 // at a process's start are used at once.
 func TestUnorderedVersionsSettle(t *testing.T) {
 	is := is.New(t)
@@ -120,8 +120,8 @@
 	is.Equal(countVersions(d.rollouts.usableEndpoints(0, "s", both)), map[string]int{"v1": 2, "v2": 1})
 	all := append(both, versioned("v3", 1)...)
 	is.Equal(countVersions(d.rollouts.usableEndpoints(time.Second, "s", all)), map[string]int{"v1": 2, "v2": 1})
-	is.True(d.rollouts.inTransition(time.Second + versionSettleTime))
-	is.Equal(countVersions(d.rollouts.usableEndpoints(time.Second+versionSettleTime, "s", all)), map[string]int{"v1": 2, "v2": 1, "v3": 1})
+	is.True(d.rollouts.inTransition(time.Second + d.versionSettleTime()))
+	is.Equal(countVersions(d.rollouts.usableEndpoints(time.Second+d.versionSettleTime(), "s", all)), map[string]int{"v1": 2, "v2": 1, "v3": 1})
 	// The only listed version is used at once.
 	is.Equal(countVersions(d.rollouts.usableEndpoints(4*time.Second, "s", versioned("v4", 1))), map[string]int{"v4": 1})
 }
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -289,6 +289,18 @@
 	return e.Version
 }
 
+// versionsSince returns the software versions of the known endpoints by service and the number of that
+// state; nil if it is still the given one.
+func (s *sharedScheduler) versionsSince(state uint64) (versions map[string]map[string]bool, now uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now = s.members.Version()
+	if now == state {
+		return nil, now
+	}
+	return s.members.Versions(), now
+}
+
 // isServing reports whether the registry lists an incarnation and it is not leaving.
 func (s *sharedScheduler) isServing(e *members.Endpoint) bool {
 	s.mu.Lock()
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -38,6 +38,9 @@
 		version := s.version
 		s.c.version.Store(&version)
 	}
+	if s.events == 0 {
+		s.c.d.resumption.recordFirstEvent(s.c, s.version)
+	}
 	now := time.Now()
 	if s.events == 0 {
 		s.firstAt = now
--- a/entry/vm_list.go
+++ b/entry/vm_list.go
@@ -89,6 +89,9 @@
 	if err := d.opts.Store.Write(ctx, Record{Key: d.settings.Vm.Name, Value: []byte(self.String())}); err != nil {
 		return nil, err
 	}
+	if d.settings.Vm.FirstStart && !found && next.Era == 0 {
+		d.resumption.markFirstStart()
+	}
 	d.restartClaimed = found && mayClaimRestart(last, self, d.settings.AllowanceWindow)
 	d.noRecentPredecessor = found && mayClaimRestart(last, self, d.settings.RetryWindow) || !found && next.Era == 0
 	d.log.Info().Bool("started_before", found).Dur("since_last_start", self.started.Sub(last.started)).Bool("claims", d.restartClaimed).
@@ -124,6 +127,7 @@
 func (d *Daemon) applyVMList(list vmList) {
 	d.suspects.loadStored(list.records)
 	d.rollouts.loadStatuses(list.records)
+	d.resumption.loadMarks(list)
 	d.markInitialised()
 	named := make(map[string]string)
 	for _, r := range list.records {
@@ -136,7 +140,7 @@
 
 // isVMRecord reports whether a record of FeedVMs describes a VM.
 func (d *Daemon) isVMRecord(r Record) bool {
-	return len(r.Value) > 0 && !isSuspectRecord(r) && !isEraMark(r) && !d.isStatusRecord(r)
+	return len(r.Value) > 0 && !isSuspectRecord(r) && !isEraMark(r) && !isVersionMark(r) && !d.isStatusRecord(r)
 }
 
 const (
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -44,6 +44,15 @@
 	return fraction(successionShare, d.settings.DrainBound) / maxSuccessors
 }
 
+// registryConfirmMargin is the time that a read of the registry and its relay to other VMs take.
+const registryConfirmMargin = 300 * time.Millisecond
+
+// registryConfirmTimeout returns for how long after it was last confirmed a VM takes its copy of the registry
+// for up to date: until it reads the registry itself because a relay was lost.
+func (d *Daemon) registryConfirmTimeout() time.Duration {
+	return d.relaySilence()*5/4 + registryConfirmMargin
+}
+
 // silenceBeforeRead returns how long this VM waits for a relay before it reads the registry itself. The
 // VMs that come next as readers do so first and relay what they read, or all would read at once.
 func (d *Daemon) silenceBeforeRead() time.Duration {
