upstream: idle carried connections are not used once the VM's own link is back

TestRegainedLinkIsUsed failed once (whole of platform/whole, no load): requests went by way of another VM for the 10 s of the test's wait. Cause, read and shown by a test: the most recently used idle connection is taken first, and nothing told those that another VM carries from direct ones, so one that is used again and again stays; which connection is on top when the link comes back is chance. Callers were served; the carrier's link and processor were used for nothing. TestCarriedConnectionIsNotReusedOnceNeedless fails before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -142,6 +142,7 @@
 	}
 	d.link, d.carrier = newEndpointLink(d), &carrier{d: d}
 	d.pool = upstream.NewPool(d.link.dial, maxIdlePerEndpoint)
+	d.pool.UseCarried = d.link.failed
 	d.bodyMemory = newMemoryBudget(int64(float64(d.settings.Limits.MemoryMb) * bodyMemoryShare * (1 << 20)))
 	d.responseMemory = newMemoryBudget(int64(float64(d.settings.Limits.MemoryMb) * responseMemoryShare * (1 << 20)))
 	d.sched = newSharedScheduler(d.settings.Vm.Name, d.settings.Vm.FailureDomain, d.settings.Disabled, d.now)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -118,6 +118,9 @@
 	Dial Dialer
 	// MaxIdle bounds the idle connections kept for one endpoint.
 	MaxIdle int
+	// UseCarried reports whether idle connections that other VMs carry may be used again; nil if they
+	// always may.
+	UseCarried func() bool
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -195,13 +198,19 @@
 		c := list[len(list)-1]
 		p.idle[key] = list[:len(list)-1]
 		p.mu.Unlock()
-		if time.Since(c.idleSince) < c.keepAlive && c.reusable() {
+		if time.Since(c.idleSince) < c.keepAlive && p.mayUse(c) && c.reusable() {
 			return c
 		}
 		_ = c.Close()
 	}
 }
 
+// mayUse reports whether a connection may be used again. One that another VM carries would take the way
+// by it for as long as requests follow each other.
+func (p *Pool) mayUse(c *conn) bool {
+	return c.Carrier == "" || p.UseCarried == nil || p.UseCarried()
+}
+
 // reusable reports whether an idle connection has received nothing: neither its end nor bytes of
 // an unrelated response, which would be taken for the response to the next request.
 func (c *conn) reusable() bool {
