core/resume: certainty of a single version ends with gaps, and waits for silent failure domains

Found by a random search of the pure parts (VMs that read the registry late, are cut from each other and the store, start anew, messages lost; versions that come and go), three plays that took a stream for one of another version: a VM cut from the store began streams at a version whose entry had gone as long ago as a stream lives; one that was behind by more than that missed that a version had come and gone; a failure domain that is cut goes on with what it knew. Now a version that is no longer listed counts for 10 s more, and for as long as a failure domain is silent; after a gap in what confirms the registry the time begins anew, and what the store or a first start vouched for ends.

--- a/core/resume/versions.go
+++ b/core/resume/versions.go
@@ -13,8 +13,10 @@
 }
 
 type serviceVersions struct {
-	// since is when the service was first seen listed.
+	// since is when the service was first seen listed, or other VMs were last out of touch. sure is set once
+	// a single version was certain, which then holds until another one is listed.
 	since time.Duration
+	sure  bool
 	// listed holds the versions that are listed now, gone when others were last seen.
 	listed map[string]bool
 	gone   map[string]time.Duration
@@ -25,6 +27,28 @@
 	return &Versions{services: make(map[string]*serviceVersions), vouched: make(map[string]string)}
 }
 
+// RecordOutOfTouch records that VMs may serve that this one does not hear, and that go on using what they knew last:
+// versions that are no longer listed count as used until now.
+func (v *Versions) RecordOutOfTouch(now time.Duration) {
+	for _, s := range v.services {
+		if !s.sure {
+			s.since = now
+		}
+		for version := range s.gone {
+			s.gone[version] = now
+		}
+	}
+}
+
+// RecordGap records that this VM's copy of the registry was not up to date: a version may have been listed unseen.
+func (v *Versions) RecordGap(now time.Duration) {
+	v.first = false
+	v.ClearVouched()
+	for _, s := range v.services {
+		s.since, s.sure = now, false
+	}
+}
+
 // Observe records the versions that are listed, by service.
 func (v *Versions) Observe(now time.Duration, listed map[string]map[string]bool) {
 	for name, versions := range listed {
@@ -46,6 +70,7 @@
 	for version := range s.listed {
 		if !listed[version] {
 			s.gone[version] = now
+			s.sure = false
 		}
 	}
 	for version := range listed {
@@ -94,8 +119,6 @@
 		delete(s.gone, other)
 	}
 	vouched, ok := v.vouched[service]
-	if now-s.since < lifetime && !v.first && (!ok || vouched != version) {
-		return "", false
-	}
-	return version, true
+	s.sure = s.sure || now-s.since >= lifetime || v.first || ok && vouched == version
+	return version, s.sure
 }
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -139,6 +139,24 @@
 	return p.regionList
 }
 
+// allDomainsSeen reports whether a note was received from each other failure domain within a time.
+func (p *peers) allDomainsSeen(within time.Duration) bool {
+	now := p.d.now()
+	latest := make(map[string]time.Duration)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, address := range p.far {
+		pe := p.byAddress[address]
+		latest[pe.domain] = max(latest[pe.domain], pe.lastSeen)
+	}
+	for _, seen := range latest {
+		if seen == 0 || now-seen > within {
+			return false
+		}
+	}
+	return true
+}
+
 // udpAddress returns the address of another VM; nil for this VM.
 func (p *peers) udpAddress(address string) *net.UDPAddr {
 	p.mu.Lock()
--- a/entry/resumption.go
+++ b/entry/resumption.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -14,6 +13,12 @@
 const (
 	// resumeGrace is how long after its attempt's deadline a stream may still be resumed.
 	resumeGrace = 5 * time.Second
+	// endpointLinger is how long after its entry has gone an endpoint may still begin streams, for VMs that
+	// hear of it late.
+	endpointLinger = 10 * time.Second
+	// domainTouchTimeout is the time without a note from a failure domain after which VMs there may know less
+	// of the registry than this one.
+	domainTouchTimeout = 5 * time.Second
 	// originRetryAfter is the Retry-After if a VM that may know a stream's version did not answer, or this
 	// one has just started.
 	originRetryAfter = 300 * time.Millisecond
@@ -40,7 +45,7 @@
 	asks map[uint64]chan originAnswer
 	// single holds the services with a single version, for the log.
 	single map[string]string
-	// lifetime is how long after its beginning a stream may be resumed, at most, by the table.
+	// lifetime is streamLifetime of the table.
 	lifetime time.Duration
 	table    *routing.Table
 	// marks holds the marks in the store as far as this VM knows, or as it is about to write them; era is
@@ -71,8 +76,12 @@
 func (r *resumption) step() {
 	fleet := r.d.peers.regionVMs()
 	now := r.d.now()
+	inTouch := r.d.peers.allDomainsSeen(domainTouchTimeout)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !inTouch {
+		r.versions.RecordOutOfTouch(now)
+	}
 	if len(fleet) != len(r.fleet) {
 		r.fleet = fleet
 		r.ledger.TellAgain()
@@ -92,6 +101,9 @@
 	if table := r.d.table.Load(); table != r.table {
 		r.table, r.lifetime = table, streamLifetime(table)
 	}
+	if r.d.registryConfirmedAt.Load() > 0 && !r.d.registryConfirmed() {
+		r.versions.RecordGap(now)
+	}
 	if listed, state := r.d.sched.versionsSince(r.observed); listed != nil {
 		r.observed = state
 		r.versions.Observe(now, listed)
@@ -125,7 +137,7 @@
 	r.d.log.Info().Str("service", service).Bool("single", sure).Str("version", version).Bool("registry_confirmed", r.d.registryConfirmed()).Msg("service_versions")
 }
 
-// streamLifetime returns how long after its beginning a stream of a table's routes may be resumed.
+// streamLifetime returns for how long a version that is no longer listed may be that of a stream of a table's routes.
 func streamLifetime(t *routing.Table) time.Duration {
 	longest := time.Duration(0)
 	for _, route := range t.Document.Routes {
@@ -138,7 +150,7 @@
 		}
 		longest = max(longest, timeout)
 	}
-	return longest + resumeGrace
+	return longest + resumeGrace + endpointLinger
 }
 
 // singleVersion returns the only version that can have begun a stream of a service, if that is sure.
@@ -247,5 +259,3 @@
 
 // keepers returns the keepers of a stream.
 func (r *resumption) keepers(key resume.Key) []resume.VM { return resume.Keepers(key, r.fleet) }
-
-func (r *resumption) address(vm resume.VM) *net.UDPAddr { return r.d.peers.udpAddress(vm.Address) }
--- a/entry/resumption_notes.go
+++ b/entry/resumption_notes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/chivefield/chivefield/core/resume"
@@ -32,7 +33,7 @@
 	n := &schema.PeerNote{Origins: []*schema.StreamOrigin{{Key: uint64(rec.Key), Version: rec.Version, TtlMs: uint32(max(0, rec.Expires-now).Milliseconds())}}}
 	b := r.d.peers.encode(n)
 	for _, vm := range resume.ToTell(r.d.settings.Listen.Peers, r.keepers(rec.Key)) {
-		if addr := r.address(vm); addr != nil {
+		if addr := r.d.peers.udpAddress(vm.Address); addr != nil {
 			r.d.peers.write(b, addr)
 			r.d.count("stream_records_told")
 		}
@@ -127,11 +128,18 @@
 	r.mu.Lock()
 	var to []*net.UDPAddr
 	var keepers []string
-	for _, vm := range r.keepers(key) {
-		if addr := r.address(vm); addr != nil {
+	ask := func(address string) {
+		if addr := r.d.peers.udpAddress(address); addr != nil && !slices.Contains(keepers, addr.String()) {
 			to, keepers = append(to, addr), append(keepers, addr.String())
 		}
 	}
+	for _, vm := range r.keepers(key) {
+		ask(vm.Address)
+	}
+	if !sure {
+		// It reads the marks in the store most often.
+		ask(r.d.peers.storeReader())
+	}
 	answers := make(chan originAnswer, len(to)*maxAsks)
 	r.asks[handle] = answers
 	r.mu.Unlock()
