--- a/history/deployment.go
+++ b/history/deployment.go
@@ -33,6 +33,9 @@
 	BoundedTerminations Invariant = "bounds-ends"
 	// BoundedExposure bounds the share of requests that a bad version of a service gets.
 	BoundedExposure Invariant = "bounds-exposure"
+	// OneVersionPerStream requires that the events of a stream are those of one software version, over all
+	// of its caller's attempts.
+	OneVersionPerStream Invariant = "one-version-per-stream"
 )
 
 // Span is an interval of time, measured from the start of the session.
