--- a/core/resume/resume_test.go
+++ b/core/resume/resume_test.go
@@ -260,3 +260,27 @@
 		l.Expire(time.Duration(i))
 	}
 }
+
+// Guards against records, and notes on them, that grow with the deployment: each VM keeps two for each stream that a
+// VM begins, however many there are.
+func TestRecordsPerVMDoNotGrowWithFleet(t *testing.T) {
+	is := is.New(t)
+	const streamsPerVM = 50
+	for _, n := range []int{100, 200} {
+		vms := fleetOf(n, 5)
+		kept := make(map[string]int)
+		told := 0
+		for i, vm := range vms {
+			for k := range streamsPerVM {
+				for _, keeper := range ToTell(vm.Address, Keepers(Stream{Attempt: fmt.Sprint(i, " ", k)}.Key(), vms)) {
+					kept[keeper.Address]++
+					told++
+				}
+			}
+		}
+		is.Equal(told, tellCount*streamsPerVM*n)
+		for _, count := range kept {
+			is.True(count <= 2*tellCount*streamsPerVM)
+		}
+	}
+}
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -245,6 +245,9 @@
 		started = pe.incarnation != n.Incarnation
 		pe.incarnation, pe.name, pe.stamp = n.Incarnation, n.Vm, stampOf(n)
 		pe.recordContact(p.d.now())
+		if pe.domain != p.d.settings.Vm.FailureDomain {
+			p.domainSeen[pe.domain] = pe.lastSeen
+		}
 	}
 	if len(n.Vms) > 0 {
 		p.mergeListLocked(n.Vms)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -67,6 +67,8 @@
 	placing, willing map[*peer]bool
 	// counts is the number of known VMs in this VM's region and failure domain, itself included.
 	counts cell.FleetSize
+	// domainSeen is when the last note arrived from each other failure domain, 0 for never.
+	domainSeen map[string]time.Duration
 	// regionList holds the VMs of this VM's region, itself included. It is made anew once counts differs.
 	regionList []resume.VM
 	// listIsComplete is set once the whole list of VMs was read, from the store or from a VM that
@@ -150,7 +152,7 @@
 
 func newPeers(d *Daemon) *peers {
 	return &peers{
-		d: d, incarnation: uint64(time.Now().UnixNano()), byAddress: make(map[string]*peer), placing: make(map[*peer]bool), willing: make(map[*peer]bool), counts: cell.FleetSize{Region: 1, Domain: 1}, offset: rotationOffset(d.settings.Listen.Peers),
+		d: d, incarnation: uint64(time.Now().UnixNano()), byAddress: make(map[string]*peer), domainSeen: make(map[string]time.Duration), placing: make(map[*peer]bool), willing: make(map[*peer]bool), counts: cell.FleetSize{Region: 1, Domain: 1}, offset: rotationOffset(d.settings.Listen.Peers),
 		relays: make(chan relay, relayBuffer), transport: &http.Transport{DialContext: d.dialPeer, DisableKeepAlives: true},
 	}
 }
@@ -359,6 +361,9 @@
 		p.near = insertSorted(p.near, v.Address)
 	} else {
 		p.far = insertSorted(p.far, v.Address)
+		if _, known := p.domainSeen[v.Domain]; !known {
+			p.domainSeen[v.Domain] = 0
+		}
 	}
 	p.countVM(v.Domain)
 	return pe
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -142,14 +142,9 @@
 // allDomainsSeen reports whether a note was received from each other failure domain within a time.
 func (p *peers) allDomainsSeen(within time.Duration) bool {
 	now := p.d.now()
-	latest := make(map[string]time.Duration)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, address := range p.far {
-		pe := p.byAddress[address]
-		latest[pe.domain] = max(latest[pe.domain], pe.lastSeen)
-	}
-	for _, seen := range latest {
+	for _, seen := range p.domainSeen {
 		if seen == 0 || now-seen > within {
 			return false
 		}
