entry: a request that has come is not lost to its connection's idle timer

Cause: the timer of an idle connection closed it whatever had happened since it fired, and the server goes on with a request that it has in its buffer on a connection that is closed. Ruled out: the caller ended it, or a time limit of the exchange. The timer's function now looks again under the states' lock, and a request whose connection this VM has closed is not passed on.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -95,6 +95,10 @@
 func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
 	d.active.Add(1)
 	defer d.active.Add(-1)
+	if isCallerGone(r) {
+		d.count("callers_gone")
+		panic(http.ErrAbortHandler)
+	}
 	if d.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/entry/caller_conn.go
+++ b/entry/caller_conn.go
@@ -6,10 +6,45 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/chivefield/chivefield/upstream"
 )
 
+// callerListener accepts the connections of callers.
+type callerListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: c}, nil
+}
+
+// callerConn is a caller's connection that knows whether this VM has closed it.
+type callerConn struct {
+	net.Conn
+	closed atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
+// SetLinger sets what happens to unsent data when the connection is closed.
+func (c *callerConn) SetLinger(seconds int) error { return setLinger(c.Conn, seconds) }
+
+// isCallerGone reports whether this VM has closed the connection of a request before it came to serve it: as
+// idle, or at its shutdown. A request that was read meanwhile is unknown to its caller as run, and must not be.
+func isCallerGone(r *http.Request) bool {
+	c, ok := r.Context().Value(callerConnKey{}).(*callerConn)
+	return ok && c.closed.Load()
+}
+
 // callerConnKey is the context key of a caller's connection.
 type callerConnKey struct{}
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -187,7 +187,7 @@
 		Handler: http.HandlerFunc(d.serveCaller), ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ConnState: d.idleConns.connState, ConnContext: withCallerConn, ErrorLog: nil,
 	}
-	d.serve(group, workCtx, callersServer, callersListener)
+	d.serve(group, workCtx, callersServer, callerListener{callersListener})
 	d.serve(group, workCtx, &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout}, readyListener)
 	if metricsListener != nil {
 		d.serve(group, workCtx, &http.Server{Handler: http.HandlerFunc(d.serveMetrics), ReadHeaderTimeout: headerTimeout}, metricsListener)
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -58,6 +58,11 @@
 func (l *idleConnCloser) connState(c net.Conn, s http.ConnState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.setState(c, s)
+}
+
+// setState starts or stops the timer of a connection. l.mu must be held.
+func (l *idleConnCloser) setState(c net.Conn, s http.ConnState) {
 	if t := l.timers[c]; t != nil {
 		t.Stop()
 		delete(l.timers, c)
@@ -66,5 +71,18 @@
 	if timeout <= 0 || s != http.StateIdle && s != http.StateNew {
 		return
 	}
-	l.timers[c] = time.AfterFunc(timeout, func() { _ = c.Close() })
+	var t *time.Timer
+	t = time.AfterFunc(timeout, func() { l.closeIdle(c, func() bool { return l.timers[c] == t }) })
+	l.timers[c] = t
+}
+
+// closeIdle closes a connection unless a request has come while its timer fired. On a machine that is busy the
+// two are far apart.
+func (l *idleConnCloser) closeIdle(c net.Conn, due func() bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if due() {
+		delete(l.timers, c)
+		_ = c.Close()
+	}
 }
