--- a/entry/caller_conn.go
+++ b/entry/caller_conn.go
@@ -35,6 +35,15 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the sending side. net/http uses it where a request's body was not read to its end: closing the
+// connection would reset it, and the response might be lost.
+func (c *callerConn) CloseWrite() error {
+	if h, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return h.CloseWrite()
+	}
+	return nil
+}
+
 // SetLinger sets what happens to unsent data when the connection is closed.
 func (c *callerConn) SetLinger(seconds int) error { return setLinger(c.Conn, seconds) }
 
