core/members: versions are counted as endpoints come and go

Found in the last reading, its cost not worked out before: after each change of the registry, up to ten times a second, all endpoints were gone through under the scheduler's lock: 0.40, 2.2, 7.8 ms with 3,000, 12,000, 24,000 endpoints, 2% of a core at the target.

--- a/core/members/members.go
+++ b/core/members/members.go
@@ -61,6 +61,8 @@
 // Set is the set of endpoints known to one VM.
 type Set struct {
 	known map[string]*entry
+	// versionCounts counts the known endpoints by service and software version.
+	versionCounts map[string]map[string]int
 	// lapsed are the ids of entries that were missing at some time since they were last looked at.
 	lapsed map[string]bool
 	// unavailable is set while the registry cannot be read, availableSince is when it last
@@ -124,7 +126,7 @@
 
 // New returns an empty set.
 func New() *Set {
-	return &Set{known: make(map[string]*entry), lapsed: make(map[string]bool), latestBorn: make(map[string]int64), tombstones: make(map[string]tombstone), announcedLeaving: make(map[uint64]bool)}
+	return &Set{known: make(map[string]*entry), versionCounts: make(map[string]map[string]int), lapsed: make(map[string]bool), latestBorn: make(map[string]int64), tombstones: make(map[string]tombstone), announcedLeaving: make(map[uint64]bool)}
 }
 
 // MarkLeaving records that an incarnation, given by its endpoint hash, has announced that it
@@ -199,7 +201,7 @@
 	if old != nil && old.Key() == e.Key() {
 		warmAt = old.warmAt
 	}
-	s.known[c.ID] = &entry{Endpoint: e, warmAt: warmAt}
+	s.put(&entry{Endpoint: e, warmAt: warmAt})
 	s.recordBorn(e)
 	s.invalidate()
 }
@@ -226,7 +228,7 @@
 	if s.known[id] == nil {
 		return
 	}
-	delete(s.known, id)
+	s.drop(id)
 	s.invalidate()
 }
 
@@ -299,7 +301,7 @@
 		return
 	}
 	s.recordDeparture(e)
-	delete(s.known, id)
+	s.drop(id)
 	s.invalidate()
 }
 
@@ -339,16 +341,43 @@
 
 // Versions returns the software versions of the known endpoints by service. Leaving ones are included.
 func (s *Set) Versions() map[string]map[string]bool {
-	versions := make(map[string]map[string]bool)
-	for _, e := range s.known {
-		if versions[e.Service] == nil {
-			versions[e.Service] = make(map[string]bool)
+	versions := make(map[string]map[string]bool, len(s.versionCounts))
+	for service, counts := range s.versionCounts {
+		versions[service] = make(map[string]bool, len(counts))
+		for version := range counts {
+			versions[service][version] = true
 		}
-		versions[e.Service][e.Version] = true
 	}
 	return versions
 }
 
+// put adds or replaces an entry.
+func (s *Set) put(e *entry) {
+	s.drop(e.ID)
+	s.known[e.ID] = e
+	if s.versionCounts[e.Service] == nil {
+		s.versionCounts[e.Service] = make(map[string]int)
+	}
+	s.versionCounts[e.Service][e.Version]++
+}
+
+// drop removes the entry of an id, if there is one.
+func (s *Set) drop(id string) {
+	e := s.known[id]
+	if e == nil {
+		return
+	}
+	delete(s.known, id)
+	counts := s.versionCounts[e.Service]
+	counts[e.Version]--
+	if counts[e.Version] == 0 {
+		delete(counts, e.Version)
+	}
+	if len(counts) == 0 {
+		delete(s.versionCounts, e.Service)
+	}
+}
+
 // Serving reports whether an incarnation is listed and not leaving.
 func (s *Set) Serving(e *Endpoint) bool {
 	known := s.known[e.ID]
@@ -372,7 +401,7 @@
 		}
 		if !s.unavailable && now >= e.expires && now >= s.availableSince+relistGrace {
 			s.recordDeparture(e)
-			delete(s.known, id)
+			s.drop(id)
 			s.invalidate()
 		}
 	}
