entry: placed lines name the shared parts of the prompt

The placed line of a request now names the first eight shared parts. Costs no decision; the line grows by some 20 bytes where a prompt has two shared parts.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -180,7 +180,21 @@
 	c.d.log.Info().Str("request", c.reqHeaders.ID).Str("route", c.route.Name).Str("endpoint", dec.Endpoint.ID).
 		Str("address", dec.Endpoint.Address).Str("by", dec.DecidedBy).Dur("predicted", dec.Predicted).Int("candidates", dec.Candidates).
 		Int("waiting", dec.Waiting).Int("running", dec.Load.Running).Int("unread", dec.Load.PromptTokens).Int("prompt", c.reqHeaders.PromptTokens).Int("output", c.reqHeaders.EstimatedOutputTokens).Dur("gap", dec.Load.EventGap).Dur("waited", time.Since(c.arrived)).Int("try", len(c.tried)).
-		Str("version", dec.Endpoint.Version).Str("resumes", c.reqHeaders.Resumes).Str("after", c.reqHeaders.LastEventID).Msg("placed")
+		Str("version", dec.Endpoint.Version).Str("resumes", c.reqHeaders.Resumes).Str("after", c.reqHeaders.LastEventID).
+		Str("parts", c.loggedParts()).Msg("placed")
+}
+
+// maxLoggedParts limits the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// loggedParts returns the IDs of the prompt's first shared parts.
+func (c *callerRequest) loggedParts() string {
+	shared := c.reqHeaders.SharedParts()
+	ids := make([]string, 0, maxLoggedParts)
+	for _, p := range shared[:min(len(shared), maxLoggedParts)] {
+		ids = append(ids, p.ID)
+	}
+	return strings.Join(ids, ",")
 }
 
 // upstreamHeaders returns the request headers for an endpoint.
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -41,6 +41,12 @@
 	Tokens int
 }
 
+// SharedParts returns the parts that other requests may have too: all but the last, which belongs to
+// the request or its session.
+func (h *RequestHeaders) SharedParts() []PromptPart {
+	return h.Parts[:max(0, len(h.Parts)-1)]
+}
+
 // UpstreamHeaders holds what is added to the headers of a request to an endpoint.
 type UpstreamHeaders struct {
 	// Endpoint is the ID of the incarnation that the request is meant for.
