core/suspect, entry: a part of prompts under which five engines ended is refused

What callers saw: requests of one kind ended engine after engine, no two alike; 15 of 9 engines (some twice) in 11 s of the users' record, 62 of 157 brief-drafts failed meanwhile.

Cause: what was counted against a request was its own digest, so the count restarted with every request; the parts of prompts reached nothing that counts ends (first hypothesis). Ruled out with the record: ends were seen and told within some ms (second), and no VM started in the first storm (third).

Mend: core/suspect tracks parts beside requests, with the same sightings, generations, notes, store records, quarantine and release; a part takes two ends more, is cleared by a whole success at any VM, is not blamed for 10 s after one, and only while its service responds.

Why it holds: five ends are the users' bound, and generations make them five only if requests were sent after each other's ends were known.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -38,9 +38,9 @@
 	// VM's failure domain.
 	Remote       bool
 	SenderDomain string
-	// Request identifies the caller's request across retries. Suspicion is the level of
-	// isolation with which it is placed.
-	Request   suspect.Digest
+	// Suspect identifies what is suspected of terminating endpoints: the request across retries, or a
+	// part of its prompt that others share. Suspicion is the level of isolation with which it is placed.
+	Suspect   suspect.Digest
 	Suspicion Suspicion
 	// Canary marks a request that was chosen to test a new version of the service.
 	Canary bool
@@ -138,7 +138,7 @@
 	placerChanges int
 	// invalidValues counts received quantities that were out of bounds.
 	invalidValues int
-	// quarantinedRuns counts the runs of each quarantined request.
+	// quarantinedRuns counts the runs of each quarantined request, or with each quarantined part.
 	quarantinedRuns map[suspect.Digest]int
 	// contention is the expected contention with placers of this VM's failure domain (index 0)
 	// and of other domains (index 1).
--- a/core/dispatch/suspicion.go
+++ b/core/dispatch/suspicion.go
@@ -55,7 +55,7 @@
 // admitsQuarantined reports whether quarantine rules let a job run at an endpoint. A job that
 // no endpoint admits stays queued.
 func (s *Scheduler) admitsQuarantined(j *Job, e *endpoint) bool {
-	return j.Suspicion != Quarantined || s.quarantinedRuns[j.Request] == 0 && e.quarantinedRuns == 0
+	return j.Suspicion != Quarantined || s.quarantinedRuns[j.Suspect] == 0 && e.quarantinedRuns == 0
 }
 
 // effectiveSuspicion returns the suspicion of a job, or Unsuspected if the mechanism is
@@ -74,8 +74,8 @@
 	}
 	if r.job.Suspicion == Quarantined {
 		r.ep.quarantinedRuns += n
-		if s.quarantinedRuns[r.job.Request] += n; s.quarantinedRuns[r.job.Request] == 0 {
-			delete(s.quarantinedRuns, r.job.Request)
+		if s.quarantinedRuns[r.job.Suspect] += n; s.quarantinedRuns[r.job.Suspect] == 0 {
+			delete(s.quarantinedRuns, r.job.Suspect)
 		}
 	}
 }
--- a/core/dispatch/suspicion_test.go
+++ b/core/dispatch/suspicion_test.go
@@ -26,7 +26,7 @@
 func suspectJob(handle uint64, request byte, c Suspicion) Job {
 	return Job{
 		Handle: handle, Service: "engine", PromptTokens: 100, ExpectedEvents: 10, Objective: 10 * time.Second, AbandonAt: 20 * time.Second,
-		Request: suspect.Digest{request}, Suspicion: c,
+		Suspect: suspect.Digest{request}, Suspicion: c,
 	}
 }
 
--- a/core/suspect/doc.go
+++ b/core/suspect/doc.go
@@ -1,5 +1,6 @@
-// Package suspect detects poison requests, those that crash the endpoints that run them, so
-// that they are not retried without end. The package performs no I/O: observations and the
+// Package suspect detects poison requests, those that crash the endpoints that run them, and poison
+// parts of prompts, which do so in requests of which no two are alike, so that they are not sent
+// without end. The package performs no I/O: observations and the
 // current time are passed in; it returns which requests may be sent, which records to gossip
 // and which changes to log.
 //
@@ -28,6 +29,14 @@
 //     few other requests run, so that the next termination is not caused by another request
 //     (core/dispatch).
 //
+// A part of prompts is tracked like a request, with a digest of its own, and differs in that sound requests
+// share it:
+//
+//   - It needs two more terminated incarnations than a request at each level, so five to be convicted.
+//   - Only a successful response clears it, at any VM that gets one.
+//   - It is blamed only while its service responds. If a part is in all requests of a service, then either
+//     it got a response lately or the service did not respond; so no crash of all endpoints convicts it.
+//
 // VMs gossip what they know, in the notes that they send each other ten times a second. Merging
 // takes the maximum of each value, so the order, duplication and loss of notes do not matter, and a
 // VM that rejoins after a partition lowers no value.
--- a/core/suspect/gossip.go
+++ b/core/suspect/gossip.go
@@ -17,33 +17,51 @@
 // each note.
 func (t *Tracker) Recent(now time.Duration, n int) []Record {
 	type candidate struct {
-		d       Digest
-		status  Status
-		changed time.Duration
+		entry  *entry
+		status Status
 	}
 	var recent []candidate
-	for d, e := range t.entries {
+	for _, e := range t.entries {
 		if now-e.changedAt < recentFor && !e.unverified() {
-			recent = append(recent, candidate{d, e.status(), e.changedAt})
+			recent = append(recent, candidate{e, e.status()})
 		}
 	}
 	slices.SortFunc(recent, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.status.Level, a.status.Level), cmp.Compare(b.status.PossibleLevel, a.status.PossibleLevel), cmp.Compare(b.changed, a.changed), bytes.Compare(a.d[:], b.d[:]))
+		return cmp.Or(compareImportance(b.status, a.status), cmp.Compare(b.entry.changedAt, a.entry.changedAt), bytes.Compare(a.entry.digest[:], b.entry.digest[:]))
 	})
 	records := make([]Record, 0, n)
 	for _, c := range recent[:min(n, len(recent))] {
-		records = append(records, t.entries[c.d].record(now, c.d))
+		records = append(records, c.entry.record(now))
 	}
 	return records
 }
 
+// compareImportance orders what is known by how soon other VMs need it: what is convicted, then by
+// terminations. Of two with as many, a part comes first, since it stands for many requests: otherwise
+// the dozen requests that ran at each endpoint would leave no room for the part that they share.
+func compareImportance(a, b Status) int {
+	return cmp.Or(compareBool(a.Level >= ConvictionLevel, b.Level >= ConvictionLevel), cmp.Compare(a.Ends, b.Ends),
+		compareBool(a.Digest.IsPart(), b.Digest.IsPart()), cmp.Compare(a.Level, b.Level), cmp.Compare(a.PossibleLevel, b.PossibleLevel))
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // HighestLevel returns up to n records of suspect requests, those with the highest level first.
 func (t *Tracker) HighestLevel(now time.Duration, n int) []Record {
 	list := make([]Record, 0, n)
 	for level := ConvictionLevel; level > 0; level-- {
-		for d, e := range t.entries {
+		for _, e := range t.entries {
 			if len(list) < n && min(e.status().Level, ConvictionLevel) == level {
-				list = append(list, e.record(now, d))
+				list = append(list, e.record(now))
 			}
 		}
 	}
@@ -68,7 +86,7 @@
 	records := make([]Record, 0, n)
 	for i := range n {
 		d := all[(from+i)%len(all)]
-		records = append(records, t.entries[d].record(now, d))
+		records = append(records, t.entries[d].record(now))
 	}
 	t.cursor = all[(from+n)%len(all)]
 	return records
@@ -91,5 +109,5 @@
 	if e == nil {
 		return Record{}, false
 	}
-	return e.record(now, d), true
+	return e.record(now), true
 }
--- a/core/suspect/record.go
+++ b/core/suspect/record.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Sighting is what is known of a request at one incarnation of an endpoint. The three numbers
+// Sighting is what is known of a request or part at one incarnation of an endpoint. The three numbers
 // only grow, and merging two sightings takes the maximum of each.
 type Sighting struct {
 	// Endpoint is the hash of the incarnation's key.
@@ -38,7 +38,7 @@
 	}
 }
 
-// Record is what VMs gossip about one request.
+// Record is what VMs gossip about one request or part.
 type Record struct {
 	Digest    Digest
 	Sightings []Sighting
@@ -48,11 +48,16 @@
 	Age time.Duration
 }
 
-// Status is what is known against a request.
+// Status is what is known against a request or part.
 type Status struct {
-	// Level is the number of generations that have terminated endpoints. PossibleLevel also
-	// includes cuts at incarnations whose fate is not known yet.
+	// Digest is that of the request or part.
+	Digest Digest
+	// Level is the number of generations that have terminated endpoints, for a part at most the
+	// number of Ends less partExtraEnds. PossibleLevel also includes cuts at incarnations whose
+	// fate is not known yet.
 	Level, PossibleLevel int
+	// Ends is the number of incarnations that have terminated.
+	Ends int
 	// Generation is the last one known: a copy that is sent now and is cut off belongs to the
 	// next.
 	Generation int
@@ -60,7 +65,7 @@
 	Released bool
 }
 
-// Convicted reports whether the request may no longer be sent to an endpoint.
+// Convicted reports whether a request may no longer be sent to an endpoint.
 func (s Status) Convicted() bool { return s.Level >= ConvictionLevel && !s.Released }
 
 // Quarantined reports whether the request may only run one copy at a time, where few other requests
@@ -69,8 +74,9 @@
 	return s.Level > 0 && s.PossibleLevel >= quarantineLevel && !s.Released
 }
 
-// entry is the state of a request that was cut off at least once.
+// entry is the state of a request that was cut off at least once, or of a part of one.
 type entry struct {
+	digest    Digest
 	sightings map[uint64]*sighting
 	cleared   int
 	// lastSighting is the time of the last sighting, which may lie before the start of the
@@ -89,7 +95,7 @@
 	unverified bool
 }
 
-// status computes the status of the request.
+// status computes the status of the request or part.
 func (e *entry) status() Status {
 	var ended, cut, top, topEnded int
 	for _, s := range e.sightings {
@@ -103,10 +109,24 @@
 			topEnded = max(topEnded, s.Generation)
 		}
 	}
+	spared := 0
+	if e.digest.IsPart() {
+		spared = partExtraEnds
+	}
 	return Status{
-		Level: min(max(0, topEnded-e.cleared), ended), PossibleLevel: min(max(0, top-e.cleared), cut),
-		Generation: max(top, e.cleared),
+		Digest: e.digest, Level: max(0, min(topEnded-e.cleared, ended-spared)), PossibleLevel: max(0, min(top-e.cleared, cut-spared)),
+		Ends: ended, Generation: max(top, e.cleared),
+	}
+}
+
+// clear marks all generations as cleared by a response, and reports whether any was not.
+func (e *entry) clear() bool {
+	top := e.status().Generation
+	if top <= e.cleared {
+		return false
 	}
+	e.cleared = top
+	return true
 }
 
 // mergeSighting merges a sighting, and reports whether it was new.
@@ -163,7 +183,7 @@
 }
 
 // record returns the entry as a Record for other VMs.
-func (e *entry) record(now time.Duration, d Digest) Record {
+func (e *entry) record(now time.Duration) Record {
 	list := make([]Sighting, 0, len(e.sightings))
 	for _, s := range e.sightings {
 		if !s.unverified {
@@ -171,5 +191,5 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b Sighting) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
-	return Record{Digest: d, Sightings: list, Cleared: e.cleared, Age: now - e.lastSighting}
+	return Record{Digest: e.digest, Sightings: list, Cleared: e.cleared, Age: now - e.lastSighting}
 }
--- a/core/suspect/tracker.go
+++ b/core/suspect/tracker.go
@@ -14,6 +14,9 @@
 	// for some whose callers retry at once. Users tolerate three terminations and a few attempts
 	// after them.
 	ConvictionLevel = 3
+	// partExtraEnds is how many more incarnations must terminate under a part than under a request
+	// for the same level: users tolerate five terminations, and sound requests share the part.
+	partExtraEnds = 2
 	// quarantineLevel is the number of possible generations from which a request is quarantined,
 	// provided that at least one of them certainly terminated an endpoint. Broken connections alone
 	// quarantine no request.
@@ -40,11 +43,18 @@
 	// another request crashes all engines of a service, the page reaches three generations before
 	// a response can clear it, and would be refused to everyone.
 	exemptFor = 10 * time.Second
-	// maxExempt bounds the number of exempt requests, and so the memory they take.
-	maxExempt = 2048
+	// maxExempt and maxExemptParts bound the number of exempt requests and parts, and so the memory
+	// they take. A caller with ever new requests or parts pushes out its own kind only.
+	maxExempt      = 2048
+	maxExemptParts = 4096
+	// answersFor is how long after a complete response a service counts as one that responds. It is
+	// not longer than exemptFor: a part that all requests of a service have is then exempt whenever
+	// its service responds, and no part is blamed when all endpoints of a service terminate for
+	// another reason.
+	answersFor = exemptFor
 )
 
-// Tracker holds what one VM knows of suspect requests. It is not safe for concurrent use. Times
+// Tracker holds what one VM knows of suspect requests and parts of prompts. It is not safe for concurrent use. Times
 // are those of the VM's process and are never compared with another VM's.
 type Tracker struct {
 	entries  map[Digest]*entry
@@ -56,9 +66,12 @@
 	// firstCutAt is when a request was first cut off at an incarnation that has not responded
 	// since.
 	firstCutAt map[uint64]time.Duration
-	// exempt maps each request that got a complete response at this VM to the time of it.
-	exempt  *simplelru.LRU[Digest, time.Duration]
-	changes []Change
+	// exempt and exemptParts map each request that got a complete response at this VM, and each
+	// part of those that were successful, to the time of it.
+	exempt, exemptParts *simplelru.LRU[Digest, time.Duration]
+	// respondedAt maps each service to the time of its last complete response at this VM.
+	respondedAt map[string]time.Duration
+	changes     []Change
 	// cursor is where the next NextInRotation begins.
 	cursor Digest
 }
@@ -67,13 +80,14 @@
 func New() *Tracker {
 	// NewLRU fails only if the size is not positive.
 	exempt, _ := simplelru.NewLRU[Digest, time.Duration](maxExempt, nil)
+	exemptParts, _ := simplelru.NewLRU[Digest, time.Duration](maxExemptParts, nil)
 	return &Tracker{
 		entries: make(map[Digest]*entry), released: make(map[Digest]bool), watched: make(map[uint64]bool),
-		firstCutAt: make(map[uint64]time.Duration), exempt: exempt,
+		firstCutAt: make(map[uint64]time.Duration), exempt: exempt, exemptParts: exemptParts, respondedAt: make(map[string]time.Duration),
 	}
 }
 
-// Len returns the number of tracked requests.
+// Len returns the number of tracked requests and parts.
 func (t *Tracker) Len() int { return len(t.entries) }
 
 // SetReleased replaces the set of requests that an operator has released, which run whatever is
@@ -88,7 +102,7 @@
 // Status returns what is known against a request. It must be consulted before each attempt,
 // before any byte of the request is sent.
 func (t *Tracker) Status(d Digest) Status {
-	v := Status{}
+	v := Status{Digest: d}
 	if e := t.entries[d]; e != nil {
 		v = e.status()
 	}
@@ -118,7 +132,7 @@
 	if sent > t.recordFirstCut(now, endpoint) {
 		return
 	}
-	if at, ok := t.exempt.Peek(d); ok && now-at < exemptFor {
+	if t.isExempt(now, d) {
 		return
 	}
 	e := t.ensureEntry(now, d)
@@ -234,20 +248,31 @@
 	return t.watched[endpoint]
 }
 
-// RecordSuccess records that a request got a complete response from an endpoint.
+// RecordSuccess records that a request got a complete response from an endpoint, or that one with a
+// part got a successful one.
 func (t *Tracker) RecordSuccess(now time.Duration, d Digest) {
-	t.exempt.Add(d, now)
-	e := t.entries[d]
-	if e == nil {
-		return
-	}
-	if top := e.status().Generation; top > e.cleared {
-		e.cleared, e.changedAt = top, now
+	t.exemptList(d).Add(d, now)
+	if e := t.entries[d]; e != nil && e.clear() {
+		e.changedAt = now
 		t.recordChange(d, e)
 		t.watchedStale = true
 	}
 }
 
+// exemptList returns the list of exempt requests, or that of exempt parts.
+func (t *Tracker) exemptList(d Digest) *simplelru.LRU[Digest, time.Duration] {
+	if d.IsPart() {
+		return t.exemptParts
+	}
+	return t.exempt
+}
+
+// isExempt reports whether a request or part got a complete response at this VM lately.
+func (t *Tracker) isExempt(now time.Duration, d Digest) bool {
+	at, ok := t.exemptList(d).Peek(d)
+	return ok && now-at < exemptFor
+}
+
 // Merge merges a record received from another VM or read from the store, and reports whether it
 // contained anything new.
 func (t *Tracker) Merge(now time.Duration, r Record) bool {
@@ -275,6 +300,10 @@
 			known.unverified = false
 		}
 	}
+	// A part gets responses at one VM while requests with it are cut off at another.
+	if r.Digest.IsPart() && t.isExempt(now, r.Digest) && e.clear() {
+		changed = true
+	}
 	if !changed {
 		return false
 	}
@@ -312,7 +341,7 @@
 
 // ttlOf returns how long a record is kept after its last sighting.
 func ttlOf(r Record) time.Duration {
-	e := entry{sightings: make(map[uint64]*sighting, len(r.Sightings)), cleared: r.Cleared}
+	e := entry{digest: r.Digest, sightings: make(map[uint64]*sighting, len(r.Sightings)), cleared: r.Cleared}
 	for _, s := range r.Sightings {
 		e.sightings[s.Endpoint] = &sighting{Sighting: s}
 	}
@@ -323,14 +352,14 @@
 	switch v := e.status(); {
 	case v.Level >= ConvictionLevel:
 		return convictedTTL
-	case v.Level > 0:
+	case v.Ends > 0:
 		return suspectTTL
 	default:
 		return cutTTL
 	}
 }
 
-// ensureEntry returns the entry of a request. If there is none it adds one whose last sighting was
+// ensureEntry returns the entry of a request or part. If there is none it adds one whose last sighting was
 // at the given time, and evicts another if the tracker is full.
 func (t *Tracker) ensureEntry(at time.Duration, d Digest) *entry {
 	e := t.entries[d]
@@ -338,7 +367,7 @@
 		if len(t.entries) >= maxEntries {
 			t.evict(t.evictionCandidate())
 		}
-		e = &entry{sightings: make(map[uint64]*sighting), lastSighting: at}
+		e = &entry{digest: d, sightings: make(map[uint64]*sighting), lastSighting: at}
 		t.entries[d] = e
 	}
 	return e
@@ -358,7 +387,8 @@
 
 func lessImportant(a, b *entry) bool {
 	va, vb := a.status(), b.status()
-	return cmp.Or(cmp.Compare(va.Level, vb.Level), cmp.Compare(va.PossibleLevel, vb.PossibleLevel), cmp.Compare(a.lastSighting, b.lastSighting)) < 0
+	return cmp.Or(compareBool(va.Level >= ConvictionLevel, vb.Level >= ConvictionLevel), cmp.Compare(va.Ends, vb.Ends),
+		cmp.Compare(va.PossibleLevel, vb.PossibleLevel), cmp.Compare(a.lastSighting, b.lastSighting)) < 0
 }
 
 func (t *Tracker) mergeSighting(now time.Duration, d Digest, e *entry, s Sighting) {
@@ -381,8 +411,13 @@
 	}
 }
 
-// Expire removes sightings and requests whose TTL has passed.
+// Expire removes sightings, requests and parts whose TTL has passed.
 func (t *Tracker) Expire(now time.Duration) {
+	for service, at := range t.respondedAt {
+		if now-at >= answersFor {
+			delete(t.respondedAt, service)
+		}
+	}
 	for d, e := range t.entries {
 		for endpoint, s := range e.sightings {
 			if !s.ended() && s.relevant(e.cleared) && now-s.cutAt >= cutTTL {
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -52,8 +53,8 @@
 	org        *routing.Organisation
 	service    string
 	body       []byte
-	// digest identifies the request across retries by its caller.
-	digest  suspect.Digest
+	// suspect is what VMs know the request by if endpoints terminate under it.
+	suspect suspect.Request
 	arrived time.Time
 	// deadline is the latest time for the final response.
 	deadline time.Time
@@ -156,7 +157,7 @@
 	if denied := c.readBody(limits.MaxBodyBytes); denied != nil {
 		return denied
 	}
-	c.digest = c.identity().Digest()
+	c.suspect = suspect.NewRequest(c.service, c.identity(), c.sharedPartIDs())
 	return nil
 }
 
@@ -183,6 +184,16 @@
 	return i
 }
 
+// sharedPartIDs returns the IDs of the parts of the prompt that other requests may have.
+func (c *callerRequest) sharedPartIDs() []string {
+	shared := c.reqHeaders.SharedParts()
+	ids := make([]string, 0, len(shared))
+	for _, p := range shared {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
 func (c *callerRequest) setDeadline() {
 	timeout := defaultTimeout
 	if c.reqHeaders.HasTimeout {
@@ -279,11 +290,12 @@
 	now := c.d.now()
 	arrived := now - time.Since(c.arrived)
 	deadline := now + time.Until(c.deadline)
+	status := c.d.suspects.worstStatus(c.suspect)
 	j := dispatch.Job{
 		Handle: c.d.lastHandle.Add(1), Service: c.service, Tier: c.route.Tier,
 		PromptTokens: c.reqHeaders.PromptTokens, ExpectedEvents: c.expectedEvents(), Tried: c.tried, Avoided: c.avoided,
 		Objective: arrived + c.route.Objective, AbandonAt: deadline - refusalMargin(deadline-arrived),
-		Request: c.digest, Suspicion: suspicionFor(c.d.suspects.status(c.digest)),
+		Suspect: status.Digest, Suspicion: suspicionFor(status),
 	}
 	if c.org != nil {
 		j.Tier += c.org.Tier * maxRouteTiers
@@ -315,6 +327,16 @@
 	return min(disconnectMargin, timeout/maxMarginShare)
 }
 
+// convicted returns the digest of what is known worst against the request, and the ID of the part if it is
+// that of a part.
+func (c *callerRequest) convicted() (d suspect.Digest, partID string) {
+	d = c.d.suspects.worstStatus(c.suspect).Digest
+	if i := slices.Index(c.suspect.Parts, d); i >= 0 {
+		partID = c.sharedPartIDs()[i]
+	}
+	return d, partID
+}
+
 // expectedEvents returns the expected number of events in the response, from the caller's
 // estimate of the output; 0 if there is none.
 func (c *callerRequest) expectedEvents() int {
@@ -337,11 +359,15 @@
 	if c.route != nil {
 		route = c.route.Name
 	}
-	e := c.d.log.Info().Str("request", c.reqHeaders.ID).Stringer("digest", c.digest).Str("route", route).Int("status", denied.status).Str("reason", denied.reason).
+	e := c.d.log.Info().Str("request", c.reqHeaders.ID).Stringer("digest", c.suspect.Digest).Str("route", route).Int("status", denied.status).Str("reason", denied.reason).
 		Dur("retry_after", denied.retryAfter).Int("sent", c.sendCount).Dur("held", time.Since(c.arrived))
 	if dec := c.notPlaced; dec != nil {
 		e = e.Str("by", dec.DecidedBy).Int("candidates", dec.Candidates).Int("reachable", dec.Reachable).Int("waiting", dec.Waiting)
 	}
+	if denied.reason == reasonEndsEndpoints {
+		convicted, part := c.convicted()
+		e = e.Stringer("convicted", convicted).Str("part", part)
+	}
 	e.Msg("refused")
 	if c.org != nil && c.units > 0 && !c.mayHaveRun {
 		c.d.peers.refund(allowance.Amount{Organisation: c.org.Name, Units: c.units})
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -88,7 +88,7 @@
 			continue
 		}
 		c.tried = append(c.tried, dispatch.EndpointHash(dec.Endpoint.Key()))
-		c.d.log.Info().Str("request", c.reqHeaders.ID).Stringer("digest", c.digest).Str("endpoint", dec.Endpoint.ID).Stringer("outcome", last.outcome).
+		c.d.log.Info().Str("request", c.reqHeaders.ID).Stringer("digest", c.suspect.Digest).Str("endpoint", dec.Endpoint.ID).Stringer("outcome", last.outcome).
 			Int("sent", c.sendCount).Bool("ran", c.mayHaveRun).Err(last.err).Msg("attempt_failed")
 		if ctx.Err() != nil {
 			c.endCancelled(s)
@@ -189,12 +189,8 @@
 
 // loggedParts returns the IDs of the prompt's first shared parts.
 func (c *callerRequest) loggedParts() string {
-	shared := c.reqHeaders.SharedParts()
-	ids := make([]string, 0, maxLoggedParts)
-	for _, p := range shared[:min(len(shared), maxLoggedParts)] {
-		ids = append(ids, p.ID)
-	}
-	return strings.Join(ids, ",")
+	ids := c.sharedPartIDs()
+	return strings.Join(ids[:min(len(ids), maxLoggedParts)], ",")
 }
 
 // upstreamHeaders returns the request headers for an endpoint.
@@ -225,7 +221,7 @@
 	ep := dec.Endpoint
 	// Bytes of a caller's request are sent to an endpoint only below this check, whichever VM
 	// chose the endpoint and however long that took.
-	status := c.d.suspects.status(c.digest)
+	sent, status := c.d.suspects.newCopy(c.suspect)
 	if status.Convicted() {
 		return attemptResult{outcome: dispatch.CallerDisconnected, blocked: true}
 	}
@@ -259,15 +255,14 @@
 	defer cancel()
 	c.d.sched.cancelOnRestart(dec.Handle, cancel)
 	watchdog := c.startWatchdog(dec, cancel)
-	sent := c.d.now()
-	a := c.exchange(attemptCtx, ctx, dec, req, sent, s, watchdog)
+	a := c.exchange(attemptCtx, ctx, dec, req, sent.Sent, s, watchdog)
 	if watchdog.stop() {
 		c.retryPermit.adopt(watchdog.permit)
 		if !a.delivered {
 			a.outcome, a.connectionLost = dispatch.Silent, true
 		}
 	}
-	c.d.suspects.recordAttempt(c, ep, sent, status.Generation, a)
+	c.d.suspects.recordAttempt(sent, ep, a)
 	tracked.finish(a, c.sendCount > before, before > 0)
 	return a
 }
@@ -354,7 +349,7 @@
 		}
 		return c.forwardUnbuffered(ctx, handle, resp, body)
 	}
-	c.d.suspects.recordSuccess(c.digest, resp)
+	c.d.suspects.recordCompleteResponse(c.suspect, resp)
 	if resp.StatusCode >= http.StatusInternalServerError && c.route.Retryable() && c.sendCount < c.route.MaxEndpoints &&
 		time.Until(c.deadline) > shortRetryAfter && c.retryPermit.acquire() {
 		return attemptResult{outcome: dispatch.Failed, err: &FailedResponseError{Status: resp.StatusCode}}
--- a/entry/placement.go
+++ b/entry/placement.go
@@ -326,7 +326,7 @@
 		Handle: j.Handle, Service: j.Service, Tier: int32(j.Tier), Prompt: uint32(j.PromptTokens), Events: uint32(j.ExpectedEvents),
 		ObjectiveUs: (j.Objective - now).Microseconds(), AbandonUs: (j.AbandonAt - now).Microseconds(),
 		MaxPauseUs: uint64(j.MaxPause.Microseconds()), Tried: j.Tried, Avoided: j.Avoided,
-		FailureDomain: p.d.settings.Vm.FailureDomain, Digest: j.Request[:], Suspicion: uint32(j.Suspicion), Trial: j.Canary,
+		FailureDomain: p.d.settings.Vm.FailureDomain, Digest: j.Suspect[:], Suspicion: uint32(j.Suspicion), Trial: j.Canary,
 		Continues: j.Continues, Version: j.Version,
 	}
 	if j.Deadline > 0 {
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -54,10 +55,10 @@
 
 	mu      sync.Mutex
 	tracker *suspect.Tracker
-	// unanswered holds the requests here that no endpoint has responded to yet. When a digest is
-	// convicted its other requests are stopped: those in an endpoint's queue have not run yet, and
-	// closing their connections may spare the endpoint.
-	unanswered map[suspect.Digest]map[*callerRequest]context.CancelFunc
+	// unanswered holds the requests here that no endpoint has responded to yet. When a request or part
+	// is convicted the others are stopped: those in an endpoint's queue have not run yet, and closing
+	// their connections may spare the endpoint.
+	unanswered map[*callerRequest]context.CancelFunc
 	// probing holds the incarnations to which a connection is being opened, ended those that have
 	// ended, with the time.
 	probing map[uint64]bool
@@ -83,7 +84,7 @@
 
 func newSuspects(d *Daemon) *suspects {
 	s := &suspects{
-		d: d, tracker: suspect.New(), unanswered: make(map[suspect.Digest]map[*callerRequest]context.CancelFunc),
+		d: d, tracker: suspect.New(), unanswered: make(map[*callerRequest]context.CancelFunc),
 		stored: make(map[suspect.Digest]bool), probing: make(map[uint64]bool), ended: make(map[uint64]incarnationEnd), aliveAt: make(map[uint64]time.Duration), storeQueue: make(chan suspect.Digest, storeQueueSize), urgent: make(chan struct{}, 1),
 	}
 	s.tracker.SetReleased(d.settings.Released)
@@ -96,13 +97,28 @@
 	s.tracker.SetReleased(list)
 }
 
-// status returns what is known against a request.
+// status returns what is known against a request or part.
 func (s *suspects) status(d suspect.Digest) suspect.Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.tracker.Status(d)
 }
 
+// worstStatus returns the most serious of what is known against a request and its parts.
+func (s *suspects) worstStatus(r suspect.Request) suspect.Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.WorstStatus(r)
+}
+
+// newCopy returns the copy of a request that is sent now; status is that of the request or the part
+// against which most is known.
+func (s *suspects) newCopy(r suspect.Request) (sent suspect.Copy, status suspect.Status) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.NewCopy(s.d.now(), r), s.tracker.WorstStatus(r)
+}
+
 // suspicionFor returns how carefully a request is placed.
 func suspicionFor(v suspect.Status) dispatch.Suspicion {
 	switch {
@@ -114,18 +130,15 @@
 	return dispatch.Unsuspected
 }
 
-// admit reports whether a request may run. If the request is convicted before an endpoint responds
-// to it, stop is called. The caller must call unregister afterwards.
+// admit reports whether a request may run. If the request or one of its parts is convicted before an
+// endpoint responds to it, stop is called. The caller must call unregister afterwards.
 func (s *suspects) admit(c *callerRequest, stop context.CancelFunc) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.tracker.Status(c.digest).Convicted() {
+	if s.tracker.WorstStatus(c.suspect).Convicted() {
 		return false
 	}
-	if s.unanswered[c.digest] == nil {
-		s.unanswered[c.digest] = make(map[*callerRequest]context.CancelFunc)
-	}
-	s.unanswered[c.digest][c] = stop
+	s.unanswered[c] = stop
 	return true
 }
 
@@ -133,15 +146,7 @@
 func (s *suspects) unregister(c *callerRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.unregisterLocked(c)
-}
-
-// unregisterLocked is unregister for a caller that holds the lock.
-func (s *suspects) unregisterLocked(c *callerRequest) {
-	delete(s.unanswered[c.digest], c)
-	if len(s.unanswered[c.digest]) == 0 {
-		delete(s.unanswered, c.digest)
-	}
+	delete(s.unanswered, c)
 }
 
 // recordResponseStart records that an endpoint began to respond to a request that was sent at the
@@ -153,7 +158,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !headers.NotExecuted {
-		s.unregisterLocked(c)
+		delete(s.unanswered, c)
 	}
 	hash := dispatch.EndpointHash(ep.Key())
 	s.recordAlive(s.d.now(), hash)
@@ -173,15 +178,15 @@
 	}
 }
 
-// recordSuccess records that an endpoint gave a request a complete response. A response that ends
-// with its connection is ignored: it may be incomplete.
-func (s *suspects) recordSuccess(d suspect.Digest, resp *upstream.Response) {
+// recordCompleteResponse records that an endpoint gave a request a complete response. A response that
+// ends with its connection is ignored: it may be incomplete.
+func (s *suspects) recordCompleteResponse(r suspect.Request, resp *upstream.Response) {
 	if resp.Unframed() {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tracker.RecordSuccess(s.d.now(), d)
+	s.tracker.RecordCompleteResponse(s.d.now(), r, resp.StatusCode < http.StatusMultipleChoices)
 	s.handleChanges(learnedSeen)
 }
 
@@ -195,12 +200,11 @@
 // isConnectionRefused reports whether an error means that nothing listens at an address.
 func isConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-// recordAttempt records how an attempt that was sent at the time sent ended. generation is the
-// request's generation in the tracker at that time.
-func (s *suspects) recordAttempt(c *callerRequest, ep *members.Endpoint, sent time.Duration, generation int, a attemptResult) {
+// recordAttempt records how the attempt that sent a copy of a request ended.
+func (s *suspects) recordAttempt(sent suspect.Copy, ep *members.Endpoint, a attemptResult) {
 	switch {
 	case a.connectionLost:
-		s.recordCut(c.digest, ep, sent, generation)
+		s.recordCut(sent, ep)
 	case a.outcome == dispatch.Replaced:
 		s.recordEnd(ep.Key(), howReplaced)
 	case a.outcome == dispatch.Unreachable && isConnectionRefused(a.err):
@@ -208,26 +212,22 @@
 	}
 }
 
-// recordCut records that a request was cut off at an endpoint, and probes whether the endpoint
-// ended.
-func (s *suspects) recordCut(d suspect.Digest, ep *members.Endpoint, sent time.Duration, generation int) {
+// recordCut records that a copy of a request was cut off at an endpoint, and probes whether the
+// endpoint ended.
+func (s *suspects) recordCut(sent suspect.Copy, ep *members.Endpoint) {
 	if !s.d.sched.isServing(ep) {
 		// The endpoint was told to leave: the cut is expected.
 		return
 	}
 	s.mu.Lock()
-	s.recordCutLocked(s.d.now(), sent, d, dispatch.EndpointHash(ep.Key()), generation)
+	s.recordCutLocked(s.d.now(), sent, dispatch.EndpointHash(ep.Key()))
 	s.mu.Unlock()
 	s.probeIfWatched(ep)
 }
 
 // recordCutLocked is recordCut, without the probe, for a caller that holds the lock.
-func (s *suspects) recordCutLocked(now, sent time.Duration, d suspect.Digest, hash uint64, generation int) {
-	if s.unseen[hash] {
-		s.tracker.RecordUnverifiedCut(now, sent, d, hash, generation)
-	} else {
-		s.tracker.RecordCut(now, sent, d, hash, generation)
-	}
+func (s *suspects) recordCutLocked(now time.Duration, sent suspect.Copy, hash uint64) {
+	s.tracker.RecordCopyCut(now, sent, hash, s.unseen[hash])
 	if end, ok := s.ended[hash]; ok {
 		s.applyEnd(now, hash, end)
 	}
@@ -354,8 +354,11 @@
 	learnedStore  = "store"
 )
 
-// changeEvents maps the kinds of changes to log events.
-var changeEvents = [...]string{"request_suspected", "request_convicted", "request_cleared", "request_forgotten"}
+// changeEvents and partChangeEvents map the kinds of changes to log events.
+var (
+	changeEvents     = [...]string{"request_suspected", "request_convicted", "request_cleared", "request_forgotten"}
+	partChangeEvents = [...]string{"part_suspected", "part_convicted", "part_cleared", "part_forgotten"}
+)
 
 // handleChanges logs the tracker's latest changes and acts on them. The caller holds the lock.
 func (s *suspects) handleChanges(learned string) {
@@ -366,8 +369,12 @@
 			default:
 			}
 		}
+		event, convictions := changeEvents[c.Kind], "requests_convicted"
+		if c.Digest.IsPart() {
+			event, convictions = partChangeEvents[c.Kind], "parts_convicted"
+		}
 		if c.Kind == suspect.Convicted {
-			s.d.count("requests_convicted")
+			s.d.count(convictions)
 			s.stopUnanswered(c.Digest)
 		}
 		s.updateStored(c, learned)
@@ -381,7 +388,7 @@
 			hashes = append(hashes, strconv.FormatUint(hash, 10))
 		}
 		s.d.log.Info().Stringer("digest", c.Digest).Int("ends", c.Level).Int("ends_before", c.PreviousLevel).Str("endpoint_hashes", strings.Join(hashes, ",")).
-			Str("learned", learned).Msg(changeEvents[c.Kind])
+			Str("learned", learned).Msg(event)
 	}
 }
 
@@ -391,8 +398,10 @@
 	if s.tracker.Status(d).Released {
 		return
 	}
-	for c, stop := range s.unanswered[d] {
-		c.blocked.Store(true)
-		stop()
+	for c, stop := range s.unanswered {
+		if c.suspect.Contains(d) {
+			c.blocked.Store(true)
+			stop()
+		}
 	}
 }
--- a/entry/suspects_test.go
+++ b/entry/suspects_test.go
@@ -33,7 +33,7 @@
 		ep := &members.Endpoint{ID: id, Service: "s", Address: "10.0.0.1:1"}
 		hash := dispatch.EndpointHash(ep.Key())
 		d.suspects.mu.Lock()
-		d.suspects.recordCutLocked(d.now(), now, digest, hash, d.suspects.tracker.Status(digest).Generation)
+		d.suspects.recordCutLocked(d.now(), d.suspects.tracker.NewCopy(now, suspect.Request{Digest: digest}), hash)
 		d.suspects.mu.Unlock()
 		d.suspects.recordEnd(ep.Key(), howDropped)
 	}
@@ -68,7 +68,7 @@
 		ep := &members.Endpoint{ID: id, Service: "s", Address: "10.0.0.1:1"}
 		now := restarted.now()
 		restarted.suspects.mu.Lock()
-		restarted.suspects.recordCutLocked(now, now, digest, dispatch.EndpointHash(ep.Key()), restarted.suspects.tracker.Status(digest).Generation)
+		restarted.suspects.recordCutLocked(now, restarted.suspects.tracker.NewCopy(now, suspect.Request{Digest: digest}), dispatch.EndpointHash(ep.Key()))
 		restarted.suspects.mu.Unlock()
 	}
 	doubted := restarted.suspects.doubted()
