entry/poison: what keeps poison requests and parts from running has a package of its own

No behaviour changes. entry had 48 files on one floor; suspects.go, suspect_notes.go and life_signs.go (771 lines) become entry/poison (guard, ends, life signs, changes, convictions, notes), which needs of the daemon only what its Endpoints interface names. What sends notes and writes the store stays in entry/poison.go.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -18,6 +18,7 @@
 	"github.com/chivefield/chivefield/core/dispatch"
 	"github.com/chivefield/chivefield/core/routing"
 	"github.com/chivefield/chivefield/core/suspect"
+	"github.com/chivefield/chivefield/entry/poison"
 )
 
 const (
@@ -53,9 +54,11 @@
 	org        *routing.Organisation
 	service    string
 	body       []byte
-	// suspect is what VMs know the request by if endpoints terminate under it.
-	suspect suspect.Request
-	arrived time.Time
+	// suspect is what VMs know the request by if endpoints terminate under it, admission lets it run
+	// until it is convicted of that.
+	suspect   suspect.Request
+	admission *poison.Admission
+	arrived   time.Time
 	// deadline is the latest time for the final response.
 	deadline time.Time
 	// units is the amount charged to the organisation's allowance.
@@ -115,11 +118,12 @@
 	defer d.bodyMemory.release(c.reservedBytes)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	if !d.suspects.admit(c, cancel) {
+	c.admission = d.poison.Admit(c.suspect, func() { c.blocked.Store(true); cancel() })
+	if c.admission == nil {
 		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: reasonEndsEndpoints})
 		return
 	}
-	defer d.suspects.unregister(c)
+	defer d.poison.Release(c.admission)
 	if denied := d.resumption.resolve(ctx, c); denied != nil {
 		c.refuse(*denied)
 		return
@@ -290,7 +294,7 @@
 	now := c.d.now()
 	arrived := now - time.Since(c.arrived)
 	deadline := now + time.Until(c.deadline)
-	status := c.d.suspects.worstStatus(c.suspect)
+	status := c.d.poison.WorstStatus(c.suspect)
 	j := dispatch.Job{
 		Handle: c.d.lastHandle.Add(1), Service: c.service, Tier: c.route.Tier,
 		PromptTokens: c.reqHeaders.PromptTokens, ExpectedEvents: c.expectedEvents(), Tried: c.tried, Avoided: c.avoided,
@@ -330,7 +334,7 @@
 // convicted returns the digest of what is known worst against the request, and the ID of the part if it is
 // that of a part.
 func (c *callerRequest) convicted() (d suspect.Digest, partID string) {
-	d = c.d.suspects.worstStatus(c.suspect).Digest
+	d = c.d.poison.WorstStatus(c.suspect).Digest
 	if i := slices.Index(c.suspect.Parts, d); i >= 0 {
 		partID = c.sharedPartIDs()[i]
 	}
--- a/entry/carrier.go
+++ b/entry/carrier.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/chivefield/chivefield/upstream"
 )
 
 // Statuses with which a carrier says why it does not carry, beside 403 and 503.
@@ -59,7 +61,7 @@
 	ep, err := c.d.link.dialDirect(r.Context(), key, address)
 	if err != nil {
 		status := statusEndpointUnreached
-		if isConnectionRefused(err) {
+		if upstream.IsConnectionRefused(err) {
 			status = statusEndpointRefuses
 		}
 		c.refuse(w, r, status, err)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,11 +23,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chivefield/chivefield/core/dispatch"
+	"github.com/chivefield/chivefield/core/mechanism"
 	"github.com/chivefield/chivefield/core/routing"
+	"github.com/chivefield/chivefield/entry/poison"
 	"github.com/chivefield/chivefield/settings"
 	"github.com/chivefield/chivefield/upstream"
-
-	"github.com/chivefield/chivefield/core/mechanism"
 )
 
 // Options are the dependencies of a daemon.
@@ -91,7 +91,7 @@
 	sched      *sharedScheduler
 	placement  *placement
 	remoteJobs *remoteJobs
-	suspects   *suspects
+	poison     *poison.Guard
 	notices    *notices
 	rollouts   *rollouts
 	resumption *resumption
@@ -150,10 +150,10 @@
 	d.lastHandle.Store(rand.Uint64())
 	d.placement, d.remoteJobs = newPlacement(d), newRemoteJobs(d)
 	d.sched.deliverRemote = d.remoteJobs.deliver
-	d.suspects, d.notices = newSuspects(d), newNotices(d)
+	d.poison, d.notices = newPoisonGuard(d), newNotices(d)
 	d.rollouts, d.resumption = newRollouts(d), newResumption(d)
 	d.sched.filterUsable = d.rollouts.usableEndpoints
-	d.sched.onDepartures = d.suspects.recordDepartures
+	d.sched.onDepartures = d.poison.RecordDepartures
 	d.sched.setPlacer(d.settings.Listen.Peers, false)
 	d.peers = newPeers(d)
 	d.configFetcher, d.configSource = newConfigFetcher(d), newConfigSource(d)
@@ -208,7 +208,7 @@
 	group.Go(func() error { return d.configFetcher.run(workCtx) })
 	group.Go(func() error { return d.followEndpoints(workCtx) })
 	group.Go(func() error { return d.followVMs(workCtx) })
-	group.Go(func() error { return d.suspects.processStoreQueue(workCtx) })
+	group.Go(func() error { return d.storeConvictions(workCtx) })
 	group.Go(func() error { return d.rollouts.processStatusQueue(workCtx) })
 	group.Go(func() error { return d.resumption.processMarkQueue(workCtx) })
 	group.Go(func() error { return d.rollouts.announceChanges(workCtx) })
@@ -346,7 +346,7 @@
 			return nil
 		case <-t.C:
 			d.pool.CloseExpired()
-			d.suspects.expire()
+			d.poison.Expire()
 			d.notices.evict()
 		}
 	}
@@ -406,7 +406,7 @@
 			d.log.Error().Err(err).Msg("settings_refused")
 			continue
 		}
-		d.suspects.setReleased(set.Released)
+		d.poison.SetReleased(set.Released)
 		d.rollouts.setHeld(set.Rollouts.Held)
 		d.log.Info().Msg("settings_reloaded")
 	}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -221,7 +221,7 @@
 	ep := dec.Endpoint
 	// Bytes of a caller's request are sent to an endpoint only below this check, whichever VM
 	// chose the endpoint and however long that took.
-	sent, status := c.d.suspects.newCopy(c.suspect)
+	sent, status := c.d.poison.NewCopy(c.suspect)
 	if status.Convicted() {
 		return attemptResult{outcome: dispatch.CallerDisconnected, blocked: true}
 	}
@@ -262,7 +262,7 @@
 			a.outcome, a.connectionLost = dispatch.Silent, true
 		}
 	}
-	c.d.suspects.recordAttempt(sent, ep, a)
+	c.recordAttempt(sent, ep, a)
 	tracked.finish(a, c.sendCount > before, before > 0)
 	return a
 }
@@ -293,7 +293,12 @@
 	defer resp.Finish()
 	headers := c.d.codec.ParseResponse(resp.Response)
 	c.d.notices.observe(ep, sent, headers)
-	c.d.suspects.recordResponseStart(c, ep, sent, headers)
+	if !headers.Replaced {
+		c.d.poison.RecordResponseStart(ep, sent)
+		if !headers.NotExecuted {
+			c.d.poison.Release(c.admission)
+		}
+	}
 	return c.forwardResponse(requestCtx, dec.Handle, resp, headers, s, watchdog)
 }
 
@@ -349,7 +354,7 @@
 		}
 		return c.forwardUnbuffered(ctx, handle, resp, body)
 	}
-	c.d.suspects.recordCompleteResponse(c.suspect, resp)
+	c.d.poison.RecordCompleteResponse(c.suspect, resp)
 	if resp.StatusCode >= http.StatusInternalServerError && c.route.Retryable() && c.sendCount < c.route.MaxEndpoints &&
 		time.Until(c.deadline) > shortRetryAfter && c.retryPermit.acquire() {
 		return attemptResult{outcome: dispatch.Failed, err: &FailedResponseError{Status: resp.StatusCode}}
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -53,7 +53,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-p.d.suspects.urgent:
+		case <-p.d.poison.Urgent():
 			sleepJittered(ctx, suspectsPushDelay)
 			p.pushUpdates(i)
 			continue
@@ -103,7 +103,7 @@
 	to := p.recipients(i)
 	heartbeat := p.newHeartbeat(i)
 	full := i%fullNoteEvery == 0
-	heartbeat.Suspects, heartbeat.Notices = p.d.suspects.forNote(full), p.d.notices.forNote(full)
+	heartbeat.Suspects, heartbeat.Notices = p.d.poison.ForNote(full), p.d.notices.forNote(full)
 	p.writeAll(p.encode(heartbeat), to.Heartbeats)
 	state := proto.Clone(heartbeat).(*schema.PeerNote)
 	p.d.placement.addRunState(state)
@@ -272,7 +272,7 @@
 	if n.Registry > 0 {
 		p.d.observeEra(n.RegistryEra)
 	}
-	p.d.suspects.mergeRemote(n.Suspects)
+	p.d.poison.Merge(n.Suspects)
 	p.d.notices.mergeRemote(n.Notices)
 	p.d.rollouts.mergeRemote(n.Rollouts)
 	p.d.rollouts.mergeReports(n)
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -200,7 +200,7 @@
 
 func noticeFromWire(m *schema.EndpointNotice) notice.Record {
 	return notice.Record{
-		Endpoint: m.Endpoint, Leaving: m.Leaving, Backoff: durationFromWire(m.RestMs),
+		Endpoint: m.Endpoint, Leaving: m.Leaving, Backoff: schema.Duration(m.RestMs),
 		Limit:   notice.Statement{Value: m.Limit, Asked: ageFromWire(m.AskedMs), Named: ageFromWire(m.NamedMs), Lifted: ageFromWire(m.LiftedMs)},
 		Brittle: notice.Statement{Value: m.Brittle, Asked: ageFromWire(m.BrittleAskedMs), Named: ageFromWire(m.BrittleNamedMs), Lifted: ageFromWire(m.BrittleLiftedMs)},
 	}
@@ -219,7 +219,7 @@
 	if ms == 0 {
 		return notice.Never
 	}
-	return durationFromWire(ms - 1)
+	return schema.Duration(ms - 1)
 }
 
 // logUnreadableHeaders counts unreadable headers and logs at most one per unreadableLogInterval.
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -252,9 +252,9 @@
 	})
 	d.logEndpointChanges(logged)
 	if !d.endpointsLoaded.Swap(true) {
-		d.suspects.setUnseen(changes)
+		d.poison.RecordListedAtStart(changes)
 	} else if !got.full && !got.restored {
-		d.suspects.recordHeartbeats(changes)
+		d.poison.RecordHeartbeats(changes)
 	}
 	d.markInitialised()
 	return changed
--- a/entry/remote_jobs.go
+++ b/entry/remote_jobs.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/chivefield/chivefield/core/dispatch"
+	"github.com/chivefield/chivefield/entry/poison"
 	"github.com/chivefield/chivefield/schema"
 )
 
@@ -100,7 +101,7 @@
 		return
 	}
 	j := r.dispatchJob(m)
-	status := r.d.suspects.status(j.Suspect)
+	status := r.d.poison.Status(j.Suspect)
 	if status.Convicted() {
 		r.sendDecision(from, &schema.PlaceDecision{Handle: m.Handle, Verdict: schema.PlaceDecision_REFUSED, Reason: reasonEndsEndpoints})
 		return
@@ -278,7 +279,7 @@
 		Handle: m.Handle, Service: m.Service, Tier: int(m.Tier), PromptTokens: int(m.Prompt), ExpectedEvents: int(m.Events),
 		Objective: now + time.Duration(m.ObjectiveUs)*time.Microsecond, AbandonAt: now + time.Duration(m.AbandonUs)*time.Microsecond,
 		MaxPause: micros(m.MaxPauseUs), Tried: m.Tried, Avoided: m.Avoided, Remote: true, SenderDomain: m.FailureDomain,
-		Suspect: digestFromWire(m.Digest), Suspicion: dispatch.Suspicion(min(m.Suspicion, uint32(dispatch.Quarantined))), Canary: m.Trial,
+		Suspect: poison.DigestFromWire(m.Digest), Suspicion: dispatch.Suspicion(min(m.Suspicion, uint32(dispatch.Quarantined))), Canary: m.Trial,
 		Continues: m.Continues, Version: m.Version,
 	}
 	if m.LimitUs != 0 {
--- a/entry/responses.go
+++ b/entry/responses.go
@@ -63,7 +63,7 @@
 			return attemptResult{outcome: dispatch.Broken, connectionLost: isConnectionBroken(err), err: err, delivered: true, brokenOff: true}
 		}
 	}
-	c.d.suspects.recordCompleteResponse(c.suspect, resp)
+	c.d.poison.RecordCompleteResponse(c.suspect, resp)
 	c.logAnswer(resp, c.completeResponse())
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return attemptResult{outcome: dispatch.Failed, delivered: true}
--- a/entry/restore.go
+++ b/entry/restore.go
@@ -79,7 +79,7 @@
 	}
 	d.count("store_copies")
 	d.log.Warn().Uint64("era", era).Msg("store_copied")
-	d.suspects.rewriteStored()
+	d.poison.RewriteStored()
 	d.rollouts.rewriteStatuses()
 }
 
--- a/entry/rollout_evidence.go
+++ b/entry/rollout_evidence.go
@@ -63,7 +63,7 @@
 // countCut counts a request that was cut off cutSettleTime ago, unless its endpoint has ended or is
 // leaving.
 func (v *trackedAttempt) countCut() {
-	if !v.rollouts.d.sched.isServing(v.ep) || v.rollouts.d.suspects.hasEnded(v.ep) {
+	if !v.rollouts.d.sched.isServing(v.ep) || v.rollouts.d.poison.HasEnded(v.ep) {
 		return
 	}
 	v.rollouts.mu.Lock()
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -9,6 +9,13 @@
 	"github.com/chivefield/chivefield/core/rollout"
 )
 
+// Where the phase of a rollout was learned, in logs.
+const (
+	learnedSeen   = "seen"
+	learnedRemote = "told"
+	learnedStore  = "store"
+)
+
 // rollouts moves services to other versions. Each VM limits the share of its requests that a new
 // version gets and counts the results of both versions; one VM of each failure domain judges
 // (rollout_judge.go); decisions are sent in notes (rollout_notes.go) and written to the store
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -98,7 +98,7 @@
 			return a
 		}
 	}
-	s.c.d.suspects.recordCompleteResponse(s.c.suspect, resp)
+	s.c.d.poison.RecordCompleteResponse(s.c.suspect, resp)
 	if len(partial) > 0 {
 		if err := s.writeEvents(resp, partial); err != nil {
 			return attemptResult{outcome: dispatch.CallerDisconnected, err: err, delivered: true}
--- a/entry/vm_list.go
+++ b/entry/vm_list.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chivefield/chivefield/core/mechanism"
+	"github.com/chivefield/chivefield/entry/poison"
 )
 
 const (
@@ -125,7 +126,7 @@
 }
 
 func (d *Daemon) applyVMList(list vmList) {
-	d.suspects.loadStored(list.records)
+	d.loadConvictions(list.records)
 	d.rollouts.loadStatuses(list.records)
 	d.resumption.loadMarks(list)
 	d.markInitialised()
@@ -140,7 +141,7 @@
 
 // isVMRecord reports whether a record of FeedVMs describes a VM.
 func (d *Daemon) isVMRecord(r Record) bool {
-	return len(r.Value) > 0 && !isSuspectRecord(r) && !isEraMark(r) && !isVersionMark(r) && !d.isStatusRecord(r)
+	return len(r.Value) > 0 && !poison.IsStoreKey(r.Key) && !isEraMark(r) && !isVersionMark(r) && !d.isStatusRecord(r)
 }
 
 const (
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -62,6 +63,9 @@
 // Unwrap returns the cause.
 func (e *ExchangeError) Unwrap() error { return e.Err }
 
+// IsConnectionRefused reports whether an error means that nothing listens at an address.
+func IsConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // StaleResponsesError reports a connection that delivered only responses to other requests.
 type StaleResponsesError struct{ Count int }
 
