entry/callerconn: callers' open connections are bounded, the longest idle one makes room

Cause: callers keep their connections open for later requests, and nothing bounded how many; limits.max_descriptors was checked and read nowhere. Each takes 27 KB (measured, 2,000 connections in one process), so on a machine of 88 MB memory goes before descriptors do. Class: a resource of one VM that is divided by nobody. Looked for elsewhere: bodies, responses and carried connections have bounds; limits.link_mbps is still read nowhere.

Ruled out: allowances, endpoints' limits and retries do not bind there (no 429; all served with a bound).

Mend: a quarter of the memory and half of the descriptors, less 200, bound callers' connections. A new one takes the place of the one that has been idle for longest; if all have requests it is closed unread, by a reset, so that its caller may try another VM.

Why it holds: the bound is taken at accept, before a byte is read, and a connection is in the list of idle ones only while no request is being read on it.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -18,6 +18,7 @@
 	"github.com/chivefield/chivefield/core/dispatch"
 	"github.com/chivefield/chivefield/core/routing"
 	"github.com/chivefield/chivefield/core/suspect"
+	"github.com/chivefield/chivefield/entry/callerconn"
 	"github.com/chivefield/chivefield/entry/poison"
 )
 
@@ -99,7 +100,7 @@
 func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
 	d.active.Add(1)
 	defer d.active.Add(-1)
-	if isCallerGone(r) {
+	if callerconn.IsClosed(r) {
 		d.count("callers_gone")
 		panic(http.ErrAbortHandler)
 	}
--- a/entry/caller_conn_test.go
+++ b/entry/callerconn/conn_test.go
@@ -1,4 +1,4 @@
-package entry
+package callerconn
 
 import (
 	"io"
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 )
 
 // Guards against callers' connections that net/http takes for less than they are: without a half-close, a refusal of a
@@ -14,7 +15,7 @@
 	is := is.New(t)
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	l := callerListener{tcp}
+	l := NewPool(1, zerolog.Nop(), func(string) {}).Listen(tcp)
 	defer func() { _ = l.Close() }()
 	peer, err := net.Dial("tcp", l.Addr().String())
 	is.NoErr(err)
@@ -28,8 +29,8 @@
 	is.NoErr(err)
 	_, err = io.ReadFull(c, make([]byte, 1))
 	is.NoErr(err)
-	is.True(!c.(*callerConn).closed.Load())
-	is.NoErr(c.(interface{ SetLinger(int) error }).SetLinger(resetOnClose))
+	is.True(!c.(*Conn).closed.Load())
+	is.NoErr(c.(interface{ SetLinger(int) error }).SetLinger(ResetOnClose))
 	is.NoErr(c.Close())
-	is.True(c.(*callerConn).closed.Load())
+	is.True(c.(*Conn).closed.Load())
 }
--- a/entry/carrier.go
+++ b/entry/carrier.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/chivefield/chivefield/entry/callerconn"
 	"github.com/chivefield/chivefield/upstream"
 )
 
@@ -139,7 +140,7 @@
 
 // run tells the VM that the endpoint is reached and copies until both directions have ended.
 func (p *connPair) run() error {
-	if err := errors.Join(setLinger(p.vm, resetOnClose), setLinger(p.ep, resetOnClose)); err != nil {
+	if err := errors.Join(callerconn.SetLinger(p.vm, callerconn.ResetOnClose), callerconn.SetLinger(p.ep, callerconn.ResetOnClose)); err != nil {
 		return err
 	}
 	if _, err := io.WriteString(p.vm, carryAccepted); err != nil {
@@ -170,7 +171,7 @@
 	toEndpoint := p.copy(p.ep, p.vm, &p.sent)
 	if toEndpoint == nil {
 		// The VM has closed its connection, as it would a direct one.
-		toEndpoint = setLinger(p.ep, sendOnClose)
+		toEndpoint = callerconn.SetLinger(p.ep, callerconn.SendOnClose)
 	}
 	p.close()
 	wg.Wait()
@@ -204,7 +205,7 @@
 
 // endWriting passes on that the other side has ended its connection properly.
 func endWriting(c net.Conn) error {
-	if err := setLinger(c, sendOnClose); err != nil {
+	if err := callerconn.SetLinger(c, callerconn.SendOnClose); err != nil {
 		return err
 	}
 	if half, ok := c.(interface{ CloseWrite() error }); ok {
--- a/entry/carrier_test.go
+++ b/entry/carrier_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/chivefield/chivefield/core/allowance"
 	"github.com/chivefield/chivefield/core/members"
+	"github.com/chivefield/chivefield/entry/callerconn"
 	"github.com/chivefield/chivefield/upstream"
 )
 
@@ -117,15 +118,15 @@
 
 // Guards against an endpoint that goes on working for a caller who has left a VM without a link.
 func TestCarrierPassesOnThatTheVMLeft(t *testing.T) {
-	for _, linger := range []int{resetOnClose, sendOnClose} {
+	for _, linger := range []int{callerconn.ResetOnClose, callerconn.SendOnClose} {
 		s := newCarried(t)
 		vm, ep := s.connect()
-		s.NoErr(setLinger(vm.Conn, linger))
+		s.NoErr(callerconn.SetLinger(vm.Conn, linger))
 		s.NoErr(vm.Close())
 		s.NoErr(ep.SetReadDeadline(time.Now().Add(time.Second)))
 		_, err := ep.Read(make([]byte, 1))
-		s.Equal(errors.Is(err, syscall.ECONNRESET), linger == resetOnClose)
-		s.Equal(err == io.EOF, linger == sendOnClose)
+		s.Equal(errors.Is(err, syscall.ECONNRESET), linger == callerconn.ResetOnClose)
+		s.Equal(err == io.EOF, linger == callerconn.SendOnClose)
 	}
 }
 
--- a/entry/config.go
+++ b/entry/config.go
@@ -102,7 +102,7 @@
 	t := routing.NewTable(doc)
 	d.shares.setTable(t)
 	d.sched.setTable(t)
-	d.idleConns.setTimeout(doc.Limits.IdleTimeout)
+	d.callerConns.SetIdleTimeout(doc.Limits.IdleTimeout)
 	d.table.Store(t)
 	d.markInitialised()
 	sinceHeard := d.configFetcher.applied(doc.Version)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/chivefield/chivefield/core/dispatch"
 	"github.com/chivefield/chivefield/core/mechanism"
 	"github.com/chivefield/chivefield/core/routing"
+	"github.com/chivefield/chivefield/entry/callerconn"
 	"github.com/chivefield/chivefield/entry/poison"
 	"github.com/chivefield/chivefield/settings"
 	"github.com/chivefield/chivefield/upstream"
@@ -103,7 +104,7 @@
 	pool         *upstream.Pool
 	link         *endpointLink
 	carrier      *carrier
-	idleConns    *idleConnCloser
+	callerConns  *callerconn.Pool
 	bodyMemory   *memoryBudget
 	// responseMemory is for responses that are read before they are forwarded.
 	responseMemory *memoryBudget
@@ -138,11 +139,13 @@
 	}
 	d := &Daemon{
 		opts: opts, settings: opts.Settings, log: opts.Log, codec: opts.Codec, start: time.Now(),
-		metrics: metrics.NewRegistry(), eras: newEraTracker(), startedAt: time.Now(), idleConns: newIdleConnCloser(), invalidEntries: make(map[string]string), initialised: make(chan struct{}), startList: make(chan []string, 1),
+		metrics: metrics.NewRegistry(), eras: newEraTracker(), startedAt: time.Now(), invalidEntries: make(map[string]string), initialised: make(chan struct{}), startList: make(chan []string, 1),
 	}
 	d.link, d.carrier = newEndpointLink(d), &carrier{d: d}
 	d.pool = upstream.NewPool(d.link.dial, maxIdlePerEndpoint)
 	d.pool.UseCarried = d.link.failed
+	limits := d.settings.Limits
+	d.callerConns = callerconn.NewPool(callerconn.MaxConns(int64(limits.MemoryMb)<<20, int(limits.MaxDescriptors)), d.log, d.count)
 	d.bodyMemory = newMemoryBudget(int64(float64(d.settings.Limits.MemoryMb) * bodyMemoryShare * (1 << 20)))
 	d.responseMemory = newMemoryBudget(int64(float64(d.settings.Limits.MemoryMb) * responseMemoryShare * (1 << 20)))
 	d.sched = newSharedScheduler(d.settings.Vm.Name, d.settings.Vm.FailureDomain, d.settings.Disabled, d.now)
@@ -185,9 +188,9 @@
 	group, workCtx := errgroup.WithContext(workCtx)
 	callersServer := &http.Server{
 		Handler: http.HandlerFunc(d.serveCaller), ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnState: d.idleConns.connState, ConnContext: withCallerConn, ErrorLog: nil,
+		MaxHeaderBytes: maxHeaderBytes, ConnState: d.callerConns.ConnState, ConnContext: callerconn.NewContext, ErrorLog: nil,
 	}
-	d.serve(group, workCtx, callersServer, callerListener{callersListener})
+	d.serve(group, workCtx, callersServer, d.callerConns.Listen(callersListener))
 	d.serve(group, workCtx, &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout}, readyListener)
 	if metricsListener != nil {
 		d.serve(group, workCtx, &http.Server{Handler: http.HandlerFunc(d.serveMetrics), ReadHeaderTimeout: headerTimeout}, metricsListener)
--- /dev/null
+++ b/entry/response_end.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/chivefield/chivefield/entry/callerconn"
+	"github.com/chivefield/chivefield/upstream"
+)
+
+// unknownLength is the length of a response that is sent as it arrives.
+const unknownLength = -1
+
+// startResponse sends the headers of an endpoint's response whose body has the given length. A
+// response whose end proves nothing here must prove nothing to the caller: it is sent without a
+// length and without chunks, too, and ends with the connection.
+//
+// Until completeResponse is called, such a response ends with a reset, which no caller takes for
+// its end, whatever closes the connection: an error, the server, or the end of this process.
+func (c *callerRequest) startResponse(resp *upstream.Response, length int64) {
+	h := c.w.Header()
+	copyHeaders(h, resp.Header)
+	switch {
+	case resp.Unframed():
+		// net/http sends a response with this encoding as it is and closes the connection.
+		h.Set("Transfer-Encoding", "identity")
+		c.endsWithConn = true
+	case length != unknownLength:
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	default:
+		c.endsWithConn = !c.r.ProtoAtLeast(1, 1)
+	}
+	if c.endsWithConn {
+		c.setLinger(callerconn.ResetOnClose)
+	}
+	c.w.WriteHeader(resp.StatusCode)
+}
+
+// completeResponse marks the response as whole after its last byte was written.
+func (c *callerRequest) completeResponse() error {
+	if !c.endsWithConn {
+		return nil
+	}
+	if err := http.NewResponseController(c.w).Flush(); err != nil {
+		return err
+	}
+	c.setLinger(callerconn.SendOnClose)
+	return nil
+}
+
+func (c *callerRequest) setLinger(seconds int) {
+	conn := callerconn.FromContext(c.r.Context())
+	if conn == nil {
+		return
+	}
+	if err := conn.SetLinger(seconds); err != nil {
+		c.d.log.Warn().Str("request", c.reqHeaders.ID).Int("seconds", seconds).Err(err).Msg("linger_not_set")
+	}
+}
