core/suspect: a part is blamed only while its service serves most others

Cause: that the service responds was taken from a single response in 10 s. Now as many requests without the part as were cut off at this VM must have got one, of six at least, in 10 s or, where few come, 30 s; and a part is exempt for 30 s after a response, so that one which all requests have still never counts.

Ruled out: a standard deviation more (VMs that have just started let up to 8 poison streams pass where 3 may; 3 now), a single response (above).

--- a/core/suspect/doc.go
+++ b/core/suspect/doc.go
@@ -34,8 +34,9 @@
 //
 //   - It needs two more terminated incarnations than a request at each level, so five to be convicted.
 //   - Only a successful response clears it, at any VM that gets one.
-//   - It is blamed only while its service responds. If a part is in all requests of a service, then either
-//     it got a response lately or the service did not respond; so no crash of all endpoints convicts it.
+//   - It is blamed only while its service serves most requests without it. If a part is in all requests of
+//     a service, then either it got a response lately or the service did not respond; so no crash of all
+//     endpoints convicts it.
 //
 // VMs gossip what they know, in the notes that they send each other ten times a second. Merging
 // takes the maximum of each value, so the order, duplication and loss of notes do not matter, and a
--- a/core/suspect/request.go
+++ b/core/suspect/request.go
@@ -81,22 +81,27 @@
 // RecordCopyCut records that a copy was cut off at an incarnation. unverified is set if it is not
 // known that the incarnation was alive then.
 //
-// The parts are blamed only while the service responds to other requests: when all its endpoints
-// terminate again and again, whatever they run, no part that its requests share is the cause.
+// A part is blamed only while the service serves requests without it: when all its endpoints terminate
+// again and again, whatever they run, no part that its requests share is the cause.
 func (t *Tracker) RecordCopyCut(now time.Duration, c Copy, endpoint uint64, unverified bool) {
 	t.recordCut(now, c.Sent, c.Digest, endpoint, c.generation, unverified)
-	if !t.responds(now, c.Service) {
-		return
-	}
+	h := t.service(c.Service)
+	h.recordCut(now, c.Parts)
 	for i, p := range c.Parts {
-		t.recordCut(now, c.Sent, p, endpoint, c.partGenerations[i], unverified)
+		if h.servesOthers(now, p) {
+			t.recordCut(now, c.Sent, p, endpoint, c.partGenerations[i], unverified)
+		}
 	}
 }
 
-// responds reports whether a service has given this VM a complete response lately.
-func (t *Tracker) responds(now time.Duration, service string) bool {
-	at, ok := t.respondedAt[service]
-	return ok && now-at < answersFor
+// service returns what was seen of a service lately.
+func (t *Tracker) service(name string) *serviceHistory {
+	h := t.services[name]
+	if h == nil {
+		h = &serviceHistory{}
+		t.services[name] = h
+	}
+	return h
 }
 
 // RecordCompleteResponse records that a request got a complete response, successful or not. One that
@@ -106,7 +111,7 @@
 	if !successful {
 		return
 	}
-	t.respondedAt[r.Service] = now
+	t.service(r.Service).recordResponse(now)
 	for _, p := range r.Parts {
 		t.RecordSuccess(now, p)
 	}
--- a/core/suspect/tracker.go
+++ b/core/suspect/tracker.go
@@ -43,15 +43,13 @@
 	// another request crashes all engines of a service, the page reaches three generations before
 	// a response can clear it, and would be refused to everyone.
 	exemptFor = 10 * time.Second
+	// exemptPartFor is exemptFor of the parts of a request that got a successful response. Parts are
+	// shared by requests that come rarely at each VM.
+	exemptPartFor = 30 * time.Second
 	// maxExempt and maxExemptParts bound the number of exempt requests and parts, and so the memory
 	// they take. A caller with ever new requests or parts pushes out its own kind only.
 	maxExempt      = 2048
 	maxExemptParts = 4096
-	// answersFor is how long after a complete response a service counts as one that responds. It is
-	// not longer than exemptFor: a part that all requests of a service have is then exempt whenever
-	// its service responds, and no part is blamed when all endpoints of a service terminate for
-	// another reason.
-	answersFor = exemptFor
 )
 
 // Tracker holds what one VM knows of suspect requests and parts of prompts. It is not safe for concurrent use. Times
@@ -69,9 +67,9 @@
 	// exempt and exemptParts map each request that got a complete response at this VM, and each
 	// part of those that were successful, to the time of it.
 	exempt, exemptParts *simplelru.LRU[Digest, time.Duration]
-	// respondedAt maps each service to the time of its last complete response at this VM.
-	respondedAt map[string]time.Duration
-	changes     []Change
+	// services holds the services that responded or cut off requests lately.
+	services map[string]*serviceHistory
+	changes  []Change
 	// cursor is where the next NextInRotation begins.
 	cursor Digest
 }
@@ -83,7 +81,7 @@
 	exemptParts, _ := simplelru.NewLRU[Digest, time.Duration](maxExemptParts, nil)
 	return &Tracker{
 		entries: make(map[Digest]*entry), released: make(map[Digest]bool), watched: make(map[uint64]bool),
-		firstCutAt: make(map[uint64]time.Duration), exempt: exempt, exemptParts: exemptParts, respondedAt: make(map[string]time.Duration),
+		firstCutAt: make(map[uint64]time.Duration), exempt: exempt, exemptParts: exemptParts, services: make(map[string]*serviceHistory),
 	}
 }
 
@@ -269,8 +267,12 @@
 
 // isExempt reports whether a request or part got a complete response at this VM lately.
 func (t *Tracker) isExempt(now time.Duration, d Digest) bool {
+	ttl := exemptFor
+	if d.IsPart() {
+		ttl = exemptPartFor
+	}
 	at, ok := t.exemptList(d).Peek(d)
-	return ok && now-at < exemptFor
+	return ok && now-at < ttl
 }
 
 // Merge merges a record received from another VM or read from the store, and reports whether it
@@ -413,9 +415,9 @@
 
 // Expire removes sightings, requests and parts whose TTL has passed.
 func (t *Tracker) Expire(now time.Duration) {
-	for service, at := range t.respondedAt {
-		if now-at >= answersFor {
-			delete(t.respondedAt, service)
+	for name, h := range t.services {
+		if h.expire(now); h.empty() {
+			delete(t.services, name)
 		}
 	}
 	for d, e := range t.entries {
