core/suspect: copies that meet an endpoint which has terminated do not excuse the part that did it

What callers would have seen: behind relays, which open connections to engines that are gone, every request that met such an engine was counted as cut off, so a service seemed to serve next to nobody while a poison part ended its four engines, and the part was never blamed.

Cause, from the VMs' logs: 105 attempts with the part, none followed by part_suspected; most cuts met an engine some ms to a second after its end. The count against requests leaves such copies out, the history of the service did not.

Ruled out: plain services and requests in the queue (the same at streams alone); notes (no VM suspected the part by itself).

--- a/core/suspect/parts_test.go
+++ b/core/suspect/parts_test.go
@@ -219,6 +219,22 @@
 	is.True(s.tr.Status(sharedPart).Convicted())
 }
 
+// Guards against a part that is not blamed because many requests meet an endpoint which it has terminated, and to
+// which a relay still opens connections.
+func TestCutsAtTerminatedEndpointsDoNotExcusePart(t *testing.T) {
+	is := is.New(t)
+	s := newPartScene()
+	for i := range 5 {
+		s.end(uint64(i), sharedPart)
+		for range 20 {
+			s.now += time.Millisecond
+			s.tr.RecordCopyCut(s.now, s.tr.NewCopy(s.now, s.request(otherPart)), uint64(i), false)
+		}
+	}
+	is.True(s.tr.Status(sharedPart).Convicted())
+	is.Equal(s.tr.Status(otherPart).Ends, 0)
+}
+
 // Guards against one organisation's part being refused for what another's did, and against a part that is taken for
 // a request.
 func TestPartDigest(t *testing.T) {
--- a/core/suspect/request.go
+++ b/core/suspect/request.go
@@ -82,8 +82,12 @@
 // known that the incarnation was alive then.
 //
 // A part is blamed only while the service serves requests without it: when all its endpoints terminate
-// again and again, whatever they run, no part that its requests share is the cause.
+// again and again, whatever they run, no part that its requests share is the cause. A copy that met an
+// endpoint which had already terminated, as RecordCut tells it, says nothing of that.
 func (t *Tracker) RecordCopyCut(now time.Duration, c Copy, endpoint uint64, unverified bool) {
+	if c.Sent > t.recordFirstCut(now, endpoint) {
+		return
+	}
 	t.recordCut(now, c.Sent, c.Digest, endpoint, c.generation, unverified)
 	h := t.service(c.Service)
 	h.recordCut(now, c.Parts)
