--- a/core/suspect/record.go
+++ b/core/suspect/record.go
@@ -109,12 +109,12 @@
 			topEnded = max(topEnded, s.Generation)
 		}
 	}
-	spared := 0
+	extra := 0
 	if e.digest.IsPart() {
-		spared = partExtraEnds
+		extra = partExtraEnds
 	}
 	return Status{
-		Digest: e.digest, Level: max(0, min(topEnded-e.cleared, ended-spared)), PossibleLevel: max(0, min(top-e.cleared, cut-spared)),
+		Digest: e.digest, Level: max(0, min(topEnded-e.cleared, ended-extra)), PossibleLevel: max(0, min(top-e.cleared, cut-extra)),
 		Ends: ended, Generation: max(top, e.cleared),
 	}
 }
--- a/core/suspect/service.go
+++ b/core/suspect/service.go
@@ -7,8 +7,9 @@
 
 const (
 	// serviceWindow is how long the responses and cuts of a service count. If there were fewer than
-	// minOutcomes, longServiceWindow counts, and fewer in that say nothing. Neither is longer than exemptPartFor: a part that all
-	// requests of a service have is then exempt whenever its service responds, and is never blamed.
+	// minOutcomes, longServiceWindow counts; fewer than minOutcomes in that say nothing. Neither is
+	// longer than exemptPartFor: a part that all requests of a service have is then exempt whenever
+	// its service responds, and is never blamed.
 	serviceWindow     = 10 * time.Second
 	longServiceWindow = exemptPartFor
 	minOutcomes       = 6
@@ -26,14 +27,15 @@
 	cuts      []serviceCut
 }
 
+// responseInterval is the time whose responses are counted together.
+const responseInterval = time.Second
+
 // responseCount is the number of responses within responseInterval after a time.
 type responseCount struct {
 	from time.Duration
 	n    int
 }
 
-const responseInterval = time.Second
-
 // serviceCut is a request that was cut off, with the shared parts of its prompt.
 type serviceCut struct {
 	at    time.Duration
@@ -66,7 +68,8 @@
 
 func (h *serviceHistory) empty() bool { return len(h.responses)+len(h.cuts) == 0 }
 
-// servesOthers reports whether, of the requests without a part, as many got responses as were cut off. Only then a cut of a request with the part speaks against the part. A few responses by chance, while
+// servesOthers reports whether, of the requests without a part, as many got responses as were cut off.
+// Only then a cut of a request with the part speaks against the part. A few responses by chance, while
 // most endpoints terminate, do not suffice.
 func (h *serviceHistory) servesOthers(now time.Duration, part Digest) bool {
 	responses, cuts := h.outcomes(now-serviceWindow, part)
--- a/core/suspect/tracker.go
+++ b/core/suspect/tracker.go
@@ -52,8 +52,8 @@
 	maxExemptParts = 4096
 )
 
-// Tracker holds what one VM knows of suspect requests and parts of prompts. It is not safe for concurrent use. Times
-// are those of the VM's process and are never compared with another VM's.
+// Tracker holds what one VM knows of suspect requests and parts of prompts. It is not safe for
+// concurrent use. Times are those of the VM's process and are never compared with another VM's.
 type Tracker struct {
 	entries  map[Digest]*entry
 	released map[Digest]bool
--- a/entry/poison/convictions.go
+++ b/entry/poison/convictions.go
@@ -25,8 +25,8 @@
 	Value []byte
 }
 
-// LoadStored loads the convictions in the store, once per process. Later ones arrive in notes; the
-// store's records carry no age, since no clock that could tell it can be trusted.
+// LoadStored loads the convictions in the store, once per process; it is called by one goroutine. Later
+// ones arrive in notes; the store's records carry no age, since no clock that could tell it can be trusted.
 func (g *Guard) LoadStored(records []StoredRecord) {
 	if g.storeRead {
 		return
--- a/entry/poison/guard.go
+++ b/entry/poison/guard.go
@@ -62,8 +62,8 @@
 	aliveAt map[uint64]time.Duration
 	// urgent signals a sighting that other VMs should receive at once.
 	urgent chan struct{}
-	// storeRead is set once the store's records were loaded. stored holds the convictions that the
-	// store has or will have: written by this VM or read there.
+	// storeRead is set once the store's records were loaded; only LoadStored uses it. stored holds the
+	// convictions that the store has or will have: written by this VM or read there.
 	storeRead bool
 	stored    map[suspect.Digest]bool
 	// storeQueue holds digests whose record in the store is to be written or removed.
