entry/poison: lines about parts say how many incarnations terminated

Found in the last reading: part_convicted said ends=3 beside five endpoint_hashes, since the level was logged. ends now counts the incarnations, level is a field of its own; lines about requests keep their ends. A comment on the exempt lists said that a caller pushes out its own parts only, which is not so.

Run: entry, entry/poison, core/suspect, TestPoisonPartIsRefusedForItsOrganisation (13.9 s), TestPoisonRequestIsRefusedAtOnce (3.0 s), all pass; the whole script was not run on it.

--- a/core/suspect/tracker.go
+++ b/core/suspect/tracker.go
@@ -47,7 +47,7 @@
 	// shared by requests that come rarely at each VM.
 	exemptPartFor = 30 * time.Second
 	// maxExempt and maxExemptParts bound the number of exempt requests and parts, and so the memory
-	// they take. A caller with ever new requests or parts pushes out its own kind only.
+	// they take. Ever new requests push out requests only, and ever new parts only parts.
 	maxExempt      = 2048
 	maxExemptParts = 4096
 )
--- a/entry/poison/changes.go
+++ b/entry/poison/changes.go
@@ -52,14 +52,15 @@
 }
 
 func (g *Guard) logChange(c suspect.Change, learned string) {
-	event := changeEvents[c.Kind]
+	event, ends := changeEvents[c.Kind], c.Level
 	if c.Digest.IsPart() {
-		event = partChangeEvents[c.Kind]
+		// The level of a part is lower than the number of incarnations that terminated under it.
+		event, ends = partChangeEvents[c.Kind], len(c.Endpoints)
 	}
 	hashes := make([]string, 0, len(c.Endpoints))
 	for _, hash := range c.Endpoints {
 		hashes = append(hashes, strconv.FormatUint(hash, 10))
 	}
-	g.Log.Info().Stringer("digest", c.Digest).Int("ends", c.Level).Int("ends_before", c.PreviousLevel).Str("endpoint_hashes", strings.Join(hashes, ",")).
+	g.Log.Info().Stringer("digest", c.Digest).Int("ends", ends).Int("level", c.Level).Int("ends_before", c.PreviousLevel).Str("endpoint_hashes", strings.Join(hashes, ",")).
 		Str("learned", learned).Msg(event)
 }
