--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -30,6 +30,8 @@
 	Status int
 	Header http.Header
 	Body   string
+	// Closes is set if the channel must not be used again.
+	Closes bool
 	// Err is set if the answer did not come or was not whole.
 	Err error
 }
@@ -62,7 +64,7 @@
 		c.conn, c.br = conn, bufio.NewReader(conn)
 	}
 	a := c.exchange(r)
-	if a.Err != nil || strings.EqualFold(a.Header.Get("Connection"), "close") {
+	if a.Err != nil || a.Closes {
 		c.Close()
 	}
 	return a
@@ -92,5 +94,5 @@
 		return Answer{Err: err}
 	}
 	body, err := io.ReadAll(resp.Body)
-	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: string(body), Err: err}
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: string(body), Closes: resp.Close, Err: err}
 }
--- a/review/rig/vm.go
+++ b/review/rig/vm.go
@@ -24,8 +24,9 @@
 	Store string
 	// FirstStart is set when the whole system starts for the first time.
 	FirstStart bool
-	// MemoryMB defaults to 284.
+	// MemoryMB defaults to 284, CPUShare to 0.4.
 	MemoryMB int
+	CPUShare float64
 	// DrainMs and ConfigMs default to 2000.
 	DrainMs, ConfigMs int
 }
@@ -84,7 +85,10 @@
 	fmt.Fprintf(&b, "[vm]\nname = %q\nfailure_domain = %q\nfirst_start = %t\n", s.Name, s.Domain, s.FirstStart)
 	fmt.Fprintf(&b, "[listen]\ncallers = %q\nready = %q\npeers = %q\n", v.Callers, v.Ready, v.Peers)
 	fmt.Fprintf(&b, "[platform]\naddress = %q\n", s.Store)
-	fmt.Fprintf(&b, "[limits]\nmemory_mb = %d\nmax_descriptors = 4100\ncpu_share = 0.4\nlink_mbps = 1000.0\n", orDefault(s.MemoryMB, 284))
+	if s.CPUShare == 0 {
+		s.CPUShare = 0.4
+	}
+	fmt.Fprintf(&b, "[limits]\nmemory_mb = %d\nmax_descriptors = 4100\ncpu_share = %v\nlink_mbps = 1000.0\n", orDefault(s.MemoryMB, 284), s.CPUShare)
 	fmt.Fprintf(&b, "[bounds]\nconfig_in_force = \"%dms\"\ndrain = \"%dms\"\ngrace = \"8s\"\n", orDefault(s.ConfigMs, 2000), orDefault(s.DrainMs, 2000))
 	b.WriteString("retry_ratio = 0.2\nretry_slack = 56\nretry_window = \"10s\"\nallowance_window = \"8s\"\nallowance_over = 0.1\nallowance_slack = 140000\n")
 	for name, region := range s.Domains {
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/signal"
 	"sync"
@@ -98,6 +97,14 @@
 	return s, nil
 }
 
+// Drain reports that a server is draining; it goes on serving. The store has accepted that when Drain returns.
+func (w *World) Drain(s *Server) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s.state = "draining"
+	w.put(s)
+}
+
 // RemoveEntry removes a server's registry entry; the server goes on serving. The store has acknowledged that when
 // RemoveEntry returns.
 func (w *World) RemoveEntry(s *Server) {
@@ -159,7 +166,10 @@
 		if s.Domains == nil {
 			s.Domains = domains
 		}
-		s.Store, s.FirstStart = w.Store.Address(), true
+		if s.Store == "" {
+			s.Store = w.Store.Address()
+		}
+		s.FirstStart = true
 		v, err := NewVM(w.Dir, s)
 		if err != nil {
 			return err
@@ -207,6 +217,3 @@
 	w.Close()
 	os.Exit(code)
 }
-
-// LoopbackListener listens on a free loopback port.
-func LoopbackListener() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
