--- a/review/rig/vm.go
+++ b/review/rig/vm.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -40,15 +42,24 @@
 	done                  chan struct{}
 }
 
+const (
+	// firstPort and ports are the range of the machines' ports, below those that the system gives to outgoing connections:
+	// one of these could take a port between its choice and the start of the machine.
+	firstPort = 20000
+	ports     = 10000
+	portTries = 100
+)
+
 // freeAddress returns a loopback address whose port is free for TCP and UDP.
-func freeAddress() (string, error) {
-	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", err
+func freeAddress() (address string, err error) {
+	for range portTries {
+		address = "127.0.0.1:" + strconv.Itoa(firstPort+rand.IntN(ports))
+		var l net.Listener
+		if l, err = net.Listen("tcp", address); err != nil {
+			continue
 		}
-		address := l.Addr().String()
-		p, err := net.ListenPacket("udp4", address)
+		var p net.PacketConn
+		p, err = net.ListenPacket("udp4", address)
 		_ = l.Close()
 		if err != nil {
 			continue
@@ -56,6 +67,7 @@
 		_ = p.Close()
 		return address, nil
 	}
+	return "", err
 }
 
 // NewVM chooses the addresses of a machine. Its files are put into dir.
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -170,14 +170,11 @@
 			s.Store = w.Store.Address()
 		}
 		s.FirstStart = true
-		v, err := NewVM(w.Dir, s)
+		v, err := w.startVM(s)
 		if err != nil {
 			return err
 		}
 		w.VMs = append(w.VMs, v)
-		if err := v.Start(); err != nil {
-			return err
-		}
 	}
 	time.Sleep(Lead)
 	for _, v := range w.VMs {
@@ -189,6 +186,31 @@
 	return nil
 }
 
+const (
+	// startTries is how often a machine is given other ports, if it ends within startCheck because another program has
+	// taken one of them.
+	startTries = 5
+	startCheck = 200 * time.Millisecond
+)
+
+func (w *World) startVM(s VMSettings) (*VM, error) {
+	for range startTries {
+		v, err := NewVM(w.Dir, s)
+		if err != nil {
+			return nil, err
+		}
+		if err := v.Start(); err != nil {
+			return nil, err
+		}
+		select {
+		case <-v.Exited():
+		case <-time.After(startCheck):
+			return v, nil
+		}
+	}
+	return nil, ErrNotReady
+}
+
 // Main runs a case and exits with its code. trouble is unset by TROUBLE=0.
 func Main(path string, run func(w *World, trouble bool) (broken bool, err error)) {
 	w, err := NewWorld(path)
