--- a/review/3/main.go
+++ b/review/3/main.go
@@ -30,7 +30,8 @@
 	leaveBefore   = 200 * time.Millisecond
 	lingers       = 6 * time.Second
 	trafficLength = 20 * time.Second
-	clients       = 8
+	servers       = 8
+	clients       = 16
 	pause         = 20 * time.Millisecond
 )
 
@@ -81,7 +82,8 @@
 	defer path.Close()
 	leaving := &arrivals{}
 	var left *rig.Server
-	for i, zone := range []string{"malaga", "osborne", "malaga"} {
+	for i := range servers {
+		zone := []string{"malaga", "osborne"}[i%2]
 		var record *arrivals
 		if i == 0 {
 			record = leaving
