Registry: an endpoint that another VM has found gone is not kept for the grace of an outage

A missing entry stays in use for 2.5 s after the registry can be read again, as entries expire while the store is away. A VM takes its own loss for the store's. That another VM places its requests was ruled out: this one placed itself. 2. A whole pause follows a failed read, however long that took; the last one hangs for 2 s beyond the cut.

Change: a VM that keeps missing entries asks another one, of any failure domain, which endpoints it has found gone, and leaves those at once; what is listed stays. After an outage of the store nobody has found a live endpoint gone, and the grace is as before. The time that a call took counts towards the pause after it. The same for failure domains that lose the store together, with and without links to others, and for registries that come from other VMs.

--- a/core/members/members.go
+++ b/core/members/members.go
@@ -91,6 +91,8 @@
 // tombstone marks an incarnation that is gone.
 type tombstone struct {
 	key string
+	// at is when it was found gone.
+	at time.Duration
 	// restores is the number of restores that preceded its removal.
 	restores int
 	// relistedIn is the number of the restore after which it was first listed again, written
@@ -193,7 +195,7 @@
 	switch {
 	case old == nil:
 	case old.Key() != e.Key():
-		s.recordDeparture(old)
+		s.recordDeparture(now, old)
 	case e.Leaving && !old.Leaving:
 		s.departures = append(s.departures, Departure{Key: e.Key(), Leaving: true})
 	}
@@ -300,14 +302,19 @@
 		}
 		return
 	}
-	s.recordDeparture(e)
-	s.drop(id)
+	s.depart(now, e)
+}
+
+// depart removes an entry whose incarnation is gone.
+func (s *Set) depart(now time.Duration, e *entry) {
+	s.recordDeparture(now, e)
+	s.drop(e.ID)
 	s.invalidate()
 }
 
 // recordDeparture records that an incarnation is gone. One that was leaving has been reported before.
-func (s *Set) recordDeparture(e *entry) {
-	s.tombstones[e.ID] = tombstone{key: e.Key(), restores: s.restores}
+func (s *Set) recordDeparture(now time.Duration, e *entry) {
+	s.tombstones[e.ID] = tombstone{key: e.Key(), at: now, restores: s.restores}
 	if len(s.tombstones) > maxGoneIDs {
 		clear(s.tombstones)
 	}
@@ -400,11 +407,52 @@
 			continue
 		}
 		if !s.unavailable && now >= e.expires && now >= s.availableSince+relistGrace {
-			s.recordDeparture(e)
-			s.drop(id)
-			s.invalidate()
+			s.depart(now, e)
+		}
+	}
+}
+
+// Missing returns the number of entries that are no longer in the registry and are still in use.
+func (s *Set) Missing() int {
+	n := 0
+	for id := range s.lapsed {
+		if e := s.known[id]; e != nil && e.missing {
+			n++
+		}
+	}
+	return n
+}
+
+// Gone returns the endpoint hashes of the incarnations that were found gone at since or later and
+// have not been listed again.
+func (s *Set) Gone(since time.Duration) []uint64 {
+	var list []uint64
+	for id, t := range s.tombstones {
+		if e := s.known[id]; t.at >= since && (e == nil || e.Key() != t.key) {
+			list = append(list, EndpointHash(t.key))
+		}
+	}
+	return list
+}
+
+// ConfirmGone removes the missing entries of incarnations that another VM has found gone, given by
+// their endpoint hashes, and returns how many. Incarnations that are listed stay in use.
+func (s *Set) ConfirmGone(now time.Duration, hashes []uint64) int {
+	if s.Missing() == 0 {
+		return 0
+	}
+	gone := make(map[uint64]bool, len(hashes))
+	for _, h := range hashes {
+		gone[h] = true
+	}
+	removed := 0
+	for id := range s.lapsed {
+		if e := s.known[id]; e != nil && e.missing && gone[EndpointHash(e.Key())] {
+			s.depart(now, e)
+			removed++
 		}
 	}
+	return removed
 }
 
 func (s *Set) invalidate() {
--- a/core/members/members_test.go
+++ b/core/members/members_test.go
@@ -212,3 +212,31 @@
 		s.Expire(time.Second)
 	}
 }
+
+// Guards against an endpoint that stays in use for the grace of an outage that only this VM saw.
+func TestMissingEntryIsRemovedOnceFoundGoneElsewhere(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	s.Replace(0, []Change{ep("a", false), ep("b", false), ep("c", false)})
+	s.MarkRegistryUnavailable()
+	s.MarkRegistryAvailable(time.Second)
+	s.Replace(time.Second, []Change{ep("c", false)})
+	is.Equal(s.Missing(), 2)
+	removed := s.ConfirmGone(time.Second, []uint64{EndpointHash("a"), EndpointHash("c")})
+	is.Equal(removed, 1)
+	is.Equal(ids(s), []string{"b", "c"}) // an entry that is listed stays
+	is.Equal(s.TakeDepartures(), []Departure{{Key: "a"}})
+	is.Equal(s.Gone(time.Second), []uint64{EndpointHash("a")})
+}
+
+// Guards against an endpoint that others drop because it was missing once, though it is listed again.
+func TestRelistedIncarnationIsNotGone(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	s.Replace(0, []Change{ep("a", false), ep("b", false)})
+	s.Replace(time.Second, nil)
+	is.Equal(len(s.Gone(time.Second)), 2)
+	is.Equal(len(s.Gone(2*time.Second)), 0)
+	s.Replace(2*time.Second, []Change{ep("a", false)})
+	is.Equal(s.Gone(0), []uint64{EndpointHash("b")})
+}
--- a/entry/bootstrap.go
+++ b/entry/bootstrap.go
@@ -79,7 +79,7 @@
 				continue
 			}
 			d.applyFetched(c, records, at)
-			d.registryConfirmedAt.Store(int64(d.now()))
+			d.confirmRegistry()
 			d.log.Info().Str("from", source).Int("asked", asked).Dur("uptime", d.now()).Uint64("era", at.Era).Uint64("offset", at.Offset).
 				Int("endpoints", len(records)).Msg("registry_bootstrapped")
 			return true
--- a/entry/config.go
+++ b/entry/config.go
@@ -42,6 +42,7 @@
 			sleepJittered(ctx, followCheckInterval)
 			continue
 		}
+		delay.begin()
 		got, err := c.read(ctx, d.configWait())
 		d.recordStoreResult(&health, "config", err)
 		d.peers.setFollowsConfig(err == nil)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -98,6 +98,7 @@
 	rollouts   *rollouts
 	resumption *resumption
 	eras       *eraTracker
+	departures *departureChecker
 	// startedAt is when the process started, by the VM's wall clock.
 	startedAt    time.Time
 	shares       *sharedAllowances
@@ -168,6 +169,7 @@
 	d.sched.onDepartures = d.poison.RecordDepartures
 	d.sched.setPlacer(d.settings.Listen.Peers, false)
 	d.peers = newPeers(d)
+	d.departures = newDepartureChecker(d)
 	d.configFetcher, d.configSource = newConfigFetcher(d), newConfigSource(d)
 	d.shares, d.retryBudgets = newSharedAllowances(d.settings, d.peers.incarnation, d.now), newRetryBudgets(d)
 	return d
@@ -219,6 +221,7 @@
 	group.Go(func() error { return d.followConfig(workCtx) })
 	group.Go(func() error { return d.configFetcher.run(workCtx) })
 	group.Go(func() error { return d.followEndpoints(workCtx) })
+	group.Go(func() error { return d.departures.run(workCtx) })
 	group.Go(func() error { return d.followVMs(workCtx) })
 	group.Go(func() error { return d.storeConvictions(workCtx) })
 	group.Go(func() error { return d.rollouts.processStatusQueue(workCtx) })
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -86,6 +86,7 @@
 		case <-read.C:
 		}
 		before := c.next
+		delay.begin()
 		got, err := c.read(ctx, 0)
 		d.recordStoreResult(&health, "endpoints", err)
 		if err != nil {
@@ -96,7 +97,6 @@
 			continue
 		}
 		delay.reset()
-		d.registryConfirmedAt.Store(int64(d.now()))
 		if d.registryLostAt.Swap(0) > 0 {
 			d.registryRegainedAt.Store(int64(d.now()))
 		}
@@ -105,6 +105,7 @@
 				Int("endpoints", len(got.records)).Msg("registry_read")
 		}
 		parts := d.applyReadResult(got, before, c.next)
+		d.confirmRegistry()
 		if d.peers.isStoreReader() {
 			d.peers.relayParts(parts)
 			read.Reset(jitter(d.endpointsInterval()))
@@ -136,6 +137,9 @@
 // failure domain's reader to others.
 const readFailureWindow = 5 * time.Second
 
+// confirmRegistry records that this VM's copy of the registry is up to date, after the changes were applied.
+func (d *Daemon) confirmRegistry() { d.registryConfirmedAt.Store(int64(d.now())) }
+
 // registryConfirmed reports whether this VM's copy of the registry was up to date a moment ago.
 func (d *Daemon) registryConfirmed() bool {
 	at := time.Duration(d.registryConfirmedAt.Load())
@@ -163,7 +167,7 @@
 		if r.Before == nil && !next.Before(c.next) {
 			c.next = next
 			d.applyEndpoints(readResult{records: recordsFromRelay(r.Records, r.Era)}, next)
-			d.registryConfirmedAt.Store(int64(d.now()))
+			d.confirmRegistry()
 		}
 		return true
 	case c.known && r.Before != nil && c.next == (Position{Era: r.Before.Era, Offset: r.Before.Offset}):
@@ -219,6 +223,7 @@
 // applyEndpoints applies what was read of the registry and returns the indexes of the records that
 // changed something.
 func (d *Daemon) applyEndpoints(got readResult, next Position) (changed []int) {
+	d.departures.recordGap()
 	d.registry.apply(got.records, got.full, next)
 	changes := make([]members.Change, 0, len(got.records))
 	for _, r := range got.records {
@@ -228,6 +233,7 @@
 		changes = append(changes, c)
 	}
 	var logged []members.Change
+	var missing int
 	d.sched.updateMembers(func(now time.Duration, m *members.Set) {
 		m.MarkRegistryAvailable(now)
 		if got.restored {
@@ -235,6 +241,7 @@
 		}
 		if got.full {
 			m.Replace(now, changes)
+			missing = m.Missing()
 			return
 		}
 		apply := m.Apply
@@ -249,7 +256,12 @@
 			}
 		}
 		m.Expire(now)
+		missing = m.Missing()
 	})
+	if missing > 0 {
+		d.log.Info().Int("endpoints", missing).Msg("endpoints_missing")
+		d.departures.notify()
+	}
 	d.logEndpointChanges(logged)
 	if !d.endpointsLoaded.Swap(true) {
 		d.poison.RecordListedAtStart(changes)
--- a/entry/vm_list.go
+++ b/entry/vm_list.go
@@ -24,6 +24,7 @@
 	var delay backoff
 	written := false
 	for ctx.Err() == nil {
+		delay.begin()
 		list, err := d.listVMs(ctx, &written)
 		d.recordStoreResult(&health, "vms", err)
 		if err != nil {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -70,12 +70,27 @@
 // failure in a row: otherwise a store that is down or refuses all calls gets three calls a second
 // from each VM for each feed. It stays within the time after which a VM without relays reads the
 // store, so that all VMs have caught up soon after the store's return.
-type backoff struct{ pause time.Duration }
+//
+// The time that the failed call took counts towards the pause. A call during a network partition takes
+// seconds to fail, the last of them ends after the partition, and a whole pause after it would delay what
+// was missed.
+type backoff struct {
+	pause time.Duration
+	// begun is when the call began; zero if that was not recorded.
+	begun time.Time
+}
+
+// begin records that a call begins.
+func (r *backoff) begin() { r.begun = time.Now() }
 
-// next returns the next pause, at most longest.
+// next returns how long to wait after a call has failed. From one call to the next it is at most
+// longest, or minRetryPause after the end of a longer call.
 func (r *backoff) next(longest time.Duration) time.Duration {
 	r.pause = min(longest, max(minRetryPause, 2*r.pause))
-	return r.pause
+	if r.begun.IsZero() {
+		return r.pause
+	}
+	return max(minRetryPause, r.pause-time.Since(r.begun))
 }
 
 func (r *backoff) reset() { r.pause = 0 }
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -335,3 +336,21 @@
 
 // jitterMost returns the most that jitter makes of a duration.
 func jitterMost(d time.Duration) time.Duration { return d * 5 / 4 }
+
+// Guards against a VM that learns what it missed seconds after its path to the store has healed: the whole pause
+// followed a call that the partition had held up.
+func TestHeldUpCallCountsTowardsPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const longest = 1200 * time.Millisecond
+		var delay backoff
+		for range 5 {
+			delay.begin()
+			delay.next(longest)
+		}
+		is.Equal(delay.next(longest), longest)
+		delay.begin()
+		time.Sleep(2 * time.Second)
+		is.Equal(delay.next(longest), minRetryPause)
+	})
+}
