Scheduler: the endpoints of a service that the configuration drops follow the registry

Streams that break off at the old one's endpoints are resumed at others that reported 2.5 to 4.5 s before that they leave, and break off again when these exit.

Cause: syncEndpoints passed the usable endpoints to the scheduler only for the services that the configuration in force names; for a dropped one the list at the change stayed for good.

Change: the list follows the registry for each service that this or an earlier configuration names. Once a dropped one has neither endpoints nor requests its state is removed (it was kept for good before).

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -295,6 +295,25 @@
 	return s.takeDecisions()
 }
 
+// RemoveIdle removes the state of a service without endpoints and reports whether it did. It does not while
+// jobs of the service wait or run.
+func (s *Scheduler) RemoveIdle(name string) bool {
+	sv := s.services[name]
+	if sv == nil {
+		return true
+	}
+	if len(sv.list) > 0 || len(sv.queue) > 0 {
+		return false
+	}
+	for _, r := range s.running {
+		if r.job.Service == name {
+			return false
+		}
+	}
+	delete(s.services, name)
+	return true
+}
+
 // runsAtEarlierIncarnations returns the handles of runs at earlier incarnations of an endpoint.
 func runsAtEarlierIncarnations(known map[string]*endpoint, m *members.Endpoint) []uint64 {
 	if m.Born == 0 {
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -37,6 +37,9 @@
 	logLimits func(changes []dispatch.LimitChange, limited int)
 	limited   int
 	table     *routing.Table
+	// named holds the services that this or an earlier configuration names, and whether their endpoints are
+	// model engines.
+	named map[string]bool
 	// filterUsable returns those of a service's endpoints that may get requests.
 	filterUsable func(now time.Duration, service string, list []*members.Endpoint) []*members.Endpoint
 	// deliverRemote delivers decisions on requests of other VMs. It returns false if the request
@@ -51,7 +54,7 @@
 }
 
 func newSharedScheduler(vm, domain string, off mechanism.Off, now func() time.Duration) *sharedScheduler {
-	s := &sharedScheduler{now: now, sched: dispatch.New(vm, domain), members: members.New(), waiters: make(map[uint64]chan dispatch.Decision), cancels: make(map[uint64]context.CancelFunc), wake: make(chan struct{}, 1), countReturns: func(dispatch.ReturnCounts) {}}
+	s := &sharedScheduler{now: now, sched: dispatch.New(vm, domain), members: members.New(), named: make(map[string]bool), waiters: make(map[uint64]chan dispatch.Decision), cancels: make(map[uint64]context.CancelFunc), wake: make(chan struct{}, 1), countReturns: func(dispatch.ReturnCounts) {}}
 	s.sched.Disable(off)
 	return s
 }
@@ -457,12 +460,35 @@
 		if sv.Engine != nil {
 			s.sched.SetTokensPerEvent(sv.Name, sv.Engine.TokensPerEvent)
 		}
-		usable := s.filterUsable(s.now(), sv.Name, s.members.Usable(sv.Name))
-		s.deliver(s.sched.SetEndpoints(s.now(), sv.Name, usable, sv.Engine != nil))
+		s.named[sv.Name] = sv.Engine != nil
+		s.syncService(sv.Name)
 	}
+	s.syncDroppedServices()
 	for _, h := range s.sched.TakeLostRuns() {
 		if cancel := s.cancels[h]; cancel != nil {
 			cancel()
 		}
 	}
 }
+
+// syncService passes the usable endpoints of a service to the scheduler, and returns how many there are.
+func (s *sharedScheduler) syncService(name string) int {
+	usable := s.filterUsable(s.now(), name, s.members.Usable(name))
+	s.deliver(s.sched.SetEndpoints(s.now(), name, usable, s.named[name]))
+	return len(usable)
+}
+
+// syncDroppedServices does so for the services that only an earlier configuration names. Their requests go
+// on: those that wait, those that are tried again, and streams that are resumed. Without this they would
+// be sent to endpoints that have left since. A service is forgotten once it has neither endpoints nor
+// requests.
+func (s *sharedScheduler) syncDroppedServices() {
+	for name := range s.named {
+		if s.table.Service(name) != nil {
+			continue
+		}
+		if s.syncService(name) == 0 && s.sched.RemoveIdle(name) {
+			delete(s.named, name)
+		}
+	}
+}
