Streams: the record of a service's only version is believed only if the registry's log bears it out

Cause: the record in the store that names a service's only version is removed when another is listed, but nothing waits for the removal before that one is used, and a write without a response may take effect after the removal. A VM that starts believed whatever it found.

Change: the record names the position of the registry's log as of which it was true, is written again every 5 s, and is believed only if the log from there up to what the VM has read shows no other version. No write has to come in time. Left out: to use a version only once the record is surely gone, which waits for the store and cannot be sure of a write without a response. Services are also no longer logged as uncertain ten times a second.

--- a/core/resume/search_test.go
+++ b/core/resume/search_test.go
@@ -44,16 +44,20 @@
 	now time.Duration
 	vms []*searchVM
 	all []VM
-	// registry holds the listed versions with the time since which they are; mark is the store's record.
+	// registry holds the listed versions with the time since which they are; log has the version of each
+	// entry that was written to it.
 	registry map[string]time.Duration
+	log      []string
 	// delisted is when the others were last listed.
 	delisted map[string]time.Duration
-	mark     string
-	streams  []searchStream
+	// mark is the store's record, nil if there is none; lateMarks are writes of it that have not taken effect.
+	mark      *Mark
+	lateMarks []Mark
+	streams   []searchStream
 }
 
 func newSearch(t *rapid.T) *search {
-	s := &search{t: t, now: 100, registry: map[string]time.Duration{"v0": 0}, delisted: make(map[string]time.Duration), all: fleetOf(rapid.IntRange(2, 4).Draw(t, "vms"), 3)}
+	s := &search{t: t, now: 100, registry: map[string]time.Duration{"v0": 0}, log: []string{"v0"}, delisted: make(map[string]time.Duration), all: fleetOf(rapid.IntRange(2, 4).Draw(t, "vms"), 3)}
 	for _, vm := range s.all {
 		v := &searchVM{vm: vm}
 		s.restart(v)
@@ -66,13 +70,33 @@
 func (s *search) restart(v *searchVM) {
 	v.ledger, v.versions, v.listed, v.confirmed = NewLedger(), NewVersions(), nil, 0
 	if !v.cut {
-		if s.mark != "" {
-			v.versions.Vouch("s", s.mark)
+		if s.mark != nil && !s.refuted(*s.mark) {
+			v.versions.Vouch("s", s.mark.Version)
 		}
 		s.confirm(v)
 	}
 }
 
+// refuted reports whether the log shows another version than a mark names.
+func (s *search) refuted(m Mark) bool {
+	for i, version := range s.log {
+		if m.Contradicts(uint64(i), version) {
+			return true
+		}
+	}
+	return false
+}
+
+// writeMark writes the mark, which may take effect late.
+func (s *search) writeMark(version string) {
+	m := Mark{Version: version, Offset: uint64(len(s.log))}
+	if rapid.Bool().Draw(s.t, "late mark") {
+		s.lateMarks = append(s.lateMarks, m)
+		return
+	}
+	s.mark = &m
+}
+
 // confirm has a VM read the registry, and write or remove the mark if that is due.
 func (s *search) confirm(v *searchVM) {
 	if v.cut {
@@ -95,9 +119,9 @@
 	v.versions.Observe(s.now, map[string]map[string]bool{"s": versions})
 	switch version, sure := s.single(v); {
 	case sure:
-		s.mark = version
-	case s.mark != "" && !v.versions.ListsOnly("s", s.mark):
-		s.mark = ""
+		s.writeMark(version)
+	case s.mark != nil && !v.versions.ListsOnly("s", s.mark.Version) && !rapid.Bool().Draw(s.t, "removal lost"):
+		s.mark = nil
 	}
 }
 
@@ -205,7 +229,7 @@
 	s.recordTouch()
 	v := s.vms[rapid.IntRange(0, len(s.vms)-1).Draw(s.t, "vm")]
 	version := fmt.Sprint("v", rapid.IntRange(0, searchVersions-1).Draw(s.t, "changed"))
-	switch rapid.IntRange(0, 14).Draw(s.t, "action") {
+	switch rapid.IntRange(0, 16).Draw(s.t, "action") {
 	case 0, 1, 2:
 		s.now += time.Duration(rapid.IntRange(1, searchSettle).Draw(s.t, "time"))
 		v.ledger.Expire(s.now)
@@ -218,6 +242,7 @@
 	case 5:
 		if _, listed := s.registry[version]; !listed {
 			s.registry[version] = s.now
+			s.log = append(s.log, version)
 			delete(s.delisted, version)
 		}
 	case 6:
@@ -236,6 +261,14 @@
 		}
 	case 10:
 		s.begin(v)
+	case 11:
+		if len(s.lateMarks) > 0 {
+			s.mark, s.lateMarks = &s.lateMarks[0], s.lateMarks[1:]
+		}
+	case 12:
+		for _, v := range s.vms {
+			s.restart(v)
+		}
 	default:
 		if len(s.streams) > 0 {
 			s.resume(v, s.streams[len(s.streams)-1-rapid.IntRange(0, min(3, len(s.streams)-1)).Draw(s.t, "stream")])
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -258,6 +258,7 @@
 		m.Expire(now)
 		missing = m.Missing()
 	})
+	d.sched.setMembersPosition(next)
 	if missing > 0 {
 		d.log.Info().Int("endpoints", missing).Msg("endpoints_missing")
 		d.departures.notify()
--- a/entry/resumption.go
+++ b/entry/resumption.go
@@ -48,12 +48,18 @@
 	// lifetime is streamLifetime of the table.
 	lifetime time.Duration
 	table    *routing.Table
+	// observedAt is the position of the registry up to which versions has seen it.
+	observedAt Position
 	// marks holds the marks in the store as far as this VM knows, or as it is about to write them; era is
-	// the era in which they were read. markQueue holds the services whose mark is to be written or removed.
-	marks     map[string]versionMark
+	// the era in which they were read. markedAt is when this VM last wrote each. markQueue holds the services
+	// whose mark is to be written or removed.
+	marks     map[string]resume.Mark
 	era       uint64
+	markedAt  map[string]time.Duration
 	markQueue chan string
-	// marksRead is closed once the marks have been read.
+	// marksListed wakes the goroutine that checks marks against the registry's log.
+	marksListed chan struct{}
+	// marksRead is closed once the marks have been read and checked.
 	marksRead     chan struct{}
 	marksReadOnce sync.Once
 }
@@ -61,7 +67,7 @@
 func newResumption(d *Daemon) *resumption {
 	return &resumption{
 		d: d, ledger: resume.NewLedger(), versions: resume.NewVersions(), asks: make(map[uint64]chan originAnswer), single: make(map[string]string),
-		marks: make(map[string]versionMark), markQueue: make(chan string, versionMarkQueueSize), marksRead: make(chan struct{}),
+		marks: make(map[string]resume.Mark), markedAt: make(map[string]time.Duration), marksListed: make(chan struct{}, 1), markQueue: make(chan string, versionMarkQueueSize), marksRead: make(chan struct{}),
 	}
 }
 
@@ -104,10 +110,12 @@
 	if r.d.registryConfirmedAt.Load() > 0 && !r.d.registryConfirmed() {
 		r.versions.RecordGap(now)
 	}
-	if listed, state := r.d.sched.versionsSince(r.observed); listed != nil {
+	listed, state, at := r.d.sched.versionsSince(r.observed)
+	if listed != nil {
 		r.observed = state
 		r.versions.Observe(now, listed)
 	}
+	r.observedAt = at
 }
 
 // updateServices logs and marks in the store which services have a single version.
@@ -118,7 +126,7 @@
 	for i := range r.table.Document.Services {
 		name := r.table.Document.Services[i].Name
 		r.logCertainty(now, name)
-		r.updateMark(name)
+		r.updateMark(now, name)
 	}
 }
 
@@ -126,7 +134,7 @@
 func (r *resumption) logCertainty(now time.Duration, service string) {
 	version, sure := r.singleVersion(now, service)
 	known, was := r.single[service]
-	if sure == was && version == known {
+	if !sure && !was || sure && was && version == known {
 		return
 	}
 	if sure {
--- a/entry/resumption_test.go
+++ b/entry/resumption_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"runtime"
 	"testing"
@@ -10,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/chivefield/chivefield/core/allowance"
+	"github.com/chivefield/chivefield/core/members"
 	"github.com/chivefield/chivefield/core/resume"
 	"github.com/chivefield/chivefield/schema"
 )
@@ -35,28 +38,76 @@
 func TestVersionMark(t *testing.T) {
 	is := is.New(t)
 	for _, version := range []string{"v1", "", "a b", `a"b\`, "\n"} {
-		m, err := parseVersionMark(versionMark{version, 7}.String())
+		want := resume.Mark{Version: version, Era: 7, Offset: 1 << 40}
+		m, err := parseVersionMark(encodeMark(want))
 		is.NoErr(err)
-		is.Equal(m, versionMark{version, 7})
+		is.Equal(m, want)
 	}
-	for _, s := range []string{"", "v1 0", `"v1"`, `"v1" x`, "10.0.0.1:7600 a 0"} {
+	for _, s := range []string{"", "v1 0", `"v1"`, `"v1" x`, `"v1" 1`, `"v1" 1 x`, "10.0.0.1:7600 a 0"} {
 		_, err := parseVersionMark(s)
 		is.True(err != nil)
 	}
 }
 
-// Guards against a mark from before a restore of the store that is believed: that it was removed may be lost.
-func TestMarkFromBeforeRestoreProvesNothing(t *testing.T) {
-	is := is.New(t)
-	sure := func(markEra, era uint64) bool {
-		d := newDaemonWithUptime(t, time.Minute)
-		d.resumption.loadMarks(vmList{records: []Record{{Key: versionMarkPrefix + "s", Value: []byte(versionMark{"v1", markEra}.String())}}, era: era})
-		d.resumption.versions.Observe(d.now(), map[string]map[string]bool{"s": {"v1": true}})
-		_, sure := d.resumption.versions.Single(d.now(), "s", time.Hour)
-		return sure
+// logStore is a store whose registry's log is given.
+type logStore struct {
+	Store
+	records []Record
+	// first is the offset of the oldest record that it still has.
+	first uint64
+}
+
+func (s *logStore) Read(_ context.Context, _ Feed, from uint64, _ time.Duration) ([]Record, Position, error) {
+	if from < s.first {
+		return nil, Position{}, &TrimmedError{From: from}
+	}
+	return s.records[from:], Position{Era: 3, Offset: uint64(len(s.records))}, nil
+}
+
+// versionCodec decodes records whose value is the version of an endpoint of service "s".
+type versionCodec struct{ Codec }
+
+func (versionCodec) DecodeEndpoint(r Record) (members.Change, error) {
+	if string(r.Value) == "unreadable" {
+		return members.Change{ID: r.Key, Unreadable: true}, &DecodeError{Err: errors.ErrUnsupported}
+	}
+	return members.Change{ID: r.Key, Endpoint: &members.Endpoint{ID: r.Key, Service: "s", Version: string(r.Value)}}, nil
+}
+
+// Guards against a mark that is believed though it has outlived its truth: it is from before a restore of the store,
+// the log shows another version since, or the log no longer reaches back to it.
+func TestMarkIsBelievedOnlyIfLogBearsItOut(t *testing.T) {
+	record := func(value string) Record { return Record{Key: "e", Value: []byte(value)} }
+	log := []Record{record("v0"), record("v1"), record("v1"), record("v1")}
+	for _, c := range []struct {
+		name  string
+		mark  resume.Mark
+		log   []Record
+		first uint64
+		sure  bool
+	}{
+		{"borne out", resume.Mark{Version: "v1", Era: 3, Offset: 1}, log, 0, true},
+		{"newer than this VM's copy", resume.Mark{Version: "v1", Era: 3, Offset: 9}, log, 0, true},
+		{"before a restore", resume.Mark{Version: "v1", Era: 2, Offset: 1}, log, 0, false},
+		{"another version", resume.Mark{Version: "v1", Era: 3, Offset: 0}, log, 0, false},
+		{"another version came and went", resume.Mark{Version: "v1", Era: 3, Offset: 1}, []Record{record("v0"), record("v1"), record("v2"), record("v1")}, 0, false},
+		{"unreadable entry", resume.Mark{Version: "v1", Era: 3, Offset: 1}, []Record{record("v0"), record("v1"), record("unreadable"), record("v1")}, 0, false},
+		{"log trimmed", resume.Mark{Version: "v1", Era: 3, Offset: 1}, log, 2, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDaemonWithUptime(t, time.Minute)
+			d.opts.Store, d.codec = &logStore{records: c.log, first: c.first}, versionCodec{d.codec}
+			d.sched.updateMembers(func(now time.Duration, m *members.Set) {
+				m.Apply(now, members.Change{ID: "e", Endpoint: &members.Endpoint{ID: "e", Service: "s", Version: "v1"}})
+			})
+			d.sched.setMembersPosition(Position{Era: 3, Offset: uint64(len(c.log))})
+			d.resumption.loadMarks(vmList{records: []Record{{Key: versionMarkPrefix + "s", Value: []byte(encodeMark(c.mark))}}, era: 3})
+			d.resumption.checkListedMarks(t.Context())
+			_, sure := d.resumption.versions.Single(d.now(), "s", time.Hour)
+			is.Equal(sure, c.sure)
+		})
 	}
-	is.True(sure(3, 3))
-	is.True(!sure(2, 3))
 }
 
 // Guards against records of another VM that would fill the memory or outlive their streams.
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -22,6 +22,8 @@
 	sched         *dispatch.Scheduler
 	members       *members.Set
 	syncedVersion uint64
+	// membersAt is the position of the registry up to which members has its changes.
+	membersAt Position
 	// probe opens a connection to an endpoint and reports the result with recordProbe.
 	probe func(dispatch.Probe)
 	// countInvalid counts values that are out of range.
@@ -320,16 +322,23 @@
 	return e.Version
 }
 
-// versionsSince returns the software versions of the known endpoints by service and the number of that
-// state; nil if it is still the given one.
-func (s *sharedScheduler) versionsSince(state uint64) (versions map[string]map[string]bool, now uint64) {
+// versionsSince returns the software versions of the known endpoints by service, the number of that state and
+// the position of the registry to which it belongs; no versions if it is still the given state.
+func (s *sharedScheduler) versionsSince(state uint64) (versions map[string]map[string]bool, now uint64, at Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now = s.members.Version()
 	if now == state {
-		return nil, now
+		return nil, now, s.membersAt
 	}
-	return s.members.Versions(), now
+	return s.members.Versions(), now, s.membersAt
+}
+
+// setMembersPosition records the position of the registry up to which changes were applied.
+func (s *sharedScheduler) setMembersPosition(at Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.membersAt = at
 }
 
 // isServing reports whether the registry lists an incarnation and it is not leaving.
--- a/entry/version_marks.go
+++ b/entry/version_marks.go
@@ -4,7 +4,9 @@
 	"context"
 	"strconv"
 	"strings"
+	"time"
 
+	"github.com/chivefield/chivefield/core/resume"
 	"github.com/chivefield/chivefield/rendezvous"
 )
 
@@ -15,44 +17,44 @@
 	versionMarkPrefix = "versions-"
 	// versionMarkQueueSize limits the services whose mark waits to be written.
 	versionMarkQueueSize = 64
+	// markInterval is how often a mark is written again. It is a fraction of the time for which stores keep
+	// their history.
+	markInterval = 5 * time.Second
 )
 
-// versionMark is the record of a service that has had one version for as long as a stream may live.
-type versionMark struct {
-	version string
-	// era is the store's era when the record was written. After a restore of the store it proves nothing:
-	// that it was removed may be lost.
-	era uint64
-}
-
-// String encodes the mark.
-func (m versionMark) String() string {
-	return strconv.Quote(m.version) + " " + strconv.FormatUint(m.era, 10)
+// encodeMark encodes a mark: the quoted version, the era and the offset.
+func encodeMark(m resume.Mark) string {
+	return strings.Join([]string{strconv.Quote(m.Version), strconv.FormatUint(m.Era, 10), strconv.FormatUint(m.Offset, 10)}, " ")
 }
 
 // parseVersionMark decodes a mark.
-func parseVersionMark(s string) (versionMark, error) {
+func parseVersionMark(s string) (m resume.Mark, err error) {
 	quoted, err := strconv.QuotedPrefix(s)
 	if err != nil {
-		return versionMark{}, &VersionMarkError{Record: s}
+		return m, &VersionMarkError{Record: s}
 	}
-	version, err := strconv.Unquote(quoted)
-	if err != nil {
-		return versionMark{}, &VersionMarkError{Record: s}
+	if m.Version, err = strconv.Unquote(quoted); err != nil {
+		return m, &VersionMarkError{Record: s}
 	}
-	era, err := strconv.ParseUint(strings.TrimPrefix(s[len(quoted):], " "), 10, 64)
-	if err != nil {
-		return versionMark{}, &VersionMarkError{Record: s}
+	era, offset, found := strings.Cut(strings.TrimPrefix(s[len(quoted):], " "), " ")
+	if !found {
+		return m, &VersionMarkError{Record: s}
+	}
+	if m.Era, err = strconv.ParseUint(era, 10, 64); err != nil {
+		return m, &VersionMarkError{Record: s}
 	}
-	return versionMark{version, era}, nil
+	if m.Offset, err = strconv.ParseUint(offset, 10, 64); err != nil {
+		return m, &VersionMarkError{Record: s}
+	}
+	return m, nil
 }
 
 // isVersionMark reports whether a record of FeedVMs is the mark of a service with a single version.
 func isVersionMark(r Record) bool { return strings.HasPrefix(r.Key, versionMarkPrefix) }
 
-// loadMarks applies the marks in a list of FeedVMs.
+// loadMarks takes the marks in a list of FeedVMs, to be checked.
 func (r *resumption) loadMarks(list vmList) {
-	marks := make(map[string]versionMark)
+	marks := make(map[string]resume.Mark)
 	for _, rec := range list.records {
 		if !isVersionMark(rec) || len(rec.Value) == 0 {
 			continue
@@ -66,24 +68,23 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.marksReadOnce.Do(func() { close(r.marksRead) })
 	r.marks, r.era = marks, list.era
 	r.versions.ClearVouched()
-	for service, m := range marks {
-		if m.era == list.era {
-			r.versions.Vouch(service, m.version)
-		}
+	select {
+	case r.marksListed <- struct{}{}:
+	default:
 	}
 }
 
 // updateMark queues the writing or the removal of a service's mark if that is due and this VM's to do. A mark is
-// removed by the first readers of the store that see another version listed, which is before it is used.
-func (r *resumption) updateMark(service string) {
+// written again from time to time, so that the log from its position on is short and the store still has it.
+func (r *resumption) updateMark(now time.Duration, service string) {
 	mark, marked := r.marks[service]
 	version, sure := r.single[service]
+	current := marked && mark.Version == version && mark.Era == r.era && now-r.markedAt[service] < markInterval
 	switch {
-	case marked && !r.versions.ListsOnly(service, mark.version):
-	case sure && (!marked || mark.era != r.era) && r.marksService(service):
+	case marked && !r.versions.ListsOnly(service, mark.Version):
+	case sure && !current && r.observedAt.Era == r.era && r.marksService(service):
 	default:
 		return
 	}
@@ -91,7 +92,8 @@
 		return
 	}
 	if sure {
-		r.marks[service] = versionMark{version, r.era}
+		r.marks[service] = resume.Mark{Version: version, Era: r.observedAt.Era, Offset: r.observedAt.Offset}
+		r.markedAt[service] = now
 	} else {
 		delete(r.marks, service)
 	}
@@ -134,11 +136,11 @@
 		r.mu.Unlock()
 		rec := Record{Key: versionMarkPrefix + service}
 		if wanted {
-			rec.Value = []byte(m.String())
+			rec.Value = []byte(encodeMark(m))
 		}
 		err := r.d.opts.Store.Write(ctx, rec)
 		if err == nil {
-			r.d.log.Info().Str("service", service).Bool("single", wanted).Str("version", m.version).Msg("version_mark_written")
+			r.d.log.Info().Str("service", service).Bool("single", wanted).Str("version", m.Version).Uint64("offset", m.Offset).Msg("version_mark_written")
 			return
 		}
 		r.d.count("store_errors")
