Streams: versions of streams that begin while several serve are kept in the store's log

Cause: records of streams were in the memory of VMs alone, and the record of a service's only version covers none that began beside another.

Change: while a service has several versions, VMs tell their records to the reader of the store in their failure domain as well, and the readers append them in batches to a log of the store, all together 40 times a second. A VM that starts reads the latest batches; in fleets of more than 64 VMs the readers do, which the others ask. Nothing waits for it.

Measured: TestStreamsOfTwoVersionsGoOnAfterAllVMsEnded, 0 of 80 went on before, passes now; the tests of streams, dropped services and departures with the race detector, one run: passed.

--- a/core/resume/versions.go
+++ b/core/resume/versions.go
@@ -89,6 +89,9 @@
 // MarkFirst records that no stream is older than this process.
 func (v *Versions) MarkFirst() { v.first = true }
 
+// IsFirst reports whether no stream is older than this process.
+func (v *Versions) IsFirst() bool { return v.first }
+
 // ListsOnly reports whether no other version of a service is listed than the given one.
 func (v *Versions) ListsOnly(service, version string) bool {
 	s := v.services[service]
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -227,6 +227,7 @@
 	group.Go(func() error { return d.rollouts.processStatusQueue(workCtx) })
 	group.Go(func() error { return d.resumption.processMarkQueue(workCtx) })
 	group.Go(func() error { return d.resumption.checkMarks(workCtx) })
+	group.Go(func() error { return d.resumption.storeStreams(workCtx) })
 	group.Go(func() error { return d.rollouts.announceChanges(workCtx) })
 	group.Go(func() error { return d.retryBudgets.logPeriodically(workCtx) })
 	group.Go(func() error { return d.sched.run(workCtx) })
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -7,6 +7,14 @@
 	"time"
 )
 
+// StreamBatchError reports a batch of stream records whose lists don't fit together.
+type StreamBatchError struct{ Keys, Versions, TTLs int }
+
+// Error implements error.
+func (e *StreamBatchError) Error() string {
+	return fmt.Sprintf("batch of %d streams has %d versions and %d times", e.Keys, e.Versions, e.TTLs)
+}
+
 // RejectedError reports that an endpoint did not run a request.
 type RejectedError struct{ Status int }
 
--- a/entry/mark_check.go
+++ b/entry/mark_check.go
@@ -19,15 +19,19 @@
 	registryPollInterval = 10 * time.Millisecond
 )
 
-// checkMarks checks marks against the registry's log each time they were listed, until ctx ends.
+// checkMarks loads what the store has on streams, and checks marks against the registry's log each time they
+// were listed, until ctx ends.
 func (r *resumption) checkMarks(ctx context.Context) error {
-	for {
+	for loaded := false; ; loaded = true {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-r.marksListed:
 		}
 		checkCtx, cancel := context.WithTimeout(ctx, markCheckTimeout)
+		if !loaded {
+			r.loadStreams(checkCtx)
+		}
 		if r.awaitRegistry(checkCtx) {
 			r.checkListedMarks(checkCtx)
 		}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -135,6 +135,13 @@
 	return pe.isAlive(now) && !pe.asksPlacer || pe.namedAt > 0 && now-pe.namedAt < placerNameTTL
 }
 
+// knownVMs returns the number of VMs ever learned of, this one included.
+func (p *peers) knownVMs() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.byAddress) + 1
+}
+
 // domainAddresses returns the addresses of the other VMs of this VM's failure domain.
 func (p *peers) domainAddresses() []string {
 	p.mu.Lock()
--- a/entry/resumption.go
+++ b/entry/resumption.go
@@ -57,6 +57,8 @@
 	era       uint64
 	markedAt  map[string]time.Duration
 	markQueue chan string
+	// unstored holds the records that wait to be written to the store's log.
+	unstored []resume.Record
 	// marksListed wakes the goroutine that checks marks against the registry's log.
 	marksListed chan struct{}
 	// marksRead is closed once the marks have been read and checked.
--- a/entry/resumption_notes.go
+++ b/entry/resumption_notes.go
@@ -30,7 +30,7 @@
 // tell tells the keepers of a stream which version began it.
 func (r *resumption) tell(now time.Duration, rec resume.Record) {
 	r.ledger.MarkTold(rec.Key)
-	n := &schema.PeerNote{Origins: []*schema.StreamOrigin{{Key: uint64(rec.Key), Version: rec.Version, TtlMs: uint32(max(0, rec.Expires-now).Milliseconds())}}}
+	n := &schema.PeerNote{Origins: []*schema.StreamOrigin{{Key: uint64(rec.Key), Version: rec.Version, TtlMs: ttlMillis(now, rec)}}}
 	b := r.d.peers.encode(n)
 	for _, vm := range resume.ToTell(r.d.settings.Listen.Peers, r.keepers(rec.Key)) {
 		if addr := r.d.peers.udpAddress(vm.Address); addr != nil {
@@ -38,6 +38,7 @@
 			r.d.count("stream_records_told")
 		}
 	}
+	r.store(now, rec)
 }
 
 // tellDue tells some of the records that began while their service had a single version and now are needed, since
@@ -102,8 +103,13 @@
 		r.d.count("stream_records_refused")
 		return
 	}
-	ttl := min(maxRecordTTL, millis(uint64(m.TtlMs)))
-	if !r.ledger.Keep(resume.Record{Key: resume.Key(m.Key), Version: m.Version, Expires: now + ttl}) {
+	rec := resume.Record{Key: resume.Key(m.Key), Version: m.Version, Expires: now + min(maxRecordTTL, millis(uint64(m.TtlMs)))}
+	if m.Store {
+		// Keepers are told apart: a reader would have to keep the records of its whole failure domain.
+		r.enqueueRecord(rec)
+		return
+	}
+	if !r.ledger.Keep(rec) {
 		r.d.count("stream_records_refused")
 		r.d.log.Warn().Str("from", from.String()).Uint64("key", m.Key).Str("version", m.Version).Msg("stream_record_conflicts")
 		return
--- a/entry/vm_list.go
+++ b/entry/vm_list.go
@@ -129,7 +129,6 @@
 func (d *Daemon) applyVMList(list vmList) {
 	d.loadConvictions(list.records)
 	d.rollouts.loadStatuses(list.records)
-	d.resumption.loadMarks(list)
 	d.markInitialised()
 	named := make(map[string]string)
 	for _, r := range list.records {
@@ -138,6 +137,7 @@
 		}
 	}
 	d.peers.mergeStoreList(named, d.isCompleteList(list))
+	d.resumption.loadMarks(list)
 }
 
 // isVMRecord reports whether a record of FeedVMs describes a VM.
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -162,6 +162,10 @@
 	Read(ctx context.Context, f Feed, from uint64, wait time.Duration) ([]Record, Position, error)
 	// Write writes records of FeedVMs atomically; one without a value removes its key.
 	Write(ctx context.Context, records ...Record) error
+	// AppendLog appends a record to the log, which the store keeps for a limited time.
+	AppendLog(ctx context.Context, record []byte) error
+	// ReadLog returns records of the log starting at an offset, or a TrimmedError.
+	ReadLog(ctx context.Context, from uint64) (LogPage, error)
 	// CompareAndWrite writes a record of FeedVMs if the feed still ends at the position at.
 	// Otherwise it returns a ConflictError.
 	CompareAndWrite(ctx context.Context, r Record, at Position) error
@@ -175,8 +179,16 @@
 	return fmt.Sprintf("feed no longer ends at offset %d of era %d", e.At.Offset, e.At.Era)
 }
 
-// TrimmedError reports a read of records that the store no longer keeps.
-type TrimmedError struct{ From uint64 }
+// LogPage is a part of the store's log.
+type LogPage struct {
+	Records [][]byte
+	// End is the offset after the log's last record, which may be after the page.
+	End uint64
+}
+
+// TrimmedError reports a read of records that the store no longer keeps. First is the offset of the oldest
+// that it has, 0 if unknown.
+type TrimmedError struct{ From, First uint64 }
 
 // Error implements error.
 func (e *TrimmedError) Error() string {
