Streams: certainty of a dropped service's only version ends as that of others does

Cause: the services that the configuration no longer names were passed over when certainty was looked after, as in the fault of their endpoints' list. A stream of such a service that began at a second version got no record, and was taken for one of the first by VMs that were sure before.

Change: services that this VM is sure of are looked after until it no longer is.

Measured: TestDroppedServiceIsNotSureForGood fails before, passes after.

--- a/entry/resumption.go
+++ b/entry/resumption.go
@@ -130,6 +130,12 @@
 		r.logCertainty(now, name)
 		r.updateMark(now, name)
 	}
+	for name := range r.single {
+		if r.table.Service(name) == nil {
+			// Streams of a service that the configuration dropped go on, and need records once it has two versions.
+			r.logCertainty(now, name)
+		}
+	}
 }
 
 // logCertainty logs when it becomes sure that a service has a single version, and when it no longer is.
--- a/entry/resumption_test.go
+++ b/entry/resumption_test.go
@@ -14,6 +14,7 @@
 	"github.com/chivefield/chivefield/core/allowance"
 	"github.com/chivefield/chivefield/core/members"
 	"github.com/chivefield/chivefield/core/resume"
+	"github.com/chivefield/chivefield/core/routing"
 	"github.com/chivefield/chivefield/schema"
 )
 
@@ -110,6 +111,32 @@
 	}
 }
 
+// Guards against streams of a service that the configuration dropped that are taken for those of its only version
+// though another is listed by then.
+func TestDroppedServiceIsNotSureForGood(t *testing.T) {
+	is := is.New(t)
+	d := newDaemonWithUptime(t, time.Minute)
+	table := func(service string) *routing.Table {
+		route := &routing.Route{Name: "r", Host: "h", Prefix: "/", Kind: routing.Stream, Timeout: time.Second, Shares: []routing.Share{{Service: service, Weight: 1}}}
+		return routing.NewTable(&routing.Document{Routes: []*routing.Route{route}, Services: []*routing.Service{{Name: service}}})
+	}
+	list := func(id, version string) {
+		d.sched.updateMembers(func(now time.Duration, m *members.Set) {
+			m.Apply(now, members.Change{ID: id, Endpoint: &members.Endpoint{ID: id, Service: "s", Version: version}})
+		})
+		d.confirmRegistry()
+		d.resumption.step()
+	}
+	d.resumption.markFirstStart()
+	d.table.Store(table("s"))
+	list("e1", "v1")
+	is.Equal(d.resumption.single["s"], "v1")
+	d.table.Store(table("other"))
+	list("e2", "v2")
+	_, sure := d.resumption.single["s"]
+	is.True(!sure)
+}
+
 // Guards against records of another VM that would fill the memory or outlive their streams.
 func TestToldRecordsAreBounded(t *testing.T) {
 	is := is.New(t)
