Forwarding: on a kept connection a response that names no request is not the current one's

Cause: an error response without an id counted as the current request's, as an endpoint that rejects at once may not have read it; that holds on a new connection only.

Change: such a response is skipped as those to other requests are, and the endpoint's own is read and delivered.

--- a/entry/carrier_bench_test.go
+++ b/entry/carrier_bench_test.go
@@ -54,7 +54,7 @@
 				b.ReportAllocs()
 				for b.Loop() {
 					resp, err := way.pool.Do(context.Background(), "e0", s.endpoint.Addr().String(), &upstream.Request{
-						Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Matches: func(*http.Response) bool { return true },
+						Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Matches: func(*http.Response, bool) bool { return true },
 					}, newConn)
 					if err != nil {
 						b.Fatal(err)
--- a/entry/carrier_test.go
+++ b/entry/carrier_test.go
@@ -220,7 +220,7 @@
 	}()
 	for range 2 {
 		resp, err := pool.Do(context.Background(), "e0", "", &upstream.Request{
-			Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Matches: func(*http.Response) bool { return true },
+			Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Matches: func(*http.Response, bool) bool { return true },
 		}, false)
 		s.NoErr(err)
 		_, err = io.ReadAll(resp)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -273,7 +273,7 @@
 	req := &upstream.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: c.upstreamHeaders(ep, lastID),
 		Body: c.body, HasBody: c.r.ContentLength != 0 || c.r.Header.Get("Content-Length") != "",
-		Matches: func(resp *http.Response) bool { return c.ownsResponse(resp) },
+		Matches: c.ownsResponse,
 	}
 	version := c.d.sched.listedVersion(ep)
 	if !c.mayRunAt(version) {
@@ -385,10 +385,18 @@
 }
 
 // ownsResponse reports whether a response belongs to this request. An error response without an
-// ID comes from an endpoint that did not read the request.
-func (c *callerRequest) ownsResponse(resp *http.Response) bool {
+// ID comes from an endpoint that did not read the request, but only on a new connection: on one that
+// has served others it may be left over from them. Taken for the response to this request, a
+// rejection would have it sent to a second endpoint while the first runs it.
+func (c *callerRequest) ownsResponse(resp *http.Response, reused bool) bool {
 	id := c.d.codec.ParseResponse(resp).ID
-	return id == c.reqHeaders.ID || id == "" && resp.StatusCode >= http.StatusBadRequest
+	if id != "" || resp.StatusCode < http.StatusBadRequest {
+		return id == c.reqHeaders.ID
+	}
+	if reused {
+		c.d.count("responses_without_id")
+	}
+	return !reused
 }
 
 // writeResponse sends a response to the caller whose body has been read.
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -58,7 +58,7 @@
 
 // Guards against a VM that buffers a head, or reads other bytes that are no response, until its memory is spent.
 func TestEndlessHeadIsGivenUp(t *testing.T) {
-	get := &Request{Method: http.MethodGet, Target: "/", Host: "h", Matches: func(r *http.Response) bool { return r.Header.Get("Id") == "1" }}
+	get := &Request{Method: http.MethodGet, Target: "/", Host: "h", Matches: func(r *http.Response, _ bool) bool { return r.Header.Get("Id") == "1" }}
 	const ok = "HTTP/1.1 200 OK\r\nId: 1\r\n"
 	for name, c := range map[string]struct{ begin, again string }{
 		"no line end":            {"", "xxxxxxxxxxxxxxxx"},
@@ -90,7 +90,7 @@
 // responses, or its body begins with many lines.
 func TestLongHeadIsRead(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\nId: 1\r\n"
-	get := &Request{Method: http.MethodGet, Target: "/", Host: "h", Matches: func(r *http.Response) bool { return r.Header.Get("Id") == "1" }}
+	get := &Request{Method: http.MethodGet, Target: "/", Host: "h", Matches: func(r *http.Response, _ bool) bool { return r.Header.Get("Id") == "1" }}
 	body := strings.Repeat("\n", 70<<10)
 	whole := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", ok, len(body), body)
 	for name, c := range map[string]string{
@@ -129,7 +129,7 @@
 	for name, again := range map[string]string{"endless": "xxxxxxxxxxxxxxxx", "silent": ""} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			any := &Request{Method: http.MethodGet, Target: "/", Host: "h", Matches: func(*http.Response) bool { return true }}
+			any := &Request{Method: http.MethodGet, Target: "/", Host: "h", Matches: func(*http.Response, bool) bool { return true }}
 			resp, read, err := exchangeWith(t, any, "HTTP/1.1 503 Service Unavailable\r\n\r\n", again)
 			is.NoErr(err)
 			begin := time.Now()
@@ -144,7 +144,7 @@
 // Guards against a VM that reads on where a body in chunks has no end, though no byte of the body comes, and against
 // one that holds what it reads.
 func TestEndlessFramingIsGivenUp(t *testing.T) {
-	any := &Request{Method: http.MethodGet, Target: "/", Host: "h", Matches: func(*http.Response) bool { return true }}
+	any := &Request{Method: http.MethodGet, Target: "/", Host: "h", Matches: func(*http.Response, bool) bool { return true }}
 	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 	for name, c := range map[string]struct {
 		begin, again string
@@ -204,7 +204,7 @@
 				})
 				p := NewPool(func(context.Context, string, string) (Connection, error) { return Connection{Conn: near}, nil }, 1)
 				begun := time.Now()
-				_, err := p.Do(t.Context(), "e", "a", &Request{Method: http.MethodGet, Target: "/", Host: "h", Matches: func(*http.Response) bool { return true }}, false)
+				_, err := p.Do(t.Context(), "e", "a", &Request{Method: http.MethodGet, Target: "/", Host: "h", Matches: func(*http.Response, bool) bool { return true }}, false)
 				var limit *HeadLimitError
 				is.True(errors.As(err, &limit))
 				is.True(time.Since(begun) <= c.most)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -90,8 +90,9 @@
 	HasBody bool
 	// Progress is called as parts of a large body have been written; nil if nobody needs to know.
 	Progress func()
-	// Matches reports whether a response belongs to this request.
-	Matches func(*http.Response) bool
+	// Matches reports whether a response belongs to this request. reused tells whether the connection had
+	// served other requests before, to one of which the response may belong.
+	Matches func(resp *http.Response, reused bool) bool
 }
 
 // Response is an endpoint's response whose body has not been read yet.
@@ -350,7 +351,7 @@
 			}
 			continue
 		}
-		if r.Matches(resp) {
+		if r.Matches(resp, c.requests > 1) {
 			return resp, nil
 		}
 		stale++
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -73,7 +73,7 @@
 	p.UseCarried = func() bool { return carrier != "" }
 	send := func() string {
 		resp, err := p.Do(t.Context(), "e", l.Addr().String(), &Request{
-			Method: "GET", Target: "/", Host: "h", Header: http.Header{}, Matches: func(*http.Response) bool { return true },
+			Method: "GET", Target: "/", Host: "h", Header: http.Header{}, Matches: func(*http.Response, bool) bool { return true },
 		}, false)
 		is.NoErr(err)
 		_, err = io.ReadAll(resp)
