--- a/entry/entry.go
+++ b/entry/entry.go
@@ -244,6 +244,8 @@
 
 // serve runs a server until workCtx ends.
 func (d *Daemon) serve(group *errgroup.Group, workCtx context.Context, s *http.Server, l net.Listener) {
+	// Otherwise net/http answers "OPTIONS *" with status 200, which no endpoint has sent.
+	s.DisableGeneralOptionsHandler = true
 	group.Go(func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return err
