Allowances: numbers of callers do not overflow

Cause: the two counts were added as integers; the sum became negative, and spending it raised the balance.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -224,7 +224,7 @@
 		share = 1.0 / targetHolderCount
 	}
 	seconds := v.Shortfall / share / b.limit.Rate
-	v.RetryAfter = min(maxRetryAfter, time.Duration(seconds*float64(time.Second)))
+	v.RetryAfter = time.Duration(min(maxRetryAfter.Seconds(), seconds) * float64(time.Second))
 	return v
 }
 
--- a/core/allowance/allowance_test.go
+++ b/core/allowance/allowance_test.go
@@ -323,3 +323,13 @@
 		})
 	}
 }
+
+// Guards against a refusal whose time to wait overflows and becomes negative.
+func TestRetryAfterOfHugeRequestIsBounded(t *testing.T) {
+	is := is.New(t)
+	l := New(Tolerance{Window: 8 * time.Second})
+	l.SetLimits(0, []Limit{{Organisation: "o", Rate: 1, Burst: 1}})
+	v := l.Spend(time.Second, Request{Amount: Amount{Organisation: "o", Units: 1e300}})
+	is.True(!v.OK)
+	is.Equal(v.RetryAfter, maxRetryAfter)
+}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -315,7 +315,7 @@
 	if c.org.CountsTokens {
 		c.units = c.org.PlainTokens
 		if c.reqHeaders.HasTokens {
-			c.units = float64(c.reqHeaders.PromptTokens + c.reqHeaders.MaxOutputTokens)
+			c.units = float64(c.reqHeaders.PromptTokens) + float64(c.reqHeaders.MaxOutputTokens)
 		}
 	}
 	v := c.d.shares.spend(ctx, allowance.Request{
