Rollouts: a version that settles while the process stands still is used all the same

By reading: whether the usable endpoints change with time alone is asked ten times a second, and the answer was yes only within half a second of the change. A VM that stands still for longer misses it: a version that settled is not used, and requests stay with the old version after a shift, until another endpoint changes.

Change: what has passed since the last look counts, however late it comes.

Measured: TestVersionSettlesDuringPause and TestRolloutPhaseEndsDuringPause pass; both ask the new function, on the code before its window of 0.5 s misses the 7 s of the first by reading.

--- a/entry/rollout_judge.go
+++ b/entry/rollout_judge.go
@@ -111,7 +111,7 @@
 		active = append(active, m)
 	}
 	r.mu.Unlock()
-	if r.inTransition(r.d.now()) {
+	if r.takeTransition(r.d.now()) {
 		r.d.sched.resync()
 	}
 	if len(active) == 0 {
--- a/entry/rollout_versions.go
+++ b/entry/rollout_versions.go
@@ -39,7 +39,7 @@
 		}
 		known[e.Version] = now
 		if first {
-			known[e.Version] = now - r.d.versionSettleTime() - resyncMargin
+			known[e.Version] = now - r.d.versionSettleTime()
 		}
 	}
 }
@@ -137,21 +137,25 @@
 	return canary || m.listedOld == 0
 }
 
-// inTransition reports whether the usable endpoints change with time alone: a version settles,
-// requests shift, or the old endpoints are gone.
-func (r *rollouts) inTransition(now time.Duration) bool {
+// takeTransition reports whether the usable endpoints have changed with time alone since the last call: a version
+// settled, requests shift, or the old endpoints are gone. A call may come late, after a pause of the process: what
+// happened in the meantime counts, or a version would not be used until another endpoint changes.
+func (r *rollouts) takeTransition(now time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	last := r.transitionsAt
+	r.transitionsAt = now
+	passed := func(at time.Duration) bool { return at > last && at <= now }
 	for _, m := range r.byService {
-		if m.phase == rollout.Shifting && now-m.shiftingSince < m.order.RampDuration()+resyncMargin ||
-			m.phase == rollout.Completed && now-m.finalSince < oldVersionGoneAfter+resyncMargin {
+		if m.phase == rollout.Shifting && m.shiftingSince+m.order.RampDuration() > last ||
+			m.phase == rollout.Completed && passed(m.finalSince+oldVersionGoneAfter) {
 			return true
 		}
 	}
 	settle := r.d.versionSettleTime()
 	for _, known := range r.versions {
 		for _, since := range known {
-			if now-since >= settle && now-since < settle+resyncMargin {
+			if passed(since + settle) {
 				return true
 			}
 		}
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -29,6 +29,8 @@
 	byService map[string]*rolloutState
 	// versions holds the listed versions of each service and since when they are listed.
 	versions map[string]map[string]time.Duration
+	// transitionsAt is when takeTransition was last called.
+	transitionsAt time.Duration
 	// statusesRead reports whether the store's statuses were loaded: without them it is unknown
 	// whether an order in the store was rolled back.
 	statusesRead bool
@@ -92,9 +94,6 @@
 	cutSettleTime = time.Second
 	// minCensoredTime is the time after which a request whose caller disconnected counts as slow.
 	minCensoredTime = time.Second
-	// resyncMargin is how long after such a point in time the endpoints are still recomputed:
-	// several notes.
-	resyncMargin = 500 * time.Millisecond
 	// minGrantUptime is the minimum uptime of a process that gets an initial grant of canary
 	// requests; half of it is the maximum age of the order then.
 	minGrantUptime = 2 * time.Second
--- a/entry/rollouts_test.go
+++ b/entry/rollouts_test.go
@@ -120,12 +120,41 @@
 	is.Equal(countVersions(d.rollouts.usableEndpoints(0, "s", both)), map[string]int{"v1": 2, "v2": 1})
 	all := append(both, versioned("v3", 1)...)
 	is.Equal(countVersions(d.rollouts.usableEndpoints(time.Second, "s", all)), map[string]int{"v1": 2, "v2": 1})
-	is.True(d.rollouts.inTransition(time.Second + d.versionSettleTime()))
+	is.True(!d.rollouts.takeTransition(time.Second + d.versionSettleTime()/2))
+	is.True(d.rollouts.takeTransition(time.Second + d.versionSettleTime()))
 	is.Equal(countVersions(d.rollouts.usableEndpoints(time.Second+d.versionSettleTime(), "s", all)), map[string]int{"v1": 2, "v2": 1, "v3": 1})
 	// The only listed version is used at once.
 	is.Equal(countVersions(d.rollouts.usableEndpoints(4*time.Second, "s", versioned("v4", 1))), map[string]int{"v4": 1})
 }
 
+// Guards against a version that is not used until another endpoint changes, since the process stood still as it settled.
+func TestVersionSettlesDuringPause(t *testing.T) {
+	is := is.New(t)
+	d := New(Options{Settings: testSettings(t, true), Log: logging.New(io.Discard)})
+	d.rollouts.usableEndpoints(0, "s", versioned("v1", 2))
+	d.rollouts.usableEndpoints(time.Second, "s", append(versioned("v1", 2), versioned("v2", 1)...))
+	is.True(!d.rollouts.takeTransition(2 * time.Second))
+	is.True(d.rollouts.takeTransition(9 * time.Second))
+	is.True(!d.rollouts.takeTransition(10 * time.Second))
+}
+
+// Guards against requests that stay at the old version, or never return to it, since the process stood still as they
+// shifted or as the old endpoints went.
+func TestRolloutPhaseEndsDuringPause(t *testing.T) {
+	is := is.New(t)
+	d := New(Options{Settings: testSettings(t, true), Log: logging.New(io.Discard)})
+	m := testRollout(rollout.Shifting)
+	m.shiftingSince = time.Second
+	d.rollouts.byService["s"] = m
+	is.True(d.rollouts.takeTransition(1100 * time.Millisecond)) // requests shift step by step
+	is.True(d.rollouts.takeTransition(time.Minute))             // the ramp ended during the pause
+	is.True(!d.rollouts.takeTransition(time.Minute + time.Second))
+	m.phase, m.finalSince = rollout.Completed, time.Minute
+	is.True(!d.rollouts.takeTransition(time.Minute + oldVersionGoneAfter/2))
+	is.True(d.rollouts.takeTransition(2 * time.Minute))
+	is.True(!d.rollouts.takeTransition(3 * time.Minute))
+}
+
 // Guards against reports that grow with the service. They named each endpoint of the new version:
 // by calculation a judge's link is full during a rollout of a service with 112 endpoints, and with
 // 500 and more no report fits into a note. Reports must stay far below a note's size.
