Streams: a mark that was checked across a gap of the registry proves nothing

Cause: between the position up to which the log was checked and the moment at which the mark was believed, this VM could lose the registry; another version might have come and gone unseen.

Change: the mark is believed only if the registry was up to date all the while.

Measured: TestMarkIsNotBelievedAfterGap fails without the comparison and passes with it.

--- a/entry/mark_check.go
+++ b/entry/mark_check.go
@@ -53,7 +53,7 @@
 // checkListedMarks vouches for the services whose mark is not refuted by the registry's log up to the
 // position that this VM has observed. From there on it sees other versions itself.
 func (r *resumption) checkListedMarks(ctx context.Context) {
-	marks, end := r.marksToCheck()
+	marks, end, gaps := r.marksToCheck()
 	for len(marks) > 0 {
 		from := end.Offset
 		for _, m := range marks {
@@ -72,14 +72,19 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.observe(r.d.now())
+	if r.gaps != gaps {
+		// Another version may have come and gone unseen since the position that was observed.
+		return
+	}
 	for service, m := range marks {
 		r.versions.Vouch(service, m.Version)
 	}
 }
 
-// marksToCheck returns the marks of services of whose version this VM is not sure, and the position of the
-// registry that it has observed.
-func (r *resumption) marksToCheck() (map[string]resume.Mark, Position) {
+// marksToCheck returns the marks of services of whose version this VM is not sure, the position of the
+// registry that it has observed, and how many gaps there were before that.
+func (r *resumption) marksToCheck() (marks map[string]resume.Mark, end Position, gaps uint64) {
 	limit := uint64(maxCheckedRecords)
 	if r.d.peers.isStoreReader() {
 		limit = maxCheckedByReader
@@ -88,8 +93,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.observe(now)
-	end := r.observedAt
-	marks := make(map[string]resume.Mark)
+	end = r.observedAt
+	marks = make(map[string]resume.Mark)
 	for service, m := range r.marks {
 		_, sure := r.single[service]
 		if sure || m.Era != r.era || m.Era != end.Era || m.Offset+limit < end.Offset {
@@ -97,7 +102,7 @@
 		}
 		marks[service] = m
 	}
-	return marks, end
+	return marks, end, r.gaps
 }
 
 // refuteMarks reads the registry's log between two positions and deletes the marks that it refutes.
--- a/entry/resumption.go
+++ b/entry/resumption.go
@@ -48,6 +48,8 @@
 	// lifetime is streamLifetime of the table.
 	lifetime time.Duration
 	table    *routing.Table
+	// gaps counts the looks at which this VM's copy of the registry was not up to date.
+	gaps uint64
 	// observedAt is the position of the registry up to which versions has seen it.
 	observedAt Position
 	// marks holds the marks in the store as far as this VM knows, or as it is about to write them; era is
@@ -111,6 +113,7 @@
 	}
 	if r.d.registryConfirmedAt.Load() > 0 && !r.d.registryConfirmed() {
 		r.versions.RecordGap(now)
+		r.gaps++
 	}
 	listed, state, at := r.d.sched.versionsSince(r.observed)
 	if listed != nil {
--- a/entry/resumption_test.go
+++ b/entry/resumption_test.go
@@ -56,9 +56,14 @@
 	records []Record
 	// first is the offset of the oldest record that it still has.
 	first uint64
+	// onRead is called at each read; nil for nothing.
+	onRead func()
 }
 
 func (s *logStore) Read(_ context.Context, _ Feed, from uint64, _ time.Duration) ([]Record, Position, error) {
+	if s.onRead != nil {
+		s.onRead()
+	}
 	if from < s.first {
 		return nil, Position{}, &TrimmedError{From: from}
 	}
@@ -111,6 +116,34 @@
 	}
 }
 
+// Guards against a mark that is believed though the registry was lost while it was checked: another version may have
+// come and gone unseen.
+func TestMarkIsNotBelievedAfterGap(t *testing.T) {
+	is := is.New(t)
+	for _, gap := range []bool{false, true} {
+		d := newDaemonWithUptime(t, time.Minute)
+		store := &logStore{records: []Record{{Key: "e", Value: []byte("v1")}, {Key: "e", Value: []byte("v1")}}}
+		d.opts.Store, d.codec = store, versionCodec{d.codec}
+		d.sched.updateMembers(func(now time.Duration, m *members.Set) {
+			m.Apply(now, members.Change{ID: "e", Endpoint: &members.Endpoint{ID: "e", Service: "s", Version: "v1"}})
+		})
+		d.sched.setMembersPosition(Position{Era: 3, Offset: 2})
+		d.confirmRegistry()
+		store.onRead = func() {
+			if gap {
+				d.registryConfirmedAt.Store(int64(time.Second))
+				d.resumption.step()
+				d.confirmRegistry()
+			}
+		}
+		mark := resume.Mark{Version: "v1", Era: 3, Offset: 1}
+		d.resumption.loadMarks(vmList{records: []Record{{Key: versionMarkPrefix + "s", Value: []byte(encodeMark(mark))}}, era: 3})
+		d.resumption.checkListedMarks(t.Context())
+		_, sure := d.resumption.versions.Single(d.now(), "s", time.Hour)
+		is.Equal(sure, !gap)
+	}
+}
+
 // Guards against streams of a service that the configuration dropped that are taken for those of its only version
 // though another is listed by then.
 func TestDroppedServiceIsNotSureForGood(t *testing.T) {
