Streams: only services that several versions serve have their streams stored

Cause: a VM that is not sure of a service's version, after its own loss of the store or a start, had all its streams stored though only one version was known; and the record of each service was written every 5 s, also of services without resumable streams.

Change: streams are stored only while several versions are listed or were within the time for which streams live; the record is written every 10 s, for services of resumable streams.

--- a/core/resume/resume_test.go
+++ b/core/resume/resume_test.go
@@ -284,3 +284,19 @@
 		}
 	}
 }
+
+// Guards against records in the store for services that have one version, of which nobody needs any.
+func TestSeveralVersions(t *testing.T) {
+	is := is.New(t)
+	v := NewVersions()
+	several := func(now time.Duration) bool { return v.Several(now, "s", 30*time.Second) }
+	is.True(!several(0))
+	v.Observe(0, map[string]map[string]bool{"s": {"v1": true}})
+	v.RecordGap(time.Second)
+	is.True(!several(2 * time.Second)) // not sure, but no other is known
+	v.Observe(3*time.Second, map[string]map[string]bool{"s": {"v1": true, "v2": true}})
+	is.True(several(3 * time.Second))
+	v.Observe(4*time.Second, map[string]map[string]bool{"s": {"v2": true}})
+	is.True(several(33 * time.Second)) // streams of the other may live
+	is.True(!several(34 * time.Second))
+}
--- a/core/resume/versions.go
+++ b/core/resume/versions.go
@@ -89,6 +89,22 @@
 // MarkFirst records that no stream is older than this process.
 func (v *Versions) MarkFirst() { v.first = true }
 
+// Several reports whether streams of a service that may still live are known to have begun at several versions, or
+// may do so.
+func (v *Versions) Several(now time.Duration, service string, lifetime time.Duration) bool {
+	s := v.services[service]
+	if s == nil {
+		return false
+	}
+	n := len(s.listed)
+	for _, at := range s.gone {
+		if now-at < lifetime {
+			n++
+		}
+	}
+	return n > 1
+}
+
 // IsFirst reports whether no stream is older than this process.
 func (v *Versions) IsFirst() bool { return v.first }
 
--- a/entry/resumption.go
+++ b/entry/resumption.go
@@ -48,6 +48,8 @@
 	// lifetime is streamLifetime of the table.
 	lifetime time.Duration
 	table    *routing.Table
+	// resumable holds the services of the table's resumable streams.
+	resumable map[string]bool
 	// gaps counts the looks at which this VM's copy of the registry was not up to date.
 	gaps uint64
 	// observedAt is the position of the registry up to which versions has seen it.
@@ -109,7 +111,7 @@
 // observe records which versions are listed now.
 func (r *resumption) observe(now time.Duration) {
 	if table := r.d.table.Load(); table != r.table {
-		r.table, r.lifetime = table, streamLifetime(table)
+		r.table, r.lifetime, r.resumable = table, streamLifetime(table), resumableServices(table)
 	}
 	if r.d.registryConfirmedAt.Load() > 0 && !r.d.registryConfirmed() {
 		r.versions.RecordGap(now)
@@ -172,6 +174,20 @@
 	return longest + resumeGrace + endpointLinger
 }
 
+// resumableServices returns the services of a table's resumable streams.
+func resumableServices(t *routing.Table) map[string]bool {
+	services := make(map[string]bool)
+	for _, route := range t.Document.Routes {
+		if route.Kind != routing.Stream || !route.Resumable {
+			continue
+		}
+		for _, share := range route.Shares {
+			services[share.Service] = true
+		}
+	}
+	return services
+}
+
 // singleVersion returns the only version that can have begun a stream of a service, if that is sure.
 func (r *resumption) singleVersion(now time.Duration, service string) (version string, sure bool) {
 	if r.lifetime == 0 || !r.d.registryConfirmed() {
--- a/entry/stream_log.go
+++ b/entry/stream_log.go
@@ -30,8 +30,12 @@
 	streamLoadTries = 3
 )
 
-// store has the record of a stream written to the store's log. The caller holds the lock.
+// store has the record of a stream written to the store's log, if its service has several versions. The caller
+// holds the lock.
 func (r *resumption) store(now time.Duration, rec resume.Record) {
+	if !r.versions.Several(now, rec.Service, r.lifetime) {
+		return
+	}
 	if r.d.peers.isStoreReader() {
 		r.enqueueRecord(rec)
 		return
--- a/entry/version_marks.go
+++ b/entry/version_marks.go
@@ -19,7 +19,7 @@
 	versionMarkQueueSize = 64
 	// markInterval is how often a mark is written again. It is a fraction of the time for which stores keep
 	// their history.
-	markInterval = 5 * time.Second
+	markInterval = 10 * time.Second
 )
 
 // encodeMark encodes a mark: the quoted version, the era and the offset.
@@ -84,7 +84,7 @@
 	current := marked && mark.Version == version && mark.Era == r.era && now-r.markedAt[service] < markInterval
 	switch {
 	case marked && !r.versions.ListsOnly(service, mark.Version):
-	case sure && !current && r.observedAt.Era == r.era && r.marksService(service):
+	case sure && !current && r.resumable[service] && r.observedAt.Era == r.era && r.marksService(service):
 	default:
 		return
 	}
