--- a/core/cell/stability_test.go
+++ b/core/cell/stability_test.go
@@ -185,6 +185,7 @@
 // places. VMs kept their placer only in failure domains of up to 24 VMs. The test has domains of
 // 11, 49 and 138 VMs without a fault, for ten seconds after the first eight.
 func TestPlacersAreStableInLargeDomains(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ vms, domains, placers int }{{66, 6, 6}, {147, 3, 3}, {138, 1, 3}} {
 		t.Run(fmt.Sprint(c.vms), func(t *testing.T) {
 			is := is.New(t)
@@ -204,6 +205,7 @@
 // the same as in TestPlacersAreStableInLargeDomains. The test has 147 VMs in three failure
 // domains; one placer is lost, and restarts three seconds later.
 func TestLostPlacerMovesOnlyItsMembers(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := newFleet(147, 3)
 	f.run(80)
--- a/core/concurrency/concurrency_test.go
+++ b/core/concurrency/concurrency_test.go
@@ -104,6 +104,7 @@
 
 // Guards against a limit that stays after an endpoint has recovered, whatever its slowdown was.
 func TestLimitGrowsAfterRecovery(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		knee := rapid.IntRange(1, 16).Draw(t, "knee")
 		slow := rapid.SampledFrom([]shape{square(knee), step(knee, 8), linear(knee, 1)}).Draw(t, "shape")
@@ -137,6 +138,7 @@
 // Guards against an endpoint that is limited below one request or not at all: with each shape of
 // slowdown the limit is found within 3 s, and requests of the second half are served.
 func TestLimitsOfAllShapes(t *testing.T) {
+	t.Parallel()
 	for _, c := range playCases {
 		for _, c := range []playCase{c, c.fixed()} {
 			t.Run(c.name, func(t *testing.T) {
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -85,6 +85,7 @@
 // slot that seems free there was taken long ago by VMs of that domain. Load: twice the engines'
 // capacity; before, 0.54 of the value was earned.
 func TestNoSlotTurnsOnStaleLoads(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	var slow []float64
 	for i := range 60 {
--- a/core/dispatch/ejection_test.go
+++ b/core/dispatch/ejection_test.go
@@ -26,6 +26,7 @@
 // for itself, one endpoint in ten fails for eight seconds. Before, 1, 8 and 66 VMs lost 12, 37
 // and 490 requests, and 66 earned 0.82 of the value (0.95 with ejection).
 func TestFastFailingEndpointsAreEjected(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		vms, engines, most int
 	}{{1, 9, 11}, {8, 9, 30}, {66, 60, 200}} {
--- a/core/dispatch/returns_play_test.go
+++ b/core/dispatch/returns_play_test.go
@@ -352,6 +352,7 @@
 // Guards against return times that send callers back while there is no capacity for them, and against a
 // schedule that serves callers worse than the former 0.3 s. Load: waves up to 1.6 times the capacity.
 func TestCallersThatKeepToTheirTimeAreServed(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{1, 3} {
 		for _, l := range returnLoads[2:] {
 			// n is the number of both, tiers and placers.
@@ -372,6 +373,7 @@
 // Guards against callers that gain by returning before their time, and against promises to them that
 // cost other callers their responses.
 func TestCallersThatReturnEarlyGainNothing(t *testing.T) {
+	t.Parallel()
 	const noise = 0.02
 	for _, l := range returnLoads[1:] {
 		on, off := playBoth(atOnce, l.load, 1, 1)
--- a/core/dispatch/shares_play_test.go
+++ b/core/dispatch/shares_play_test.go
@@ -208,6 +208,7 @@
 // with a tenth of it each. It guards against small ones that are refused or late, and against throughput that is
 // lost for them.
 func TestSmallOrganisationsAreServedOnTime(t *testing.T) {
+	t.Parallel()
 	large := demand{1, 2.5 * playCapacity, anyPlacer, 0, forever}
 	atOne := large
 	atOne.placer = 0
@@ -248,6 +249,7 @@
 // TestLentCapacityReturnsWithinASecond guards against an organisation that has to wait for long until what it left to
 // others is its own again.
 func TestLentCapacityReturnsWithinASecond(t *testing.T) {
+	t.Parallel()
 	for _, placer := range []int{0, 1} {
 		for seed := range uint64(4) {
 			p := newSharePlay(seed, 2, 0)
