--- a/core/members/members.go
+++ b/core/members/members.go
@@ -53,11 +53,6 @@
 	Written uint64
 }
 
-// relistGrace is how long after the registry becomes available again an entry that
-// lapsed during the outage may stay missing. The registry promises to list live
-// endpoints again within about two seconds.
-const relistGrace = 2500 * time.Millisecond
-
 // Set is the set of endpoints known to one VM.
 type Set struct {
 	known map[string]*entry
@@ -108,10 +103,6 @@
 	Leaving bool
 }
 
-// backupListWindow is how long after a restore a record whose offset is unknown may come from the
-// backup. The registry drops an endpoint that is silent for three heartbeats.
-const backupListWindow = 10 * time.Second
-
 // maxGoneIDs bounds the ids that are gone in latestBorn, and the tombstones. What is dropped beyond
 // it is older than any late record.
 const maxGoneIDs = 4096
@@ -150,16 +141,6 @@
 // Version returns a number that increases whenever the usable endpoints change.
 func (s *Set) Version() uint64 { return s.version }
 
-// MarkRegistryUnavailable records that the registry cannot be read.
-func (s *Set) MarkRegistryUnavailable() { s.unavailable, s.everUnavailable = true, true }
-
-// MarkRegistryAvailable records that the registry can be read again.
-func (s *Set) MarkRegistryAvailable(now time.Duration) {
-	if s.unavailable {
-		s.unavailable, s.availableSince = false, now
-	}
-}
-
 // Apply applies one record that was written to the registry since the last one. A removal may come
 // twice; only a listed endpoint ends the tombstone of its id.
 func (s *Set) Apply(now time.Duration, c Change) {
@@ -234,40 +215,6 @@
 	s.invalidate()
 }
 
-// MarkRegistryRestored records that the registry was restored from a backup that is some seconds old.
-// The known state takes precedence: an incarnation that is gone stays out though it is listed
-// again, and a live one stays in use though it is missing, until it has had time to be listed again,
-// as after an outage. The restored records must follow through Replace or ApplyRestored.
-func (s *Set) MarkRegistryRestored(now time.Duration) {
-	s.unavailable, s.everUnavailable, s.availableSince = false, true, now
-	s.restoredAt = now
-	s.restores++
-}
-
-// listedByBackup reports whether a record is the backup's of an incarnation that was gone before the
-// last restore. Records that the incarnation has written since then have a later offset.
-func (s *Set) listedByBackup(now time.Duration, c Change) bool {
-	d, ok := s.tombstones[c.ID]
-	if !ok || c.Endpoint == nil || d.key != c.Endpoint.Key() || d.restores == s.restores {
-		return false
-	}
-	if c.Written == 0 {
-		return now < s.restoredAt+backupListWindow
-	}
-	if d.relistedIn != s.restores {
-		d.relistedIn, d.written = s.restores, c.Written
-		s.tombstones[c.ID] = d
-	}
-	return c.Written <= d.written
-}
-
-// ApplyRestored applies a record that may be as old as the backup from which the registry was restored.
-func (s *Set) ApplyRestored(now time.Duration, c Change) {
-	if !s.listedByBackup(now, c) {
-		s.apply(now, c)
-	}
-}
-
 // Replace applies the complete registry: endpoints that are not in list are removed.
 func (s *Set) Replace(now time.Duration, list []Change) {
 	present := make(map[string]bool, len(list))
@@ -284,27 +231,6 @@
 	}
 }
 
-// remove handles an entry that is gone from the registry. During a registry outage
-// entries lapse although the endpoints are alive. Removing them all would leave no
-// endpoint to send requests to, so they stay in use until the registry has had time
-// to list them again.
-func (s *Set) remove(now time.Duration, id string) {
-	e := s.known[id]
-	if e == nil || e.missing {
-		return
-	}
-	if !e.Leaving && s.everUnavailable && (s.unavailable || now < s.availableSince+relistGrace) {
-		e.missing = true
-		s.lapsed[id] = true
-		e.expires = s.availableSince + relistGrace
-		if s.unavailable {
-			e.expires = now + relistGrace
-		}
-		return
-	}
-	s.depart(now, e)
-}
-
 // depart removes an entry whose incarnation is gone.
 func (s *Set) depart(now time.Duration, e *entry) {
 	s.recordDeparture(now, e)
@@ -397,64 +323,6 @@
 	return known != nil && known.Key() == e.Key() && now < known.warmAt
 }
 
-// Expire removes lapsed entries that were not listed again in time. It is called many times a second,
-// with thousands of entries none of which lapsed.
-func (s *Set) Expire(now time.Duration) {
-	for id := range s.lapsed {
-		e := s.known[id]
-		if e == nil || !e.missing {
-			delete(s.lapsed, id)
-			continue
-		}
-		if !s.unavailable && now >= e.expires && now >= s.availableSince+relistGrace {
-			s.depart(now, e)
-		}
-	}
-}
-
-// Missing returns the number of entries that are no longer in the registry and are still in use.
-func (s *Set) Missing() int {
-	n := 0
-	for id := range s.lapsed {
-		if e := s.known[id]; e != nil && e.missing {
-			n++
-		}
-	}
-	return n
-}
-
-// Gone returns the endpoint hashes of the incarnations that were found gone at since or later and
-// have not been listed again.
-func (s *Set) Gone(since time.Duration) []uint64 {
-	var list []uint64
-	for id, t := range s.tombstones {
-		if e := s.known[id]; t.at >= since && (e == nil || e.Key() != t.key) {
-			list = append(list, EndpointHash(t.key))
-		}
-	}
-	return list
-}
-
-// ConfirmGone removes the missing entries of incarnations that another VM has found gone, given by
-// their endpoint hashes, and returns how many. Incarnations that are listed stay in use.
-func (s *Set) ConfirmGone(now time.Duration, hashes []uint64) int {
-	if s.Missing() == 0 {
-		return 0
-	}
-	gone := make(map[uint64]bool, len(hashes))
-	for _, h := range hashes {
-		gone[h] = true
-	}
-	removed := 0
-	for id := range s.lapsed {
-		if e := s.known[id]; e != nil && e.missing && gone[EndpointHash(e.Key())] {
-			s.depart(now, e)
-			removed++
-		}
-	}
-	return removed
-}
-
 func (s *Set) invalidate() {
 	s.version++
 	s.byService, s.byHash = nil, nil
