Sight: what the registry lost while it was not read, and how a departure became known

Logs named how many entries were missing, not what else had changed, when each VM left the endpoint and why, or that a request was sent to one that had left by then. registry_gap, endpoint_departed and sent_after_departure do; causes of departures are checked in the tests of core/members.

--- a/core/members/members.go
+++ b/core/members/members.go
@@ -101,8 +101,26 @@
 	Key string
 	// Leaving is set if it announced that it leaves; otherwise it vanished unannounced.
 	Leaving bool
+	// Cause tells how that became known.
+	Cause Cause
 }
 
+// Cause is how the departure of an endpoint became known.
+type Cause int
+
+// Causes.
+const (
+	// Listed departures were read from the registry.
+	Listed Cause = iota
+	// Lapsed entries stayed missing until relistGrace was over.
+	Lapsed
+	// Confirmed departures were found by another VM.
+	Confirmed
+)
+
+// String implements fmt.Stringer.
+func (c Cause) String() string { return [...]string{"listed", "lapsed", "confirmed"}[c] }
+
 // maxGoneIDs bounds the ids that are gone in latestBorn, and the tombstones. What is dropped beyond
 // it is older than any late record.
 const maxGoneIDs = 4096
@@ -176,7 +194,7 @@
 	switch {
 	case old == nil:
 	case old.Key() != e.Key():
-		s.recordDeparture(now, old)
+		s.recordDeparture(now, old, Listed)
 	case e.Leaving && !old.Leaving:
 		s.departures = append(s.departures, Departure{Key: e.Key(), Leaving: true})
 	}
@@ -232,20 +250,20 @@
 }
 
 // depart removes an entry whose incarnation is gone.
-func (s *Set) depart(now time.Duration, e *entry) {
-	s.recordDeparture(now, e)
+func (s *Set) depart(now time.Duration, e *entry, cause Cause) {
+	s.recordDeparture(now, e, cause)
 	s.drop(e.ID)
 	s.invalidate()
 }
 
 // recordDeparture records that an incarnation is gone. One that was leaving has been reported before.
-func (s *Set) recordDeparture(now time.Duration, e *entry) {
+func (s *Set) recordDeparture(now time.Duration, e *entry, cause Cause) {
 	s.tombstones[e.ID] = tombstone{key: e.Key(), at: now, restores: s.restores}
 	if len(s.tombstones) > maxGoneIDs {
 		clear(s.tombstones)
 	}
 	if !e.Leaving {
-		s.departures = append(s.departures, Departure{Key: e.Key()})
+		s.departures = append(s.departures, Departure{Key: e.Key(), Cause: cause})
 	}
 }
 
--- a/core/members/members_test.go
+++ b/core/members/members_test.go
@@ -107,7 +107,7 @@
 	is.Equal(len(s.TakeDepartures()), 0)
 	s.MarkRegistryAvailable(time.Second)
 	s.Expire(time.Second + relistGrace)
-	is.Equal(s.TakeDepartures(), []Departure{{Key: "restarts@2"}})
+	is.Equal(s.TakeDepartures(), []Departure{{Key: "restarts@2", Cause: Lapsed}})
 }
 
 // Guards against requests sent to endpoints that have left, and none sent to live ones, after the
@@ -225,7 +225,7 @@
 	removed := s.ConfirmGone(time.Second, []uint64{EndpointHash("a"), EndpointHash("c")})
 	is.Equal(removed, 1)
 	is.Equal(ids(s), []string{"b", "c"}) // an entry that is listed stays
-	is.Equal(s.TakeDepartures(), []Departure{{Key: "a"}})
+	is.Equal(s.TakeDepartures(), []Departure{{Key: "a", Cause: Confirmed}})
 	is.Equal(s.Gone(time.Second), []uint64{EndpointHash("a")})
 }
 
--- a/core/members/missing.go
+++ b/core/members/missing.go
@@ -35,7 +35,7 @@
 		}
 		return
 	}
-	s.depart(now, e)
+	s.depart(now, e, Listed)
 }
 
 // Expire removes lapsed entries that were not listed again in time. It is called many times a second,
@@ -48,11 +48,42 @@
 			continue
 		}
 		if !s.unavailable && now >= e.expires && now >= s.availableSince+relistGrace {
-			s.depart(now, e)
+			s.depart(now, e, Lapsed)
 		}
 	}
 }
 
+// Gap compares the entries that were in use before the registry could not be read with those that it lists since.
+type Gap struct {
+	// Kept entries are still listed with their record of before. Rewritten ones have a record written since then:
+	// they may have been removed in between and listed again. Removed ones are not listed.
+	Kept, Rewritten, Removed int
+}
+
+// Gap returns what has changed in the complete registry since the records before the offset known. Endpoints that
+// are leaving are not counted: they write a record of their own accord.
+func (s *Set) Gap(list []Change, known uint64) Gap {
+	listed := make(map[string]Change, len(list))
+	for _, c := range list {
+		listed[c.ID] = c
+	}
+	var g Gap
+	for id, e := range s.known {
+		c := listed[id]
+		switch {
+		case e.Leaving || e.missing:
+		case c.Endpoint == nil:
+			g.Removed++
+		case c.Endpoint.Leaving:
+		case c.Written > 0 && c.Written <= known:
+			g.Kept++
+		default:
+			g.Rewritten++
+		}
+	}
+	return g
+}
+
 // Missing returns the number of entries that are no longer in the registry and are still in use.
 func (s *Set) Missing() int {
 	n := 0
@@ -89,7 +120,7 @@
 	removed := 0
 	for id := range s.lapsed {
 		if e := s.known[id]; e != nil && e.missing && gone[EndpointHash(e.Key())] {
-			s.depart(now, e)
+			s.depart(now, e, Confirmed)
 			removed++
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,7 @@
 
 	"github.com/chivefield/chivefield/core/dispatch"
 	"github.com/chivefield/chivefield/core/mechanism"
+	"github.com/chivefield/chivefield/core/members"
 	"github.com/chivefield/chivefield/core/routing"
 	"github.com/chivefield/chivefield/entry/callerconn"
 	"github.com/chivefield/chivefield/entry/oversize"
@@ -166,7 +167,10 @@
 	d.poison, d.notices = newPoisonGuard(d), newNotices(d)
 	d.rollouts, d.resumption = newRollouts(d), newResumption(d)
 	d.sched.filterUsable = d.rollouts.usableEndpoints
-	d.sched.onDepartures = d.poison.RecordDepartures
+	d.sched.onDepartures = func(list []members.Departure) {
+		d.poison.RecordDepartures(list)
+		d.logDepartures(list)
+	}
 	d.sched.setPlacer(d.settings.Listen.Peers, false)
 	d.peers = newPeers(d)
 	d.departures = newDepartureChecker(d)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -283,6 +283,10 @@
 	if s != nil {
 		s.version = version
 	}
+	if !c.d.sched.isServing(ep) {
+		c.d.count("sent_after_departure")
+		c.d.log.Info().Str("request", c.reqHeaders.ID).Str("endpoint", ep.ID).Str("by", dec.DecidedBy).Msg("sent_after_departure")
+	}
 	tracked, ok := c.d.rollouts.beginAttempt(c, ep, c.canary)
 	if !ok {
 		return attemptResult{outcome: dispatch.CallerDisconnected, versionBlocked: true}
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -230,6 +230,7 @@
 // applyEndpoints applies what was read of the registry and returns the indexes of the records that
 // changed something.
 func (d *Daemon) applyEndpoints(got readResult, next Position) (changed []int) {
+	before := d.sched.membersPosition()
 	d.departures.recordGap()
 	d.registry.apply(got.records, got.full, next)
 	changes := make([]members.Change, 0, len(got.records))
@@ -239,6 +240,9 @@
 		c.Written = r.wireOffset(next.Era)
 		changes = append(changes, c)
 	}
+	if got.full && !got.restored {
+		d.logRegistryGap(changes, before)
+	}
 	var logged []members.Change
 	var missing int
 	d.sched.updateMembers(func(now time.Duration, m *members.Set) {
@@ -280,6 +284,16 @@
 	return changed
 }
 
+// logRegistryGap logs what changed in the registry, up to a position known, while this VM could not read it.
+func (d *Daemon) logRegistryGap(changes []members.Change, known Position) {
+	confirmedAt := time.Duration(d.registryConfirmedAt.Load())
+	if confirmedAt == 0 || d.registryConfirmed() {
+		return
+	}
+	g := d.sched.registryGap(changes, known.Offset)
+	d.log.Info().Dur("unread_for", d.now()-confirmedAt).Int("kept", g.Kept).Int("rewritten", g.Rewritten).Int("removed", g.Removed).Msg("registry_gap")
+}
+
 // maxUnreadable limits the keys whose decoding error is remembered. Each error is logged once and
 // not at every read.
 const maxUnreadable = 256
@@ -306,6 +320,15 @@
 	maxLoggedIDs    = 64
 )
 
+// logDepartures logs the departures that no record of the registry told, up to maxLoggedIDs of them.
+func (d *Daemon) logDepartures(list []members.Departure) {
+	for _, dep := range list[:min(len(list), maxLoggedIDs)] {
+		if dep.Cause != members.Listed {
+			d.log.Info().Str("endpoint", dep.Key).Stringer("cause", dep.Cause).Msg("endpoint_departed")
+		}
+	}
+}
+
 func (d *Daemon) logEndpointChanges(changes []members.Change) {
 	if len(changes) > maxLoggedSingly {
 		d.logEndpointSummary(changes)
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -334,6 +334,13 @@
 	return s.members.Versions(), now, s.membersAt
 }
 
+// membersPosition returns the position of the registry up to which changes were applied.
+func (s *sharedScheduler) membersPosition() Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.membersAt
+}
+
 // setMembersPosition records the position of the registry up to which changes were applied.
 func (s *sharedScheduler) setMembersPosition(at Position) {
 	s.mu.Lock()
