Registry: a VM tells a lost path from an outage by the entries that were kept

Cause: a VM that could not read the registry keeps the entries that it misses for 2.5 s from its own first good read, as if the store had been away, unless another VM saw the endpoint leave. Where none did, all wait. Each later failed read, of whatever cause, began the wait anew.

The first read after a loss thus shows which it was: with twice as many entries kept as they were as removed or rewritten, those that are missing have left and go at once. Otherwise the wait is as before, also where entries lapse only after the first read. A wait that runs is renewed only by an outage. Relayed records say their offsets, so that a VM that gets the registry from another can judge too.

Why it holds: what is counted is in the registry itself, the same for all VMs, and needs no other VM and no clock.

--- a/core/members/leave_test.go
+++ b/core/members/leave_test.go
@@ -39,7 +39,7 @@
 			case 0:
 				s.MarkRegistryUnavailable()
 			case 1:
-				s.MarkRegistryAvailable(now)
+				s.MarkRegistryAvailable(now, 0)
 			case 2:
 				s.MarkRegistryRestored(now)
 			case 3:
--- a/core/members/members.go
+++ b/core/members/members.go
@@ -60,12 +60,14 @@
 	versionCounts map[string]map[string]int
 	// lapsed are the ids of entries that were missing at some time since they were last looked at.
 	lapsed map[string]bool
-	// unavailable is set while the registry cannot be read, availableSince is when it last
-	// became readable again. Lapsed entries are kept until relistGrace after that.
-	unavailable     bool
-	availableSince  time.Duration
-	everUnavailable bool
-	byService       map[string][]*Endpoint
+	// unavailable is set while the registry cannot be read, graceEnd is relistGrace after it last became
+	// readable again. Until then entries that are removed stay in use with keepRemoved, which depends on
+	// what is read of the gap.
+	unavailable bool
+	graceEnd    time.Duration
+	keepRemoved bool
+	gap         gap
+	byService   map[string][]*Endpoint
 	// byHash maps endpoint hashes to the known incarnations; nil after a change.
 	byHash  map[uint64]*Endpoint
 	version uint64
@@ -112,6 +114,8 @@
 const (
 	// Listed departures were read from the registry.
 	Listed Cause = iota
+	// Unseen departures happened while the registry could not be read.
+	Unseen
 	// Lapsed entries stayed missing until relistGrace was over.
 	Lapsed
 	// Confirmed departures were found by another VM.
@@ -119,7 +123,7 @@
 )
 
 // String implements fmt.Stringer.
-func (c Cause) String() string { return [...]string{"listed", "lapsed", "confirmed"}[c] }
+func (c Cause) String() string { return [...]string{"listed", "unseen", "lapsed", "confirmed"}[c] }
 
 // maxGoneIDs bounds the ids that are gone in latestBorn, and the tombstones. What is dropped beyond
 // it is older than any late record.
--- a/core/members/missing.go
+++ b/core/members/missing.go
@@ -8,13 +8,18 @@
 const relistGrace = 2500 * time.Millisecond
 
 // MarkRegistryUnavailable records that the registry cannot be read.
-func (s *Set) MarkRegistryUnavailable() { s.unavailable, s.everUnavailable = true, true }
+func (s *Set) MarkRegistryUnavailable() { s.unavailable, s.keepRemoved = true, true }
 
-// MarkRegistryAvailable records that the registry can be read again.
-func (s *Set) MarkRegistryAvailable(now time.Duration) {
-	if s.unavailable {
-		s.unavailable, s.availableSince = false, now
+// MarkRegistryAvailable records that the registry can be read again. The records before the offset
+// known were applied before.
+func (s *Set) MarkRegistryAvailable(now time.Duration, known uint64) {
+	if !s.unavailable {
+		return
 	}
+	s.unavailable = false
+	s.graceEnd = now + relistGrace
+	s.gap = gap{known: known, changed: make(map[string]change)}
+	s.keepRemoved = true
 }
 
 // remove handles an entry that is gone from the registry. During a registry outage
@@ -26,16 +31,21 @@
 	if e == nil || e.missing {
 		return
 	}
-	if !e.Leaving && s.everUnavailable && (s.unavailable || now < s.availableSince+relistGrace) {
+	inGrace := s.unavailable || now < s.graceEnd
+	if !e.Leaving && inGrace && s.keepRemoved {
 		e.missing = true
 		s.lapsed[id] = true
-		e.expires = s.availableSince + relistGrace
+		e.expires = s.graceEnd
 		if s.unavailable {
 			e.expires = now + relistGrace
 		}
 		return
 	}
-	s.depart(now, e, Listed)
+	cause := Listed
+	if inGrace {
+		cause = Unseen
+	}
+	s.depart(now, e, cause)
 }
 
 // Expire removes lapsed entries that were not listed again in time. It is called many times a second,
@@ -47,43 +57,12 @@
 			delete(s.lapsed, id)
 			continue
 		}
-		if !s.unavailable && now >= e.expires && now >= s.availableSince+relistGrace {
+		if !s.unavailable && now >= e.expires {
 			s.depart(now, e, Lapsed)
 		}
 	}
 }
 
-// Gap compares the entries that were in use before the registry could not be read with those that it lists since.
-type Gap struct {
-	// Kept entries are still listed with their record of before. Rewritten ones have a record written since then:
-	// they may have been removed in between and listed again. Removed ones are not listed.
-	Kept, Rewritten, Removed int
-}
-
-// Gap returns what has changed in the complete registry since the records before the offset known. Endpoints that
-// are leaving are not counted: they write a record of their own accord.
-func (s *Set) Gap(list []Change, known uint64) Gap {
-	listed := make(map[string]Change, len(list))
-	for _, c := range list {
-		listed[c.ID] = c
-	}
-	var g Gap
-	for id, e := range s.known {
-		c := listed[id]
-		switch {
-		case e.Leaving || e.missing:
-		case c.Endpoint == nil:
-			g.Removed++
-		case c.Endpoint.Leaving:
-		case c.Written > 0 && c.Written <= known:
-			g.Kept++
-		default:
-			g.Rewritten++
-		}
-	}
-	return g
-}
-
 // Missing returns the number of entries that are no longer in the registry and are still in use.
 func (s *Set) Missing() int {
 	n := 0
--- a/core/members/restored.go
+++ b/core/members/restored.go
@@ -11,7 +11,8 @@
 // again, and a live one stays in use though it is missing, until it has had time to be listed again,
 // as after an outage. The restored records must follow through Replace or ApplyRestored.
 func (s *Set) MarkRegistryRestored(now time.Duration) {
-	s.unavailable, s.everUnavailable, s.availableSince = false, true, now
+	s.unavailable, s.graceEnd, s.keepRemoved = false, now+relistGrace, true
+	s.gap = gap{}
 	s.restoredAt = now
 	s.restores++
 }
--- a/core/members/versions_test.go
+++ b/core/members/versions_test.go
@@ -29,7 +29,7 @@
 			case 5:
 				s.MarkRegistryUnavailable()
 			case 6:
-				s.MarkRegistryAvailable(now)
+				s.MarkRegistryAvailable(now, 0)
 			default:
 				s.Expire(now)
 			}
--- a/entry/departures.go
+++ b/entry/departures.go
@@ -114,13 +114,6 @@
 	return s.members.Missing()
 }
 
-// registryGap returns what has changed in the registry since the records before the offset known.
-func (s *sharedScheduler) registryGap(list []members.Change, known uint64) members.Gap {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.members.Gap(list, known)
-}
-
 // goneEndpoints returns the hashes of the incarnations that this VM found gone within some time.
 func (s *sharedScheduler) goneEndpoints(within time.Duration) []uint64 {
 	s.mu.Lock()
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -230,7 +230,7 @@
 // applyEndpoints applies what was read of the registry and returns the indexes of the records that
 // changed something.
 func (d *Daemon) applyEndpoints(got readResult, next Position) (changed []int) {
-	before := d.sched.membersPosition()
+	before, unreadFor := d.sched.membersPosition(), d.now()-time.Duration(d.registryConfirmedAt.Load())
 	d.departures.recordGap()
 	d.registry.apply(got.records, got.full, next)
 	changes := make([]members.Change, 0, len(got.records))
@@ -240,16 +240,15 @@
 		c.Written = r.wireOffset(next.Era)
 		changes = append(changes, c)
 	}
-	if got.full && !got.restored {
-		d.logRegistryGap(changes, before)
-	}
 	var logged []members.Change
 	var missing int
+	var gap members.Gap
 	d.sched.updateMembers(func(now time.Duration, m *members.Set) {
-		m.MarkRegistryAvailable(now)
+		m.MarkRegistryAvailable(now, before.Offset)
 		if got.restored {
 			m.MarkRegistryRestored(now)
 		}
+		gap = m.JudgeGap(now, changes, got.full)
 		if got.full {
 			m.Replace(now, changes)
 			missing = m.Missing()
@@ -270,6 +269,7 @@
 		missing = m.Missing()
 	})
 	d.sched.setMembersPosition(next)
+	d.logRegistryGap(gap, unreadFor)
 	if missing > 0 {
 		d.log.Info().Int("endpoints", missing).Msg("endpoints_missing")
 		d.departures.notify()
@@ -284,14 +284,11 @@
 	return changed
 }
 
-// logRegistryGap logs what changed in the registry, up to a position known, while this VM could not read it.
-func (d *Daemon) logRegistryGap(changes []members.Change, known Position) {
-	confirmedAt := time.Duration(d.registryConfirmedAt.Load())
-	if confirmedAt == 0 || d.registryConfirmed() {
-		return
+// logRegistryGap logs what changed in the registry while this VM could not read it.
+func (d *Daemon) logRegistryGap(g members.Gap, unreadFor time.Duration) {
+	if g.Rewritten+g.Removed > 0 {
+		d.log.Info().Dur("unread_for", unreadFor).Int("kept", g.Kept).Int("rewritten", g.Rewritten).Int("removed", g.Removed).Msg("registry_gap")
 	}
-	g := d.sched.registryGap(changes, known.Offset)
-	d.log.Info().Dur("unread_for", d.now()-confirmedAt).Int("kept", g.Kept).Int("rewritten", g.Rewritten).Int("removed", g.Removed).Msg("registry_gap")
 }
 
 // maxUnreadable limits the keys whose decoding error is remembered. Each error is logged once and
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -211,7 +211,7 @@
 			size = 0
 		}
 		size += len(r.Key) + len(r.Value)
-		part.Records = append(part.Records, &schema.StoreRecord{Key: r.Key, Value: r.Value})
+		part.Records = append(part.Records, &schema.StoreRecord{Key: r.Key, Value: r.Value, Written: from + uint64(i) + 1})
 	}
 	part.Next = next.Offset
 	return parts
