Forwarding: a request is not sent to an endpoint that has left since it was placed

A request could be sent to an endpoint that this VM knew to have left: placement was the last time that anything looked, and a connection, a wait for the retry budget or a pause of the VM come between it and the send.

Change: the last thing before the first byte is to ask whether the endpoint is still listed and not leaving. A request that is withdrawn keeps its attempts and its retry, and is placed again; the connection is kept.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -36,8 +36,9 @@
 	// the request.
 	connectionLost bool
 	// blocked is set if the request was not sent because it terminates endpoints, versionBlocked
-	// if it was not sent because the endpoint's version is not allowed for it.
-	blocked, versionBlocked bool
+	// if it was not sent because the endpoint's version is not allowed for it, departed if it was not sent
+	// because the endpoint has left.
+	blocked, versionBlocked, departed bool
 	// undecided is set if the response to the next attempt tells whether this one failed.
 	undecided bool
 	// status is that of a response that was sent whole to the caller.
@@ -81,7 +82,7 @@
 			c.fail(s, reasonEndsEndpoints, 0)
 			return
 		}
-		if last.versionBlocked && try < maxRetries {
+		if (last.versionBlocked || last.departed) && try < maxRetries {
 			c.avoided = append(c.avoided, dispatch.EndpointHash(dec.Endpoint.Key()))
 			continue
 		}
@@ -273,7 +274,7 @@
 	req := &upstream.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: c.upstreamHeaders(ep, lastID),
 		Body: c.body, HasBody: c.r.ContentLength != 0 || c.r.Header.Get("Content-Length") != "",
-		Matches: c.ownsResponse,
+		Matches: c.ownsResponse, Allowed: func() bool { return c.d.sched.isServing(ep) },
 	}
 	version := c.d.sched.listedVersion(ep)
 	if !c.mayRunAt(version) {
@@ -283,10 +284,6 @@
 	if s != nil {
 		s.version = version
 	}
-	if !c.d.sched.isServing(ep) {
-		c.d.count("sent_after_departure")
-		c.d.log.Info().Str("request", c.reqHeaders.ID).Str("endpoint", ep.ID).Str("by", dec.DecidedBy).Msg("sent_after_departure")
-	}
 	tracked, ok := c.d.rollouts.beginAttempt(c, ep, c.canary)
 	if !ok {
 		return attemptResult{outcome: dispatch.CallerDisconnected, versionBlocked: true}
@@ -346,6 +343,12 @@
 	ep := p.dec.Endpoint
 	resp, err := c.send(ctx, p)
 	var ex *upstream.ExchangeError
+	var withdrawn *upstream.WithdrawnError
+	if errors.As(err, &withdrawn) {
+		c.d.count("departed_before_send")
+		c.d.log.Info().Str("request", c.reqHeaders.ID).Str("endpoint", ep.ID).Str("by", p.dec.DecidedBy).Msg("departed_before_send")
+		return attemptResult{outcome: dispatch.CallerDisconnected, departed: true, err: err}
+	}
 	if errors.As(err, &ex) && ex.Stage == upstream.NotSent {
 		if requestCtx.Err() != nil {
 			return attemptResult{outcome: dispatch.CallerDisconnected, err: err}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -81,6 +81,12 @@
 	return fmt.Sprintf("received %d responses to other requests", e.Count)
 }
 
+// WithdrawnError reports a request that was not sent because it was no longer allowed.
+type WithdrawnError struct{}
+
+// Error implements error.
+func (e *WithdrawnError) Error() string { return "the request is no longer allowed there" }
+
 // Request is a request that is sent unchanged.
 type Request struct {
 	Method, Target, Host string
@@ -90,6 +96,8 @@
 	HasBody bool
 	// Progress is called as parts of a large body have been written; nil if nobody needs to know.
 	Progress func()
+	// Allowed reports, once there is a connection, whether the request may still be sent; nil if it always may.
+	Allowed func() bool
 	// Matches reports whether a response belongs to this request. reused tells whether the connection had
 	// served other requests before, to one of which the response may belong.
 	Matches func(resp *http.Response, reused bool) bool
@@ -164,6 +172,10 @@
 
 // send sends a request on a connection, which it closes if there is no response.
 func (p *Pool) send(ctx context.Context, c *conn, address string, r *Request) (*Response, error) {
+	if r.Allowed != nil && !r.Allowed() {
+		p.keep(c)
+		return nil, &ExchangeError{Address: address, Stage: NotSent, Err: &WithdrawnError{}}
+	}
 	stop := context.AfterFunc(ctx, c.abandon)
 	resp, err := c.exchange(r)
 	if err != nil {
