Registry: a copy from another VM is not older than what this VM has read

A VM whose read failed, and that then heard a late relay of a VM that lags, fetched that VM's copy and took it: an endpoint that it had seen leave was listed as ready again and got requests until the next read.

Cause: the copy had to be as new as the relay, not as new as what this VM had read. It has to be both now; without such a copy the store is read.

Measured: TestOlderCopyOfRegistryIsNotApplied failed before (the endpoint was used again), passes now; tests of entry pass.

--- a/entry/registry.go
+++ b/entry/registry.go
@@ -187,9 +187,13 @@
 	if !d.registryReadFailed(d.now()) {
 		return false
 	}
+	// A sender that lags has a copy in which endpoints are listed that this VM has seen leave.
+	if next.Before(c.next) {
+		next = c.next
+	}
 	records, fetched, err := d.peers.fetchEndpoints(ctx, next, r.from)
 	if err != nil {
-		d.log.Info().Str("from", r.from).Uint64("era", next.Era).Uint64("offset", r.Next).Err(err).Msg("registry_fetch_failed")
+		d.log.Info().Str("from", r.from).Uint64("era", next.Era).Uint64("offset", next.Offset).Err(err).Msg("registry_fetch_failed")
 		return c.known
 	}
 	d.applyFetched(c, records, fetched)
