--- a/history/deployment.go
+++ b/history/deployment.go
@@ -224,9 +224,7 @@
 		c.addViolation(Unsolicited, r.ID, "reached %s but was never sent by a caller", r.Endpoint)
 		return
 	}
-	if at, ok := c.LeftAt[r.Endpoint]; ok && r.From > at+c.DrainWithin && c.undisturbed(req.VM, Span{at, r.From}) {
-		c.addViolation(Drained, r.ID, "reached %s from %s %v after the store recorded that it is leaving", r.Endpoint, req.VM, r.From-at)
-	}
+	c.checkDeparture(req, r)
 }
 
 func (c *deploymentCheck) checkRun(r *Run) {
