--- a/core/members/gap.go
+++ b/core/members/gap.go
@@ -33,9 +33,9 @@
 // that were kept are listed by the same record as before.
 type Gap struct{ Kept, Rewritten, Removed int }
 
-// keptPerChange is how many entries must have been kept for each that was removed or rewritten, so that
-// it was no outage. An outage that is just long enough for the first entries to lapse takes no more than
-// that of the live endpoints.
+// keptPerChange is how many kept entries for each removed or rewritten one rule out an outage. It bounds the
+// price of an outage that ends as the first entries have lapsed: a third of the live endpoints may be left
+// until they are listed again.
 const keptPerChange = 2
 
 // outage reports whether the registry must be taken to have been away.
