Callers: heads are read in their bytes, and what they take is summed over the VM

What callers saw: 180 callers with heads of legal size made of short lines, or with heads without end, ended a VM: 51 to 222 MB in a process whose VM has 48.

Cause: net/http puts each line into a map as it comes, where a line of three to five bytes takes some 250; the limit (64 KB whatever the operator's) counted bytes, the operator's was checked on the map with a size that is not that on the wire. The map was kept while the body came and while endpoints worked, copied for each attempt, and nothing summed it. Trailers were kept in the same form.

Change: a connection reads a head in the bytes in which it comes, checks its size on the wire against the operator's limit and its time against the operator's, and gives it to net/http once it is whole and there is memory for its parsed form; bytes behind it wait until the request has ended. The handler keeps the header lines in their bytes, one copy for all attempts. A tenth of the memory bounds all of that together; heads up to 4 KB and 64 lines are not counted. Without memory for half a second the answer is 503, before the request was handled. Trailers are dropped. The reading of bodies moves to a file of its own.

Why it holds: no form of a head is larger than its bytes but between its parsing and the handler's first step, in which nothing waits.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -52,10 +49,15 @@
 	w          http.ResponseWriter
 	r          *http.Request
 	reqHeaders RequestHeaders
-	route      *routing.Route
-	org        *routing.Organisation
-	service    string
-	body       []byte
+	// fields are the header lines that every endpoint gets as the caller sent them. They take the place of the
+	// request's header, which takes many times their bytes where its lines are short.
+	fields []byte
+	// hasBody is set if the caller announced a body, even an empty one.
+	hasBody bool
+	route   *routing.Route
+	org     *routing.Organisation
+	service string
+	body    []byte
 	// suspect is what VMs know the request by if endpoints terminate under it, admission lets it run
 	// until it is convicted of that.
 	suspect   suspect.Request
@@ -121,6 +123,10 @@
 		d.log.Error().Err(err).Msg("write_deadline_failed")
 	}
 	c := &callerRequest{d: d, w: w, r: r, arrived: time.Now(), reqHeaders: d.codec.ParseRequest(r.Header)}
+	if denied := c.replaceHeader(); denied != nil {
+		c.refuse(*denied)
+		return
+	}
 	if denied := c.admit(); denied != nil {
 		c.refuse(*denied)
 		return
@@ -157,9 +163,6 @@
 		return &refusal{http.StatusServiceUnavailable, "no_configuration", startupRetryAfter}
 	}
 	limits := t.Document.Limits
-	if limits.MaxHeaderBytes > 0 && headerSize(c.r) > limits.MaxHeaderBytes {
-		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header_too_large"}
-	}
 	if !strings.HasPrefix(c.r.RequestURI, "/") {
 		return &refusal{status: http.StatusBadRequest, reason: "bad_target"}
 	}
@@ -219,93 +222,6 @@
 	c.deadline = c.arrived.Add(timeout)
 }
 
-// headerSize returns the size of the request line and headers in bytes.
-func headerSize(r *http.Request) int {
-	n := len(r.RequestURI) + len(r.Host)
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + len(": \r\n")
-		}
-	}
-	return n
-}
-
-// readBody reads the whole body before the request is forwarded, so that it can be resent, and so
-// that a caller that stops sending halfway does not occupy an endpoint.
-func (c *callerRequest) readBody(maxBytes int) *refusal {
-	if c.r.Body == nil || c.r.ContentLength == 0 {
-		return nil
-	}
-	if maxBytes <= 0 {
-		maxBytes = math.MaxInt32
-	}
-	if c.r.ContentLength > int64(maxBytes) {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
-	}
-	if n := c.r.ContentLength; n > 0 {
-		if !c.reserveBody(n) {
-			return &refusal{http.StatusServiceUnavailable, "no_memory", startupRetryAfter}
-		}
-		c.body = make([]byte, n)
-		if _, err := io.ReadFull(c.r.Body, c.body); err != nil {
-			return c.refuseBrokenBody(err)
-		}
-		return nil
-	}
-	body, err := io.ReadAll(&reservingReader{r: http.MaxBytesReader(c.w, c.r.Body, int64(maxBytes)), c: c})
-	var tooLarge *http.MaxBytesError
-	var noMemory *BodyMemoryError
-	switch {
-	case errors.As(err, &tooLarge):
-		c.releaseBody()
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
-	case errors.As(err, &noMemory):
-		c.releaseBody()
-		return &refusal{http.StatusServiceUnavailable, "no_memory", startupRetryAfter}
-	case err != nil:
-		return c.refuseBrokenBody(err)
-	}
-	c.body = body
-	return nil
-}
-
-// reservingReader reserves memory for the body of a request as it arrives: many callers may send bodies of unstated
-// lengths at once.
-type reservingReader struct {
-	r io.Reader
-	c *callerRequest
-}
-
-// Read implements io.Reader. Without memory it returns a *BodyMemoryError.
-func (b *reservingReader) Read(p []byte) (int, error) {
-	n, err := b.r.Read(p)
-	if n > 0 && !b.c.reserveBody(int64(n)) {
-		return 0, &BodyMemoryError{Bytes: b.c.reservedBytes}
-	}
-	return n, err
-}
-
-// reserveBody reserves memory for a part of the body, and reports whether there was enough.
-func (c *callerRequest) reserveBody(n int64) bool {
-	if !c.d.bodyMemory.reserve(c.service, n, len(c.d.table.Load().Document.Services) == 1) {
-		return false
-	}
-	c.reservedBytes += n
-	return true
-}
-
-// releaseBody gives the memory back that was reserved for a body that is not kept.
-func (c *callerRequest) releaseBody() {
-	c.d.bodyMemory.release(c.service, c.reservedBytes)
-	c.reservedBytes = 0
-}
-
-func (c *callerRequest) refuseBrokenBody(err error) *refusal {
-	c.releaseBody()
-	c.d.log.Info().Str("request", c.reqHeaders.ID).Err(err).Msg("body_broken")
-	return &refusal{status: http.StatusBadRequest, reason: "body_broken"}
-}
-
 // chargeAllowance charges the request to its organisation's allowance.
 func (c *callerRequest) chargeAllowance(ctx context.Context) *refusal {
 	if c.org == nil {
@@ -441,29 +357,3 @@
 	}
 	return e.Str("by", dec.DecidedBy).Int("candidates", dec.Candidates).Int("reachable", dec.Reachable).Int("waiting", dec.Waiting).Bool("promised", dec.Promised)
 }
-
-const (
-	// drainBytes and drainTimeout bound how much of the body of a refused request is read.
-	drainBytes   = 256 << 10
-	drainTimeout = time.Second
-)
-
-// drainBody reads the remaining body of a refused request. Closing a connection on which data is
-// still arriving resets it and discards the response: the caller would see a broken connection
-// instead of a status.
-func (c *callerRequest) drainBody() {
-	if c.body != nil || c.r.ContentLength == 0 || c.r.Body == nil {
-		return
-	}
-	rc := http.NewResponseController(c.w)
-	if err := rc.SetReadDeadline(time.Now().Add(drainTimeout)); err != nil {
-		return
-	}
-	if _, err := io.CopyN(io.Discard, c.r.Body, drainBytes); err == nil {
-		// More of the body is left; the server closes the connection.
-		c.w.Header().Set("Connection", "close")
-	}
-	if err := rc.SetReadDeadline(time.Time{}); err != nil {
-		c.d.log.Warn().Str("request", c.reqHeaders.ID).Err(err).Msg("read_deadline_kept")
-	}
-}
--- a/entry/callerconn/conn.go
+++ b/entry/callerconn/conn.go
@@ -13,6 +13,13 @@
 	net.Conn
 	closed atomic.Bool
 	pool   *Pool
+	reader requestReader
+	// request is what the present request's head takes of the memory for heads, in the handler's form.
+	request atomic.Int64
+	// bodyReceived is how much of the present body has come, in bytes.
+	bodyReceived atomic.Int64
+	// waiting is what the pool knows of the connection; nil while a whole request of it is handled.
+	waiting *waitingConn
 }
 
 // Close implements net.Conn.
--- a/entry/callerconn/conn_test.go
+++ b/entry/callerconn/conn_test.go
@@ -15,7 +15,7 @@
 	is := is.New(t)
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	l := NewPool(1, zerolog.Nop(), func(string) {}).Listen(tcp)
+	l := NewPool(1, NewHeadMemory(1<<20), zerolog.Nop(), func(string) {}).Listen(tcp)
 	defer func() { _ = l.Close() }()
 	peer, err := net.Dial("tcp", l.Addr().String())
 	is.NoErr(err)
--- a/entry/callerconn/pool_test.go
+++ b/entry/callerconn/pool_test.go
@@ -26,7 +26,7 @@
 func newPoolServer(t *testing.T, maxConns int) *poolServer {
 	t.Helper()
 	s := &poolServer{I: is.New(t), hold: make(chan struct{}), holding: make(chan struct{}, maxConns)}
-	s.pool = NewPool(maxConns, zerolog.Nop(), func(name string) {
+	s.pool = NewPool(maxConns, NewHeadMemory(1<<20), zerolog.Nop(), func(name string) {
 		if name == "callers_idle_closed" {
 			s.idleClosed.Add(1)
 		} else {
--- a/entry/config.go
+++ b/entry/config.go
@@ -104,6 +104,7 @@
 	d.shares.setTable(t)
 	d.sched.setTable(t)
 	d.callerConns.SetIdleTimeout(doc.Limits.IdleTimeout)
+	d.callerConns.SetHeadLimits(doc.Limits.MaxHeaderBytes, doc.Limits.HeaderTimeout)
 	d.table.Store(t)
 	d.longResponses.Retain(t.HasRoute)
 	d.markInitialised()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -125,11 +126,10 @@
 	// all VMs.
 	maxIdlePerEndpoint = 16
 	sweepInterval      = time.Second
-	// headerTimeout limits the time to read a request's headers. The operator's timeout, which
-	// callers keep to, is shorter.
+	// headerTimeout limits the time to read the headers of a request of the load balancer or another VM.
 	headerTimeout = 10 * time.Second
-	// maxHeaderBytes limits memory use; the operator's own limit is checked later.
-	maxHeaderBytes = 64 << 10
+	// headMemoryShare is the share of the memory limit that the heads of all callers' requests together may use.
+	headMemoryShare = 0.1
 	// bodyMemoryShare is the share of the memory limit that all request bodies together may use.
 	bodyMemoryShare = 0.2
 )
@@ -153,7 +153,8 @@
 	d.pool = upstream.NewPool(d.link.dial, maxIdlePerEndpoint)
 	d.pool.UseCarried = d.link.failed
 	limits := d.settings.Limits
-	d.callerConns = callerconn.NewPool(callerconn.MaxConns(int64(limits.MemoryMb)<<20, int(limits.MaxDescriptors)), d.log, d.count)
+	headMemory := callerconn.NewHeadMemory(int64(float64(limits.MemoryMb) * headMemoryShare * (1 << 20)))
+	d.callerConns = callerconn.NewPool(callerconn.MaxConns(int64(limits.MemoryMb)<<20, int(limits.MaxDescriptors)), headMemory, d.log, d.count)
 	d.bodyMemory = newBodyMemory(int64(float64(d.settings.Limits.MemoryMb) * bodyMemoryShare * (1 << 20)))
 	d.responseMemory = newMemoryBudget(int64(float64(d.settings.Limits.MemoryMb) * responseMemoryShare * (1 << 20)))
 	d.longResponses = oversize.NewHistory()
@@ -202,8 +203,9 @@
 	defer stop()
 	group, workCtx := errgroup.WithContext(workCtx)
 	callersServer := &http.Server{
-		Handler: http.HandlerFunc(d.serveCaller), ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnState: d.callerConns.ConnState, ConnContext: callerconn.NewContext, ErrorLog: nil,
+		Handler: http.HandlerFunc(d.serveCaller), ConnState: d.callerConns.ConnState, ConnContext: callerconn.NewContext, ErrorLog: nil,
+		// The connections themselves limit the size of a head, and the time that it takes.
+		MaxHeaderBytes: math.MaxInt32,
 	}
 	d.serve(group, workCtx, callersServer, d.callerConns.Listen(callersListener))
 	d.serve(group, workCtx, &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxPeerHeadBytes}, readyListener)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -229,10 +229,9 @@
 	return strings.Join(ids[:min(len(ids), maxLoggedParts)], ",")
 }
 
-// upstreamHeaders returns the request headers for an endpoint.
+// upstreamHeaders returns the request headers that differ between endpoints.
 func (c *callerRequest) upstreamHeaders(ep *members.Endpoint, lastEventID string) http.Header {
-	h := c.r.Header.Clone()
-	removeHopHeaders(h)
+	h := make(http.Header)
 	o := UpstreamHeaders{Endpoint: ep.ID, Timeout: time.Until(c.deadline), LastEventID: lastEventID}
 	if c.org != nil {
 		o.Organisation = c.org.Name
@@ -272,8 +271,8 @@
 		lastID = s.lastEventID
 	}
 	req := &upstream.Request{
-		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: c.upstreamHeaders(ep, lastID),
-		Body: c.body, HasBody: c.r.ContentLength != 0 || c.r.Header.Get("Content-Length") != "",
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Fields: c.fields, Header: c.upstreamHeaders(ep, lastID),
+		Body: c.body, HasBody: c.hasBody,
 		Matches: c.ownsResponse, Allowed: func() bool { return c.d.sched.isServing(ep) },
 	}
 	version := c.d.sched.listedVersion(ep)
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -87,6 +87,9 @@
 // Codec converts between the wire format and the types of this package.
 type Codec interface {
 	ParseRequest(h http.Header) RequestHeaders
+	// RemoveOwnHeaders removes the headers of a caller's request that no endpoint gets as the caller sent them.
+	RemoveOwnHeaders(h http.Header)
+	// SetUpstreamHeaders sets the headers that the system adds to a request to an endpoint.
 	SetUpstreamHeaders(h http.Header, o UpstreamHeaders)
 	ParseResponse(resp *http.Response) ResponseHeaders
 	// SetRefusalHeaders sets the headers of a response that the VM itself sends for a request.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -90,8 +90,10 @@
 // Request is a request that is sent unchanged.
 type Request struct {
 	Method, Target, Host string
-	Header               http.Header
-	Body                 []byte
+	// Fields are header lines that are sent as they are, each with its line end, beside those of Header.
+	Fields []byte
+	Header http.Header
+	Body   []byte
 	// HasBody reports whether the request has a body, even an empty one.
 	HasBody bool
 	// Progress is called as parts of a large body have been written; nil if nobody needs to know.
@@ -361,6 +363,7 @@
 	if r.HasBody || len(r.Body) > 0 {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
+	b.Write(r.Fields)
 	_ = r.Header.Write(&b)
 	b.WriteString("\r\n")
 	return []byte(b.String())
