Callers: connections without a whole request yield their places

Cause: a full pool closed connections that were idle after a request; a new one, one amid its head or amid its body was not idle.

Where a new connection finds no place, one beyond that is closed, the one that has waited for longest first; idle ones come after them, since they belong to callers that were served. Where a head finds no memory, those that hold some and are beyond it are closed. A connection that waits for this VM's memory is not counted as waiting for its caller.

--- a/entry/callerconn/pool.go
+++ b/entry/callerconn/pool.go
@@ -41,9 +41,9 @@
 // DefaultHeadTimeout limits the time in which a head comes while there is no configuration.
 const DefaultHeadTimeout = 10 * time.Second
 
-// Pool holds the open connections of callers. If there are too many, a new one takes the place of the one that has
-// been idle for longest; if none is idle, the new one is closed with its request unread, so that its caller tries
-// another VM.
+// Pool holds the open connections of callers. If there are too many, a new one takes the place of one that has not
+// given a whole request for some time, else of the one that has been idle for longest; if there is none, the new one is
+// closed with its request unread, so that its caller tries another VM.
 type Pool struct {
 	max   int
 	heads *HeadMemory
@@ -61,6 +61,9 @@
 	idle, incomplete *list.List
 	// loggedFull and loggedHead are when a full pool and a refused head were last logged.
 	loggedFull, loggedHead time.Time
+	// searched is when connections were last looked through for memory that they hold, reclaimed when one was closed
+	// for it.
+	searched, reclaimed time.Time
 }
 
 // waitingConn is a connection without a whole request.
@@ -71,9 +74,11 @@
 	place *list.Element
 	// since is when it began to wait.
 	since time.Time
-	// begun is set once a part of a head has come, extended once the connection got
+	// body is set if a body is to come. begun is set once a part of a head has come, extended once the connection got
 	// expiryGrace.
-	begun, extended bool
+	body, begun, extended bool
+	// suspended is set while the connection waits for this VM.
+	suspended bool
 }
 
 // NewPool returns a pool for so many connections. heads limits the memory for their requests' heads, count increments
@@ -227,10 +232,11 @@
 	defer p.mu.Unlock()
 	p.stopWaiting(c)
 	p.startWaiting(c, p.incomplete, 0)
+	c.waiting.body = true
 }
 
-// endBody records that a body has come.
-func (p *Pool) endBody(c *Conn) {
+// endWaiting records that a head or a body has come.
+func (p *Pool) endWaiting(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stopWaiting(c)
--- a/entry/callerconn/reader.go
+++ b/entry/callerconn/reader.go
@@ -81,6 +81,7 @@
 	if err := c.receiveHead(); err != nil {
 		return 0, err
 	}
+	c.pool.endWaiting(c)
 	parsing, err := c.pool.heads.awaitParse(r.scanner)
 	if err != nil {
 		return 0, c.refuseHead(refusedWithoutMemory)
@@ -126,7 +127,7 @@
 	}
 	size := max(freeHeadBytes, min(2*cap(r.received), c.pool.maxHead()+1))
 	if more := int64(size-freeHeadBytes) - r.held.Load(); more > 0 {
-		if !c.pool.awaitHeadMemory(more) {
+		if !c.pool.awaitHeadMemory(c, more) {
 			return false
 		}
 		r.held.Add(more)
@@ -229,7 +230,7 @@
 }
 
 // EndBody tells the connection that the body has been read.
-func (c *Conn) EndBody() { c.pool.endBody(c) }
+func (c *Conn) EndBody() { c.pool.endWaiting(c) }
 
 // ReplaceHead tells the connection that the handler of the request has put the head into a form of its own, which takes
 // n bytes until the request has ended. It reports whether there is memory for them.
@@ -239,7 +240,7 @@
 	if n <= 0 {
 		return true
 	}
-	if !c.pool.awaitHeadMemory(n) {
+	if !c.pool.awaitHeadMemory(c, n) {
 		return false
 	}
 	c.request.Store(n)
@@ -262,3 +263,9 @@
 	c.releaseRequest()
 	c.pool.heads.held.Release(c.reader.held.Swap(0))
 }
+
+// holdsMemory reports whether a connection that waits holds memory for a head or a body. The caller holds the pool's
+// lock.
+func (c *Conn) holdsMemory() bool {
+	return c.waiting.body || c.reader.held.Load()+c.request.Load() > 0
+}
