Callers: bodies have the time of their requests, and yield the memory that they hold

What callers saw: 180 callers whose bodies lacked their last byte held the memory for bodies until they left; a request with a body of 64 KB was refused for all of that time, and a request whose body never came was not answered at all.

Cause: reading a body had no time limit, and its memory was given back only when the connection ended. A body of unknown length took twice what was reserved while its list grew.

Change: a body may take until its request's deadline, half a second at least; then the answer is 408, not run. Where memory for a body is short, connections beyond a second and 16 KB a second are closed as for places; if none is, the refusal comes at once as before. Bodies of unknown length reserve twice their bytes while they come.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -58,6 +58,8 @@
 	org     *routing.Organisation
 	service string
 	body    []byte
+	// bodyBroken is set if the body has not come whole.
+	bodyBroken bool
 	// suspect is what VMs know the request by if endpoints terminate under it, admission lets it run
 	// until it is convicted of that.
 	suspect   suspect.Request
--- a/entry/caller_body.go
+++ b/entry/caller_body.go
@@ -5,17 +5,25 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/chivefield/chivefield/entry/callerconn"
 )
 
+// minBodyTime is how long a body may take to come even if its request has less time.
+const minBodyTime = 500 * time.Millisecond
+
 // readBody reads the whole body before the request is forwarded, so that it can be resent, and so
 // that a caller that stops sending halfway does not occupy an endpoint.
 func (c *callerRequest) readBody(maxBytes int) *refusal {
 	if c.r.Body == nil || c.r.ContentLength == 0 {
 		return nil
 	}
+	due := c.arrived.Add(max(c.deadline.Sub(c.arrived), minBodyTime))
+	if err := http.NewResponseController(c.w).SetReadDeadline(due); err != nil {
+		c.d.log.Error().Err(err).Msg("read_deadline_failed")
+	}
 	if denied := c.receiveBody(maxBytes); denied != nil {
 		return denied
 	}
@@ -27,7 +35,7 @@
 	return nil
 }
 
-// receiveBody reads the body.
+// receiveBody is readBody without the time limit.
 func (c *callerRequest) receiveBody(maxBytes int) *refusal {
 	if maxBytes <= 0 {
 		maxBytes = math.MaxInt32
@@ -59,9 +67,13 @@
 		return c.refuseBrokenBody(err)
 	}
 	c.body = body
+	c.trimReserved(int64(cap(body)))
 	return nil
 }
 
+// growthCopies is how often a body of unstated length is in memory while the list of its bytes grows.
+const growthCopies = 2
+
 // reservingReader reserves memory for the body of a request as it arrives: many callers may send bodies of unstated
 // lengths at once.
 type reservingReader struct {
@@ -72,7 +84,7 @@
 // Read implements io.Reader. Without memory it returns a *BodyMemoryError.
 func (b *reservingReader) Read(p []byte) (int, error) {
 	n, err := b.r.Read(p)
-	if n > 0 && !b.c.reserveBody(int64(n)) {
+	if n > 0 && !b.c.reserveBody(int64(n)*growthCopies) {
 		return 0, &BodyMemoryError{Bytes: b.c.reservedBytes}
 	}
 	return n, err
@@ -80,21 +92,41 @@
 
 // reserveBody reserves memory for a part of the body, and reports whether there was enough.
 func (c *callerRequest) reserveBody(n int64) bool {
-	if !c.d.bodyMemory.reserve(c.service, n, len(c.d.table.Load().Document.Services) == 1) {
+	onlyService := len(c.d.table.Load().Document.Services) == 1
+	reserve := func() bool { return c.d.bodyMemory.reserve(c.service, n, onlyService) }
+	if !c.d.callerConns.AwaitBodyMemory(reserve) {
 		return false
 	}
 	c.reservedBytes += n
 	return true
 }
 
+// trimReserved gives the memory back that is reserved beyond what the body takes.
+func (c *callerRequest) trimReserved(needed int64) {
+	if unused := c.reservedBytes - needed; unused > 0 {
+		c.d.bodyMemory.release(c.service, unused)
+		c.reservedBytes = needed
+	}
+}
+
 // releaseBody gives the memory back that was reserved for a body that is not kept.
 func (c *callerRequest) releaseBody() {
 	c.d.bodyMemory.release(c.service, c.reservedBytes)
 	c.reservedBytes = 0
 }
 
+// refuseBrokenBody returns the refusal of a request whose body has not come. It ends one whose connection this VM has
+// closed meanwhile.
 func (c *callerRequest) refuseBrokenBody(err error) *refusal {
 	c.releaseBody()
+	c.bodyBroken = true
+	if callerconn.IsClosed(c.r) {
+		c.d.count("callers_gone")
+		panic(http.ErrAbortHandler)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &refusal{status: http.StatusRequestTimeout, reason: "body_late"}
+	}
 	c.d.log.Info().Str("request", c.reqHeaders.ID).Err(err).Msg("body_broken")
 	return &refusal{status: http.StatusBadRequest, reason: "body_broken"}
 }
@@ -109,7 +141,7 @@
 // still arriving resets it and discards the response: the caller would see a broken connection
 // instead of a status.
 func (c *callerRequest) drainBody() {
-	if c.body != nil || c.r.ContentLength == 0 || c.r.Body == nil {
+	if c.body != nil || c.bodyBroken || c.r.ContentLength == 0 || c.r.Body == nil {
 		return
 	}
 	rc := http.NewResponseController(c.w)
--- a/entry/callerconn/yield.go
+++ b/entry/callerconn/yield.go
@@ -90,6 +90,19 @@
 	return true
 }
 
+// AwaitBodyMemory calls reserve until it reports that it has reserved memory for a body, and reports whether it has.
+// Connections that hold some without having given a whole request for some time yield it; if none does, AwaitBodyMemory
+// does not wait.
+func (p *Pool) AwaitBodyMemory(reserve func() bool) bool {
+	for waited := time.Duration(0); !reserve(); waited += memoryPollInterval {
+		if waited >= memoryWait || !p.reclaimMemory() {
+			return false
+		}
+		time.Sleep(memoryPollInterval)
+	}
+	return true
+}
+
 // suspend records that a connection waits for this VM, not for its caller, until resume is called.
 func (p *Pool) suspend(c *Conn) (resume func()) {
 	p.mu.Lock()
--- a/entry/callerconn/yield_test.go
+++ b/entry/callerconn/yield_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -221,3 +222,22 @@
 	}
 	return len(p), nil
 }
+
+// Guards against a request with a body that is refused for want of memory which bodies hold that do not come, and
+// against a wait where no such body holds it.
+func TestIncompleteBodiesYieldTheirMemory(t *testing.T) {
+	playPool(t, 30, 1<<20, func(s *pipeServer) {
+		var free atomic.Bool
+		slow := s.open("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n")
+		go func() {
+			_, _ = io.Copy(io.Discard, slow)
+			free.Store(true)
+		}()
+		began := time.Now()
+		s.True(!s.pool.AwaitBodyMemory(free.Load))
+		s.Equal(time.Since(began), time.Duration(0))
+		time.Sleep(arrivalGrace)
+		s.True(s.pool.AwaitBodyMemory(free.Load))
+		s.NoErr(slow.Close())
+	})
+}
