Entry: the garbage collector works harder from seven tenths of the memory limit on

Cause: the collector lets the heap grow by 60% of what lives, whatever the VM has; at the bounds of heads, bodies, responses and connections together that is more than the VM's memory.

Change: a soft limit on memory at seven tenths of limits.memory_mb; the rest is for what the runtime does not count, some 10 MB at rest.

--- a/cmd/chivefield-entry/main.go
+++ b/cmd/chivefield-entry/main.go
@@ -36,6 +36,10 @@
 // size is what counts.
 const gcPercent = 60
 
+// softMemoryShare is the share of the memory limit from which the garbage collector works harder, instead of letting the
+// heap grow. The rest is for what the runtime does not count, the program's own pages among them.
+const softMemoryShare = 0.7
+
 func main() {
 	if isCheckConfig(os.Args[1:]) {
 		os.Exit(checkConfig(os.Args[3:], os.Stdout, os.Stderr))
@@ -72,6 +76,7 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(float64(set.Limits.MemoryMb) * softMemoryShare * (1 << 20)))
 	sink := logging.NewSink(os.Stdout, logging.DefaultBudget)
 	defer sink.Close()
 	log := logging.New(sink).With().Str("vm", set.Vm.Name).Logger()
