--- a/entry/callerconn/yield_test.go
+++ b/entry/callerconn/yield_test.go
@@ -111,14 +111,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			playPool(t, 3, 1<<20, func(s *pipeServer) {
-				var crowd []net.Conn
+				var others []net.Conn
 				for range 3 {
 					c := s.open(text)
 					if name == "next head" {
 						_, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: http.MethodHead})
 						s.NoErr(err)
 					}
-					crowd = append(crowd, c)
+					others = append(others, c)
 				}
 				time.Sleep(arrivalGrace / 2)
 				s.True(!s.isServed())
@@ -126,10 +126,10 @@
 				for range 10 {
 					s.True(s.isServed())
 				}
-				s.True(!isOpen(crowd[0]))
-				s.True(isOpen(crowd[2]))
+				s.True(!isOpen(others[0]))
+				s.True(isOpen(others[2]))
 				s.Equal(s.counts["callers_incomplete_closed"], 1)
-				for _, c := range crowd {
+				for _, c := range others {
 					s.NoErr(c.Close())
 				}
 			})
@@ -137,7 +137,7 @@
 	}
 }
 
-// Guards against callers that lose their place to a crowd though they have a request that runs, are idle between two,
+// Guards against callers that lose their place to others though they have a request that runs, are idle between two,
 // or send a body as fast as a slow link takes it.
 func TestOrdinaryCallersKeepTheirPlaces(t *testing.T) {
 	playPool(t, 3, 1<<20, func(s *pipeServer) {
