--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -29,7 +29,7 @@
 
 func (r *Request) bytes() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n", r.Method, r.Path, Host, r.ID, r.DeadlineMs)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", r.Method, r.Path, Host, Names.ID, r.ID, Names.Deadline, r.DeadlineMs)
 	if r.Key != "" {
 		fmt.Fprintf(&b, "Authorization: Bearer %s\r\n", r.Key)
 	}
