--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -30,20 +30,27 @@
 // Recorder writes what was sent, answered and run, with the time since its start.
 type Recorder struct {
 	mu    sync.Mutex
-	w     io.Writer
+	file  io.Writer
 	start time.Time
 }
 
-// NewRecorder returns a recorder that writes to w and to standard output.
-func NewRecorder(w io.Writer) *Recorder {
-	return &Recorder{w: io.MultiWriter(w, os.Stdout), start: time.Now()}
+// NewRecorder returns a recorder that writes to a file.
+func NewRecorder(file io.Writer) *Recorder {
+	return &Recorder{file: file, start: time.Now()}
 }
 
-// Printf writes a line.
+// Printf writes a line to the file and to standard output.
 func (r *Recorder) Printf(format string, args ...any) {
+	_, _ = io.WriteString(os.Stdout, r.Detailf(format, args...))
+}
+
+// Detailf writes a line to the file only, and returns it.
+func (r *Recorder) Detailf(format string, args ...any) string {
+	line := fmt.Sprintf("%8.3f s  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, _ = fmt.Fprintf(r.w, "%8.3f s  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+	_, _ = io.WriteString(r.file, line)
+	return line
 }
 
 // started holds all VMs that were started.
