entry: an unframed rest of a stream that began in chunks ends it if its endpoint remains

Cause: a stream that began in chunks and was moved from a pausing endpoint to one whose response ends with its connection was never ended (checkUnframedEnd, Answered with UnverifiedEndError); with max-attempts 2 no other endpoint could confirm it. It was done on purpose, as the end of such a response proves nothing. The users' page says it is an end: an answer "may have no length and end with its channel; one that is reset on the way isn't complete" (RULES, MIXED), and LOST counts a channel that ends without a complete answer. A caller whose stream begins unframed gets the same evidence as an end. Ruled out: the stop of the VM (the same without SIGTERM); the choice to leave the first endpoint (it cannot be told from one that is silent for good).

Mended: such an end counts if it was no reset, came between two events, and the endpoint remains, that is, accepts a connection (kept for the next request) or leaves. The last condition keeps what was right in the old rule: a terminated process closes its connections without a reset, and half a stream must not look complete.

--- a/core/members/members.go
+++ b/core/members/members.go
@@ -339,6 +339,13 @@
 	return known != nil && known.Key() == e.Key() && !known.Leaving
 }
 
+// Left reports whether an incarnation has announced that it leaves, or is no longer listed. One whose id a later
+// incarnation has taken did not leave.
+func (s *Set) Left(e *Endpoint) bool {
+	known := s.known[e.ID]
+	return known == nil || known.Key() == e.Key() && known.Leaving
+}
+
 // Cold reports whether an incarnation is still slow after its start.
 func (s *Set) Cold(now time.Duration, e *Endpoint) bool {
 	known := s.known[e.ID]
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -54,8 +54,8 @@
 // Error implements error.
 func (e *NoEventsError) Error() string { return "connection ended before the first event" }
 
-// UnverifiedEndError reports a stream that ended with its connection between two events, after its
-// caller had been promised a response whose end is stated.
+// UnverifiedEndError reports a stream that ended with its connection between two events, at an endpoint that
+// may have been terminated, after its caller had been promised a response whose end is stated.
 type UnverifiedEndError struct{}
 
 // Error implements error.
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -281,7 +281,7 @@
 		return attemptResult{outcome: dispatch.CallerDisconnected, versionBlocked: true}
 	}
 	if s != nil {
-		s.version = version
+		s.version, s.endpoint = version, ep
 	}
 	tracked, ok := c.d.rollouts.beginAttempt(c, ep, c.canary)
 	if !ok {
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -355,6 +355,13 @@
 	return s.members.Serving(e)
 }
 
+// hasLeft reports whether an incarnation has announced that it leaves, or is no longer listed.
+func (s *sharedScheduler) hasLeft(e *members.Endpoint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.Left(e)
+}
+
 // controlProbes returns probes of other endpoints, which tell whether only e cannot be reached or this
 // VM has lost its own connectivity.
 func (s *sharedScheduler) controlProbes(e *members.Endpoint) []dispatch.Probe {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/chivefield/chivefield/core/dispatch"
+	"github.com/chivefield/chivefield/core/members"
 	"github.com/chivefield/chivefield/core/sse"
 	"github.com/chivefield/chivefield/upstream"
 )
@@ -23,6 +24,8 @@
 	// the endpoint in use.
 	versions []string
 	version  string
+	// endpoint is the one in use.
+	endpoint *members.Endpoint
 	events   int
 	splitter sse.Splitter
 	// firstAt and lastAt are the times of the first and the last event, longestPause is the
@@ -134,48 +137,6 @@
 	return a, true
 }
 
-// finish sends what is left after the last event and records the stream as complete, unless its end
-// shows or suggests that it is not.
-func (s *eventStream) finish(resp *upstream.Response) attemptResult {
-	partial := s.splitter.PendingBytes()
-	if resp.Unframed() {
-		if a, ended := s.checkUnframedEnd(resp, partial); !ended {
-			return a
-		}
-	}
-	s.c.d.poison.RecordCompleteResponse(s.c.suspect, resp)
-	if partial > 0 {
-		if err := s.writeEvents(resp, s.splitter.Pending()); err != nil {
-			return attemptResult{outcome: dispatch.CallerDisconnected, err: err, delivered: true}
-		}
-	}
-	if !s.headersSent {
-		s.writeHeaders(resp)
-	}
-	if err := s.c.completeResponse(); err != nil {
-		return attemptResult{outcome: dispatch.CallerDisconnected, err: err, delivered: true}
-	}
-	s.c.logStream(resp, s, partial)
-	return attemptResult{outcome: dispatch.Answered, delivered: true}
-}
-
-// checkUnframedEnd reports whether a response that ended with its connection may be the end of the
-// stream, and the attempt's result if not. partial is the number of bytes after the last event.
-func (s *eventStream) checkUnframedEnd(resp *upstream.Response, partial int) (a attemptResult, ended bool) {
-	switch {
-	case mayBeCutOff(resp):
-		return attemptResult{outcome: dispatch.Broken, connectionLost: true, err: &CutOffError{Unread: resp.LongestUnread()}}, false
-	case s.splitter.InsideEvent():
-		return attemptResult{outcome: dispatch.Broken, connectionLost: true, err: &PartialEventError{Bytes: partial}}, false
-	case s.events == 0 && s.c.reqHeaders.LastEventID == "":
-		return attemptResult{outcome: dispatch.Broken, connectionLost: true, err: &NoEventsError{}}, false
-	case s.headersSent && !s.c.endsWithConn:
-		// The caller was promised chunks, whose end would say more than is known.
-		return attemptResult{outcome: dispatch.Answered, err: &UnverifiedEndError{}}, false
-	}
-	return attemptResult{}, true
-}
-
 func (s *eventStream) writeHeaders(resp *upstream.Response) {
 	s.headersSent = true
 	s.c.startResponse(resp, unknownLength)
