upstream: an unframed response whose request could not be written did not end

Cause: a large body is written by a goroutine of its own, and the kernel reports a reset once, to whichever of write and read comes first. After a failed write the read sees a plain end of the connection, which is the end of an answer without a length. Response.Read returned it without asking for the outcome of the write.

Mended: at the end of an unframed response the writing is asked for, and waited for up to half a second (a reset that answers bytes sent after the end comes back within a round trip). If it failed, the response broke off, as by a reset: repeated, resumed or broken off as the route allows. An endpoint that ends its half and reads on is no reset, and its answer is whole. Answers with a length or in chunks state their end and are passed on as before.

--- a/upstream/unread.go
+++ b/upstream/unread.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// Read reads the body and records whether its end was reached.
+// Read reads the body and records whether its end was reached. The error is an *UploadBrokenError if the end of the
+// connection, which ends the body, may be a reset.
 func (r *Response) Read(p []byte) (int, error) {
 	if !r.lastRead.IsZero() {
 		r.longestUnread = max(r.longestUnread, time.Since(r.lastRead))
@@ -14,6 +15,7 @@
 	r.lastRead = time.Now()
 	if err == io.EOF {
 		r.bodyRead = true
+		err = r.checkEnd(err)
 	}
 	return n, readError(err)
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -109,12 +109,13 @@
 type Response struct {
 	*http.Response
 	// Reused reports whether the connection had served other requests before.
-	Reused    bool
-	conn      *conn
-	pool      *Pool
-	stop      func() bool
-	bodyRead  bool
-	writeDone chan error
+	Reused   bool
+	conn     *conn
+	pool     *Pool
+	stop     func() bool
+	bodyRead bool
+	// upload is the writing of a large request; nil if the request was written before the response was awaited.
+	upload *upload
 	// lastRead is when the last read of the body returned, longestUnread the longest time from there to
 	// the next one.
 	lastRead      time.Time
@@ -284,8 +285,7 @@
 			return nil, err
 		}
 	} else {
-		response.writeDone = make(chan error, 1)
-		go func() { response.writeDone <- c.writeLarge(head, r) }()
+		response.upload = startUpload(func() error { return c.writeLarge(head, r) })
 	}
 	resp, err := c.readMatching(r)
 	if err != nil {
@@ -383,7 +383,7 @@
 func (r *Response) Finish() {
 	notCancelled := r.stop()
 	c := r.conn
-	if !notCancelled || !r.bodyRead || r.Close || !r.requestWritten() || r.Unframed() || c.br.Buffered() > 0 {
+	if !notCancelled || !r.bodyRead || r.Close || !r.upload.written() || r.Unframed() || c.br.Buffered() > 0 {
 		_ = c.Close()
 		return
 	}
@@ -398,20 +398,6 @@
 // Carrier returns the address of the VM that carries the response's connection; empty if it is direct.
 func (r *Response) Carrier() string { return r.conn.Carrier }
 
-// requestWritten reports whether the whole request was written before the response arrived. If
-// not, the endpoint still expects the rest of it.
-func (r *Response) requestWritten() bool {
-	if r.writeDone == nil {
-		return true
-	}
-	select {
-	case err := <-r.writeDone:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // parseKeepAlive returns how long a connection may be idle, from the endpoint's Keep-Alive
 // header.
 func parseKeepAlive(header string) time.Duration {
