entry: a carrier passes on a reset that its write to the endpoint met

A VM that carries a connection for another copies it in both directions. An endpoint that resets it while the request is still copied tells the kernel's error to whichever of the carrier's write and read comes first.

Mended: before the end of the endpoint's half is passed on, the write in progress is waited for, up to half a second, and its error breaks the connection off; a later failed write sets the VM's part to be reset again. The pair of connections has a file of its own.

--- a/entry/carrier.go
+++ b/entry/carrier.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/chivefield/chivefield/entry/callerconn"
 	"github.com/chivefield/chivefield/upstream"
 )
 
@@ -132,7 +128,7 @@
 	}
 	c.d.count("carried")
 	started := time.Now()
-	p := &connPair{vm: vm, ep: ep}
+	p := newConnPair(vm, ep)
 	stop := context.AfterFunc(r.Context(), p.close)
 	defer stop()
 	defer p.close()
@@ -144,92 +140,3 @@
 	c.d.log.Info().Str("from", r.RemoteAddr).Str("endpoint", key).Int64("sent", p.sent.Load()).Int64("received", p.received.Load()).
 		Dur("took", time.Since(started)).Err(err).Msg("carried")
 }
-
-// connPair is a carried connection: the part to the VM and the part to the endpoint.
-//
-// Unless their peers ended them properly, both are reset when they are closed, whatever closes them,
-// the end of this process included: where a response ends with its connection, a break must not look
-// like that end.
-//
-// How long nothing may pass is for the VM to decide, which knows its callers' deadlines. One that has
-// lost its power is noticed by the keep-alive probes of accepted connections.
-type connPair struct {
-	vm, ep         net.Conn
-	sent, received atomic.Int64
-}
-
-// run tells the VM that the endpoint is reached and copies until both directions have ended.
-func (p *connPair) run() error {
-	if err := errors.Join(callerconn.SetLinger(p.vm, callerconn.ResetOnClose), callerconn.SetLinger(p.ep, callerconn.ResetOnClose)); err != nil {
-		return err
-	}
-	if _, err := io.WriteString(p.vm, carryAccepted); err != nil {
-		return err
-	}
-	return p.copyBothWays()
-}
-
-// close closes both parts.
-func (p *connPair) close() {
-	_ = p.vm.Close()
-	_ = p.ep.Close()
-}
-
-// copyBothWays copies until both directions have ended, and returns the first error.
-func (p *connPair) copyBothWays() error {
-	var toVM error
-	var wg sync.WaitGroup
-	wg.Go(func() {
-		toVM = p.copy(p.vm, p.ep, &p.received)
-		if toVM == nil {
-			toVM = endWriting(p.vm)
-		}
-		if toVM != nil {
-			p.close()
-		}
-	})
-	toEndpoint := p.copy(p.ep, p.vm, &p.sent)
-	if toEndpoint == nil {
-		// The VM has closed its connection, as it would a direct one.
-		toEndpoint = callerconn.SetLinger(p.ep, callerconn.SendOnClose)
-	}
-	p.close()
-	wg.Wait()
-	if errors.Is(toVM, net.ErrClosed) {
-		// The other direction ended first.
-		return toEndpoint
-	}
-	return toVM
-}
-
-// copy copies from one part to the other until the first ends.
-func (p *connPair) copy(to, from net.Conn, n *atomic.Int64) error {
-	buf := make([]byte, carryBufferSize)
-	for {
-		size, err := from.Read(buf)
-		if size > 0 {
-			written, werr := to.Write(buf[:size])
-			n.Add(int64(written))
-			if werr != nil {
-				return werr
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-// endWriting passes on that the other side has ended its connection properly.
-func endWriting(c net.Conn) error {
-	if err := callerconn.SetLinger(c, callerconn.SendOnClose); err != nil {
-		return err
-	}
-	if half, ok := c.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return c.Close()
-}
--- a/entry/carrier_test.go
+++ b/entry/carrier_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -116,6 +117,31 @@
 	}
 }
 
+// Guards against an end that is made of a reset which the carrier met as it wrote the VM's request: the VM has written
+// all of it, and would take the end for that of a response.
+func TestCarrierPassesOnResetDuringUpload(t *testing.T) {
+	const plays = 50
+	// upload is more than the connection to the endpoint takes, and less than both connections do.
+	const upload = 6 << 20
+	for range plays {
+		s := newCarried(t)
+		vm, ep := s.connect()
+		s.NoErr(ep.SetReadBuffer(4 << 10))
+		s.NoErr(vm.SetWriteDeadline(time.Now().Add(300 * time.Millisecond)))
+		n, err := vm.Write(make([]byte, upload))
+		s.True(err == nil || errors.Is(err, os.ErrDeadlineExceeded) && n > 0)
+		_, err = io.WriteString(ep, "half")
+		s.NoErr(err)
+		buf := make([]byte, len("half"))
+		_, err = io.ReadFull(vm, buf)
+		s.NoErr(err)
+		s.NoErr(ep.SetLinger(0))
+		s.NoErr(ep.Close())
+		_, err = vm.Read(buf)
+		s.True(errors.Is(err, syscall.ECONNRESET))
+	}
+}
+
 // Guards against an endpoint that goes on working for a caller who has left a VM without a link.
 func TestCarrierPassesOnThatTheVMLeft(t *testing.T) {
 	for _, linger := range []int{callerconn.ResetOnClose, callerconn.SendOnClose} {
