upstream: a status that is none of HTTP is no response

Cause: every status below 200 counted as an interim response, which has no body, so what followed its head was read as the next response.

Mended: a status outside 100 to 599, and 101, which nothing asked for, ends the exchange with a StatusError: Broken for the endpoint's health, no evidence against the request, repeated or resumed where the route allows it, else 502. Interim responses are skipped as before. The product's own client of endpoints reports such a status as broken, where it took it for an answer.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -14,6 +14,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/chivefield/chivefield/upstream"
 )
 
 // Headers of the protocol with endpoints.
@@ -132,7 +134,7 @@
 
 func readResponse(resp *http.Response, sink Sink) Result {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBody+1))
-	if err != nil || len(body) > MaxResponseBody || !endIsStated(resp) {
+	if err != nil || len(body) > MaxResponseBody || !endIsStated(resp) || upstream.CheckStatus(resp.StatusCode) != nil {
 		return Broken
 	}
 	sink.Response(resp.StatusCode, resp.Header.Get("Content-Type"), body)
--- a/endpoint/client_test.go
+++ b/endpoint/client_test.go
@@ -45,8 +45,8 @@
 	return "http://" + l.Addr().String()
 }
 
-// Guards against a response that was cut short, by its endpoint or by this client, and is passed on as
-// complete.
+// Guards against a response that was cut short, by its endpoint or by this client, or whose status is none of HTTP,
+// and is passed on as complete.
 func TestResponseWithoutProofOfItsEndIsBroken(t *testing.T) {
 	long := strings.Repeat("x", MaxResponseBody+1)
 	for _, c := range []struct {
@@ -57,6 +57,8 @@
 		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", Complete},
 		{"no length, no chunks", "HTTP/1.1 200 OK\r\n\r\nhello", Broken},
 		{"short of its length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", Broken},
+		{"status 000", "HTTP/1.1 000 Odd\r\nContent-Length: 5\r\n\r\nhello", Broken},
+		{"status 600", "HTTP/1.1 600 Odd\r\nContent-Length: 5\r\n\r\nhello", Broken},
 		{"too long", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long), Broken},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -327,6 +327,9 @@
 			return nil, err
 		}
 		c.head.end()
+		if err := CheckStatus(resp.StatusCode); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode < http.StatusOK {
 			if interim++; interim > maxInterimResponses {
 				return nil, headLimit(maxInterimResponses, "interim responses")
