entry/poison: a response that ended with its connection clears its request once its endpoint is seen to live on

Cause: only a complete response clears a request of crashes beside which it ran, and one that ends with its connection was ignored for good, since a terminated endpoint ends its connections too. Copies of a read that many callers send run beside each crash, so the sightings add up. With a stated length the same crashes convict nothing.

--- a/entry/kept_response.go
+++ b/entry/kept_response.go
@@ -117,6 +117,7 @@
 	k := c.kept
 	defer k.release()
 	c.d.count("responses_kept")
+	c.current = dispatch.EndpointHash(k.endpoint.Key())
 	c.undecided = slices.DeleteFunc(c.undecided, func(handle uint64) bool { return handle == k.handle })
 	a := excuseUnread(k.resp, c.forwardUnbuffered(ctx, k.handle, k.resp, k.body))
 	c.recordAttempt(k.copy, k.endpoint, a)
--- a/entry/poison/guard.go
+++ b/entry/poison/guard.go
@@ -60,6 +60,8 @@
 	unseen map[uint64]bool
 	// aliveAt is when an incarnation last showed a sign of life, for unseenFor.
 	aliveAt map[uint64]time.Duration
+	// unconfirmed holds the responses that ended with their connections.
+	unconfirmed unconfirmedResponses
 	// urgent signals a sighting that other VMs should receive at once.
 	urgent chan struct{}
 	// storeRead is set once the store's records were loaded; only LoadStored uses it. stored holds the
@@ -74,7 +76,7 @@
 func New(o Options) *Guard {
 	g := &Guard{
 		Options: o, tracker: suspect.New(), unanswered: make(map[*Admission]bool), probing: make(map[uint64]bool),
-		ended: make(map[uint64]incarnationEnd), aliveAt: make(map[uint64]time.Duration), urgent: make(chan struct{}, 1),
+		ended: make(map[uint64]incarnationEnd), unconfirmed: make(unconfirmedResponses), aliveAt: make(map[uint64]time.Duration), urgent: make(chan struct{}, 1),
 		stored: make(map[suspect.Digest]bool), storeQueue: make(chan suspect.Digest, storeQueueSize),
 	}
 	g.tracker.SetReleased(o.Released)
@@ -156,18 +158,23 @@
 	hash := dispatch.EndpointHash(ep.Key())
 	g.recordAlive(g.Now(), hash)
 	g.tracker.RecordResponse(g.Now(), sent, hash)
+	for _, r := range g.unconfirmed.confirm(hash, sent) {
+		g.tracker.RecordCompleteResponse(g.Now(), r.request, r.success)
+	}
 	g.handleChanges(learnedSeen)
 }
 
-// RecordCompleteResponse records that an endpoint gave a request a complete response. A response that
-// ends with its connection is ignored: it may be incomplete.
-func (g *Guard) RecordCompleteResponse(r suspect.Request, resp *upstream.Response) {
+// RecordCompleteResponse records that an endpoint, given by its hash, gave a request a complete response. One that ended
+// with its connection counts once the endpoint responds to a request that was sent to it afterwards.
+func (g *Guard) RecordCompleteResponse(endpoint uint64, r suspect.Request, resp *upstream.Response) {
+	success := resp.StatusCode < http.StatusMultipleChoices
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if resp.Unframed() {
+		g.unconfirmed.add(endpoint, unconfirmedResponse{request: r, endedAt: g.Now(), success: success})
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.tracker.RecordCompleteResponse(g.Now(), r, resp.StatusCode < http.StatusMultipleChoices)
+	g.tracker.RecordCompleteResponse(g.Now(), r, success)
 	g.handleChanges(learnedSeen)
 }
 
@@ -177,6 +184,7 @@
 	defer g.mu.Unlock()
 	now := g.Now()
 	g.tracker.Expire(now)
+	g.unconfirmed.expire(now)
 	for hash, end := range g.ended {
 		if now-end.at >= endedTTL {
 			delete(g.ended, hash)
--- /dev/null
+++ b/entry/poison/unconfirmed_test.go
@@ -0,0 +1,43 @@
+package poison
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chivefield/chivefield/core/suspect"
+)
+
+func response(target string, endedAt time.Duration) unconfirmedResponse {
+	return unconfirmedResponse{request: suspect.Request{Digest: suspect.Identity{Target: target}.Digest()}, endedAt: endedAt, success: true}
+}
+
+// Guards against a request that is cleared by a response at whose end its endpoint terminated: only a response to a
+// request that was sent later shows that the endpoint lived on.
+func TestResponseIsConfirmedByLaterRequestsOnly(t *testing.T) {
+	is := is.New(t)
+	u := make(unconfirmedResponses)
+	u.add(1, response("a", time.Second))
+	u.add(1, response("b", 2*time.Second))
+	u.add(2, response("c", time.Second))
+	is.Equal(len(u.confirm(1, time.Second)), 0)
+	confirmed := u.confirm(1, 2*time.Second)
+	is.Equal(len(confirmed), 1)
+	is.Equal(confirmed[0].request.Digest, response("a", 0).request.Digest)
+	is.Equal(len(u.confirm(1, 3*time.Second)), 1)
+	is.Equal(len(u.confirm(1, 3*time.Second)), 0)
+	u.expire(time.Second + confirmTTL)
+	is.Equal(len(u), 0)
+}
+
+// Guards against memory that grows with the responses of an endpoint that nothing is sent to any more.
+func TestUnconfirmedResponsesAreBounded(t *testing.T) {
+	is := is.New(t)
+	u := make(unconfirmedResponses)
+	for i := range 3 * maxUnconfirmed {
+		u.add(1, response(string(rune('a'+i)), time.Duration(i)))
+		u.add(1, response("same", time.Duration(i)))
+	}
+	is.Equal(len(u[1]), maxUnconfirmed)
+}
--- a/entry/responses.go
+++ b/entry/responses.go
@@ -92,7 +92,7 @@
 		}
 		return c.forwardUnbuffered(ctx, handle, resp, body)
 	}
-	c.d.poison.RecordCompleteResponse(c.suspect, resp)
+	c.d.poison.RecordCompleteResponse(c.current, c.suspect, resp)
 	if resp.StatusCode >= http.StatusInternalServerError && c.route.Retryable() && c.sendCount < c.route.MaxEndpoints &&
 		time.Until(c.deadline) > shortRetryAfter && c.retryPermit.acquire(ctx) {
 		return attemptResult{outcome: dispatch.Failed, err: &FailedResponseError{Status: resp.StatusCode}}
@@ -159,7 +159,7 @@
 		}
 	}
 	c.d.longResponses.RecordComplete(c.route.Name, pace.forwarded)
-	c.d.poison.RecordCompleteResponse(c.suspect, resp)
+	c.d.poison.RecordCompleteResponse(c.current, c.suspect, resp)
 	c.logAnswer(resp, c.completeResponse())
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return attemptResult{outcome: dispatch.Failed, delivered: true}
--- a/entry/stream_end.go
+++ b/entry/stream_end.go
@@ -14,7 +14,7 @@
 			return a
 		}
 	}
-	s.c.d.poison.RecordCompleteResponse(s.c.suspect, resp)
+	s.c.d.poison.RecordCompleteResponse(s.c.current, s.c.suspect, resp)
 	if partial > 0 {
 		if err := s.writeEvents(resp, s.splitter.Pending()); err != nil {
 			return attemptResult{outcome: dispatch.CallerDisconnected, err: err, delivered: true}
