entry: a registry is as new as the read that brought it, by a clock that counts suspensions

Mended: the age of the copy is taken from the clock that runs on in a suspension; a read confirms as of its begin; a relay confirms nothing for half a second after a standstill of a second and more, until a read or the next relay does.

Formatting of entry/poison/unconfirmed.go.

--- a/entry/bootstrap.go
+++ b/entry/bootstrap.go
@@ -73,13 +73,14 @@
 				break
 			}
 			asked++
+			begun := d.standstill.elapsed()
 			records, at, err := d.peers.fetchEndpointsFrom(ctx, source, request)
 			if err != nil {
 				d.count("bootstrap_refused")
 				continue
 			}
 			d.applyFetched(c, records, at)
-			d.confirmRegistry()
+			d.confirmRegistry(begun)
 			d.log.Info().Str("from", source).Int("asked", asked).Dur("uptime", d.now()).Uint64("era", at.Era).Uint64("offset", at.Offset).
 				Int("endpoints", len(records)).Msg("registry_bootstrapped")
 			return true
--- a/entry/departures.go
+++ b/entry/departures.go
@@ -69,7 +69,7 @@
 
 // ask asks one VM which endpoints are gone, or the next if it does not answer.
 func (c *departureChecker) ask(ctx context.Context) {
-	within := c.d.now() - time.Duration(c.knownAt.Load()) + departuresMargin
+	within := c.d.standstill.elapsed() - time.Duration(c.knownAt.Load()) + departuresMargin
 	request := &schema.DeparturesRequest{WithinMs: uint64(within.Milliseconds())}
 	for _, address := range c.d.peers.departureSources() {
 		c.d.count("departures_asked")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -71,8 +71,10 @@
 	// registryLostAt is when this VM last failed to read the registry; 0 if it never failed or
 	// has succeeded since.
 	registryLostAt atomic.Int64
+	// standstill tells the time that passes for others.
+	standstill *standstill
 	// registryConfirmedAt is when this VM's copy of the registry was last known to be up to date, by a
-	// read of its own or a relay; 0 for never.
+	// read of its own or a relay, by standstill.elapsed; 0 for never.
 	registryConfirmedAt atomic.Int64
 	// registryRegainedAt is when this VM last read the registry after it had failed to; 0 for never.
 	registryRegainedAt atomic.Int64
@@ -152,6 +154,7 @@
 	}
 	d.link, d.carrier = newEndpointLink(d), &carrier{d: d}
 	d.stopping = newShutdown(d)
+	d.standstill = newStandstill(d.now, suspendedTime)
 	d.pool = upstream.NewPool(d.link.dial, maxIdlePerEndpoint)
 	d.pool.UseCarried = d.link.failed
 	limits := d.settings.Limits
--- a/entry/notes.go
+++ b/entry/notes.go
@@ -73,6 +73,7 @@
 		// Others may have begun to reach endpoints only after this VM's link was lost.
 		p.d.remoteJobs.handBack()
 	}
+	p.d.standstill.beat()
 	p.updatePlacerRole()
 	p.d.placement.updatePlacer()
 	p.d.sched.setCoverage(p.coverage())
--- a/entry/poison/unconfirmed.go
+++ b/entry/poison/unconfirmed.go
@@ -29,7 +29,9 @@
 // same request stays: what confirms this one confirms that one before.
 func (u unconfirmedResponses) add(endpoint uint64, r unconfirmedResponse) {
 	list := u[endpoint]
-	same := func(o unconfirmedResponse) bool { return o.request.Digest == r.request.Digest && o.success == r.success }
+	same := func(o unconfirmedResponse) bool {
+		return o.request.Digest == r.request.Digest && o.success == r.success
+	}
 	if slices.ContainsFunc(list, same) {
 		return
 	}
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -94,6 +94,7 @@
 			// Relays bring what is missed, and wait while a call is held up.
 			delay.begun = time.Time{}
 		}
+		begun := d.standstill.elapsed()
 		got, err := c.read(ctx, 0)
 		d.recordStoreResult(&health, "endpoints", err)
 		if err != nil {
@@ -112,7 +113,7 @@
 				Int("endpoints", len(got.records)).Msg("registry_read")
 		}
 		parts := d.applyReadResult(got, before, c.next)
-		d.confirmRegistry()
+		d.confirmRegistry(begun)
 		if d.peers.isStoreReader() {
 			d.peers.relayParts(parts)
 			read.Reset(jitter(d.endpointsInterval()))
@@ -144,13 +145,24 @@
 // failure domain's reader to others.
 const readFailureWindow = 5 * time.Second
 
-// confirmRegistry records that this VM's copy of the registry is up to date, after the changes were applied.
-func (d *Daemon) confirmRegistry() { d.registryConfirmedAt.Store(int64(d.now())) }
+// confirmRegistry records that this VM's copy of the registry, to which what was read is applied, was up to date at a
+// time: that at which the read began, since an answer may wait for a process that stands still.
+func (d *Daemon) confirmRegistry(at time.Duration) { d.registryConfirmedAt.Store(int64(at)) }
 
-// registryConfirmed reports whether this VM's copy of the registry was up to date a moment ago.
+// confirmRelayed records that a relay has brought this VM's copy of the registry up to date, unless the relay may be old.
+func (d *Daemon) confirmRelayed() {
+	if d.standstill.justEnded() {
+		d.count("relays_doubted")
+		return
+	}
+	d.confirmRegistry(d.standstill.elapsed())
+}
+
+// registryConfirmed reports whether this VM's copy of the registry was up to date a moment ago, by a clock that runs on
+// while the machine is suspended.
 func (d *Daemon) registryConfirmed() bool {
 	at := time.Duration(d.registryConfirmedAt.Load())
-	return at > 0 && d.now()-at < d.registryConfirmTimeout()
+	return at > 0 && d.standstill.elapsed()-at < d.registryConfirmTimeout()
 }
 
 // registryReadFailed reports whether this VM failed to read the registry within readFailureWindow.
@@ -174,7 +186,7 @@
 		if r.Before == nil && !next.Before(c.next) {
 			c.next = next
 			d.applyEndpoints(readResult{records: recordsFromRelay(r.Records, r.Era)}, next)
-			d.confirmRegistry()
+			d.confirmRelayed()
 		}
 		return true
 	case c.known && r.Before != nil && c.next == (Position{Era: r.Before.Era, Offset: r.Before.Offset}):
@@ -234,7 +246,7 @@
 // applyEndpoints applies what was read of the registry and returns the indexes of the records that
 // changed something.
 func (d *Daemon) applyEndpoints(got readResult, next Position) (changed []int) {
-	before, unreadFor := d.sched.membersPosition(), d.now()-time.Duration(d.registryConfirmedAt.Load())
+	before, unreadFor := d.sched.membersPosition(), d.standstill.elapsed()-time.Duration(d.registryConfirmedAt.Load())
 	d.departures.recordGap()
 	d.registry.apply(got.records, got.full, next)
 	changes := make([]members.Change, 0, len(got.records))
--- a/entry/resumption_test.go
+++ b/entry/resumption_test.go
@@ -128,12 +128,12 @@
 			m.Apply(now, members.Change{ID: "e", Endpoint: &members.Endpoint{ID: "e", Service: "s", Version: "v1"}})
 		})
 		d.sched.setMembersPosition(Position{Era: 3, Offset: 2})
-		d.confirmRegistry()
+		d.confirmRegistry(d.now())
 		store.onRead = func() {
 			if gap {
 				d.registryConfirmedAt.Store(int64(time.Second))
 				d.resumption.step()
-				d.confirmRegistry()
+				d.confirmRegistry(d.now())
 			}
 		}
 		mark := resume.Mark{Version: "v1", Era: 3, Offset: 1}
@@ -157,7 +157,7 @@
 		d.sched.updateMembers(func(now time.Duration, m *members.Set) {
 			m.Apply(now, members.Change{ID: id, Endpoint: &members.Endpoint{ID: id, Service: "s", Version: version}})
 		})
-		d.confirmRegistry()
+		d.confirmRegistry(d.now())
 		d.resumption.step()
 	}
 	d.resumption.markFirstStart()
