--- a/entry/conn_pair.go
+++ b/entry/conn_pair.go
@@ -9,12 +9,9 @@
 	"time"
 
 	"github.com/chivefield/chivefield/entry/callerconn"
+	"github.com/chivefield/chivefield/upstream"
 )
 
-// uploadOutcomeTimeout is how long the end of an endpoint's half waits for a write to the endpoint that is in
-// progress.
-const uploadOutcomeTimeout = 500 * time.Millisecond
-
 // connPair is a carried connection: the part to the VM and the part to the endpoint.
 //
 // Unless their peers ended them properly, both are reset when they are closed, whatever closes them,
@@ -108,7 +105,7 @@
 // endResponse passes on to the VM that the endpoint has ended its half of the connection, unless that end is a reset
 // whose error a write to the endpoint has taken.
 func (p *connPair) endResponse() error {
-	if err := p.upload.outcome(uploadOutcomeTimeout); err != nil {
+	if err := p.upload.outcome(upstream.UploadOutcomeTimeout); err != nil {
 		return err
 	}
 	p.mu.Lock()
--- a/upstream/upload.go
+++ b/upstream/upload.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// uploadOutcomeTimeout is how long the end of a response waits for the writing of its request: some round trips
+// UploadOutcomeTimeout is how long the end of a response waits for the writing of its request: some round trips
 // between distant regions, in which a reset comes back for what was sent after the end.
-const uploadOutcomeTimeout = 500 * time.Millisecond
+const UploadOutcomeTimeout = 500 * time.Millisecond
 
 // UploadBrokenError reports a response that ended with its connection, and whose request could not be written to
 // its end because the endpoint reset the connection. Err is the error of the write.
@@ -68,12 +68,12 @@
 
 // checkEnd returns the error of a response's end: the kernel reports a reset once, and after a write that met it
 // reads see the end of the connection, which is that of an unframed response. An endpoint that ends its half and
-// reads on is no reset, so one that still takes the request after uploadOutcomeTimeout has ended its response.
+// reads on is no reset, so one that still takes the request after UploadOutcomeTimeout has ended its response.
 func (r *Response) checkEnd(end error) error {
 	if !r.Unframed() {
 		return end
 	}
-	if err := r.upload.outcome(uploadOutcomeTimeout); err != nil {
+	if err := r.upload.outcome(UploadOutcomeTimeout); err != nil {
 		return &UploadBrokenError{Err: err}
 	}
 	return end
