entry: error responses say nothing of how long runs take

A route whose endpoints had just failed at once seemed to need next to no time, so a VM that shuts down passed on what it would cut off. Only answered runs are recorded. TestErrorResponsesTellNotHowLongRunsTake failed before (502 after a run, 503 not run asked) and passes with the race detector.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -314,7 +314,7 @@
 	req.Progress = watch.RecordProgress
 	begun := time.Now()
 	a := c.exchange(attemptCtx, ctx, exchangeParams{dec, req, reserved, sent.Sent, s, watch})
-	if a.delivered && a.err == nil {
+	if a.outcome == dispatch.Answered && a.delivered && a.err == nil {
 		c.d.stopping.runTimes.Record(c.route.Name, time.Since(begun))
 	}
 	if a.undecided {
