entry: only a refused connection shows that an endpoint was terminated at the end of a stream

Found in reading the change once more: an unframed rest that had come whole was broken off if the connection that asks whether its endpoint remains took longer than 200 ms. A busy sound endpoint, whose queue of new connections is full, or a lossy link drops the packets that open one. Only a refusal says that the process is gone; a machine that is lost sends no end at all.

TestUnframedRestIsCompleteIfNewConnectionsHang failed on (unexpected EOF) and passes; the other tests of unframed responses pass, the terminated endpoint among them (race detector, one run).

--- a/entry/stream_end.go
+++ b/entry/stream_end.go
@@ -49,12 +49,13 @@
 	return attemptResult{}, true
 }
 
-// endpointRemains reports whether the stream's endpoint is not known to have been terminated: it still accepts a
-// connection, or it leaves, and may exit after its last response.
+// endpointRemains reports whether the stream's endpoint is not known to have been terminated: it does not refuse a
+// connection, or it leaves, and may exit after its last response. A connection that takes too long shows nothing: a busy
+// endpoint, or a link, loses the packets that open one.
 func (s *eventStream) endpointRemains() bool {
 	ep := s.endpoint
 	err := s.c.d.pool.Preconnect(ep.Key(), ep.Address)
-	remains := err == nil || s.c.d.sched.hasLeft(ep)
+	remains := !upstream.IsConnectionRefused(err) || s.c.d.sched.hasLeft(ep)
 	s.c.d.log.Info().Str("request", s.c.reqHeaders.ID).Str("endpoint", ep.ID).Bool("remains", remains).Err(err).Msg("unframed_end")
 	return remains
 }
