entry/poison: responses that wait for a sign of life are bounded over all endpoints

Found in reading the change once more: 64 were kept for each endpoint and nothing bounded their sum, some 2 KB each with long prompts, which at hundreds of endpoints and a small VM is more than it has (worked out, not seen).

--- a/entry/poison/guard.go
+++ b/entry/poison/guard.go
@@ -61,7 +61,7 @@
 	// aliveAt is when an incarnation last showed a sign of life, for unseenFor.
 	aliveAt map[uint64]time.Duration
 	// unconfirmed holds the responses that ended with their connections.
-	unconfirmed unconfirmedResponses
+	unconfirmed *unconfirmedResponses
 	// urgent signals a sighting that other VMs should receive at once.
 	urgent chan struct{}
 	// storeRead is set once the store's records were loaded; only LoadStored uses it. stored holds the
@@ -76,7 +76,7 @@
 func New(o Options) *Guard {
 	g := &Guard{
 		Options: o, tracker: suspect.New(), unanswered: make(map[*Admission]bool), probing: make(map[uint64]bool),
-		ended: make(map[uint64]incarnationEnd), unconfirmed: make(unconfirmedResponses), aliveAt: make(map[uint64]time.Duration), urgent: make(chan struct{}, 1),
+		ended: make(map[uint64]incarnationEnd), unconfirmed: newUnconfirmedResponses(), aliveAt: make(map[uint64]time.Duration), urgent: make(chan struct{}, 1),
 		stored: make(map[suspect.Digest]bool), storeQueue: make(chan suspect.Digest, storeQueueSize),
 	}
 	g.tracker.SetReleased(o.Released)
