upstream: a head whose field name holds a blank is no response

Cause: net/http's ReadResponse keeps a name with a blank under the name as it stands, on purpose, so the field is none that it or this package asks for. Nothing looked at the names after it. Names with a control byte are refused by net/http, and were before.

Mended: httphead.CheckFieldNames refuses each name that is no token (RFC 9110, 5.1 and 5.6.2), in the one place where endpoints' responses are read (conn.readMatching): first tries, repeats, resumed streams, kept responses, carried connections and streams picked up by another VM all come from it. It is asked before anything of the head is believed, for interim responses and those to earlier requests too, and ends the exchange. As a status that is none: Broken for the endpoint's health, no evidence against the request, repeated or resumed where the route allows, else 502 without a byte of it.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -17,6 +17,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/chivefield/chivefield/httphead"
 )
 
 const (
@@ -327,7 +329,7 @@
 			return nil, err
 		}
 		c.head.end()
-		if err := CheckStatus(resp.StatusCode); err != nil {
+		if err := checkHead(resp); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
@@ -353,6 +355,15 @@
 	}
 }
 
+// checkHead returns an error if a head is that of no response, interim ones included. Nothing of it may be believed
+// then: neither where its body ends nor what follows it.
+func checkHead(resp *http.Response) error {
+	if err := CheckStatus(resp.StatusCode); err != nil {
+		return err
+	}
+	return httphead.CheckFieldNames(resp.Header)
+}
+
 // skipBody reads a body of at most limit bytes, and reports whether that is all of it. The body is not closed, since
 // that would read the rest, however long it is.
 func skipBody(body io.Reader, limit int64) (n int64, whole bool, err error) {
