upstream: a line with a blank before its name is no part of the value before

Callers got, as a sealed answer, a response in whose head a blank came before a field's name: with ' Transfer-Encoding: chunked' the sizes of chunks were among the content, with ' Content-Length: 2' the body ran to the end of the connection, and with ' : 1' after the seal the seal itself was passed on with what the line held.

Cause: net/http takes a line that begins with a blank for the rest of the value of the line before (obs-fold), and its parsed form does not show it.

Ruled out: refusing each folded line. A gateway may (RFC 9112, 5.2: 502, or each fold replaced by a blank), but one without a colon cannot be meant as a field and goes on being passed on, unfolded.

Mended: headReader, which sees the bytes of a head, notes a line that begins with a blank and holds a colon, and the exchange ends as with other odd names. What was buffered of a head together with the response before it is looked at too; its lines count towards the bound, where its bytes were taken for the beginning of a line.

--- a/upstream/field_names_test.go
+++ b/upstream/field_names_test.go
@@ -46,6 +46,30 @@
 	}
 }
 
+// Guards against a field that frames the body and is taken for the rest of the line before, since a blank comes before its
+// name.
+func TestHeadWithBlankBeforeNameIsNoResponse(t *testing.T) {
+	get := &Request{Method: http.MethodGet, Target: "/", Host: "h", Matches: func(r *http.Response, _ bool) bool { return r.Header.Get("Id") == "1" }}
+	const sound = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
+	for _, line := range []string{" : 1", " X-Odd: 1", "\tContent-Length: 2", "  Transfer-Encoding: chunked"} {
+		for name, text := range map[string]string{
+			"no framing":   "HTTP/1.1 200 OK\r\nId: 1\r\nX: a\r\n%s\r\n\r\nok",
+			"length":       "HTTP/1.1 200 OK\r\nId: 1\r\nX: a\r\n%s\r\nContent-Length: 2\r\n\r\nok",
+			"chunks":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nId: 1\r\nX: a\r\n%s\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+			"interim":      "HTTP/1.1 103 Early Hints\r\nX: a\r\n%s\r\n\r\n" + sound,
+			"stale":        "HTTP/1.1 200 OK\r\nId: 0\r\nX: a\r\n%s\r\nContent-Length: 2\r\n\r\nno" + sound,
+			"after others": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nX: a\r\n%s\r\nContent-Length: 2\r\n\r\nok",
+		} {
+			t.Run(fmt.Sprintf("%q %s", line, name), func(t *testing.T) {
+				is := is.New(t)
+				_, _, err := exchangeWith(t, get, fmt.Sprintf(text, line), "")
+				var folded *FoldedFieldError
+				is.True(errors.As(err, &folded))
+			})
+		}
+	}
+}
+
 // Guards against a head that is refused although its names are those of HTTP.
 func TestHeadWithRareNamesIsRead(t *testing.T) {
 	is := is.New(t)
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -39,9 +39,9 @@
 	r io.Reader
 	// inHead is set from begin until the end of the head was read.
 	inHead bool
-	// bytesLeft and linesLeft are what the head may still take. lineBytes is the length of the line in
-	// progress, without its end.
-	bytesLeft, linesLeft, lineBytes int
+	// bytesLeft and linesLeft are what the head may still take.
+	bytesLeft, linesLeft int
+	lines                headLines
 	// started is when the first byte of the head was read; zero before.
 	started time.Time
 	// err is the bound that was exceeded. It is returned at once from then on: bufio drops the error of a read that
@@ -52,14 +52,15 @@
 // begin starts to bound the heads of the response to a request.
 func (h *headReader) begin() {
 	h.bytesLeft, h.linesLeft = maxHeadBytes, maxHeadLines
-	h.beginNext(0)
+	h.beginNext(nil)
 }
 
 // beginNext continues with the head that follows an interim or skipped response. Its time counts anew, since the
-// endpoint may have worked in between; its bytes and lines do not. The bytes of it that were buffered with the response
-// before count as the beginning of a line, so that a line end that follows them is not taken for the end of the head.
-func (h *headReader) beginNext(buffered int) {
-	h.inHead, h.lineBytes, h.started = true, buffered, time.Time{}
+// endpoint may have worked in between; its bytes and lines do not. buffered is what was read of it with the response
+// before.
+func (h *headReader) beginNext(buffered []byte) {
+	h.inHead, h.started, h.lines = true, time.Time{}, headLines{begin: h.lines.begin[:0]}
+	h.readLines(buffered)
 }
 
 // end stops to bound what is read.
@@ -79,7 +80,7 @@
 	}
 	n, err := h.r.Read(p[:min(len(p), h.bytesLeft)])
 	h.bytesLeft -= n
-	h.countLines(p[:n])
+	h.readLines(p[:n])
 	switch {
 	case h.linesLeft < 0:
 		h.err = headLimit(maxHeadLines, "lines")
@@ -94,17 +95,17 @@
 	return n, err
 }
 
-// countLines counts the lines of a head up to the empty one that ends it.
-func (h *headReader) countLines(b []byte) {
+// readLines reads the lines of a head up to the empty one that ends it.
+func (h *headReader) readLines(b []byte) {
 	for h.inHead {
 		i := bytes.IndexByte(b, '\n')
 		if i < 0 {
-			h.lineBytes += len(bytes.TrimRight(b, "\r"))
+			h.lines.add(bytes.TrimRight(b, "\r"))
 			return
 		}
+		h.lines.add(bytes.TrimRight(b[:i], "\r"))
 		h.linesLeft--
-		h.inHead = h.lineBytes+len(bytes.TrimRight(b[:i], "\r")) > 0
-		h.lineBytes = 0
+		h.inHead = !h.lines.end()
 		b = b[i+1:]
 	}
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -323,13 +323,13 @@
 	req := &http.Request{Method: r.Method}
 	c.head.begin()
 	staleBytes := int64(maxStaleBytes)
-	for stale, interim := 0, 0; ; c.head.beginNext(c.br.Buffered()) {
+	for stale, interim := 0, 0; ; c.head.beginNext(c.buffered()) {
 		resp, err := http.ReadResponse(c.br, req)
 		if err != nil {
 			return nil, err
 		}
 		c.head.end()
-		if err := checkHead(resp); err != nil {
+		if err := c.checkHead(resp); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
@@ -357,11 +357,21 @@
 
 // checkHead returns an error if a head is that of no response, interim ones included. Nothing of it may be believed
 // then: neither where its body ends nor what follows it.
-func checkHead(resp *http.Response) error {
+func (c *conn) checkHead(resp *http.Response) error {
 	if err := CheckStatus(resp.StatusCode); err != nil {
 		return err
 	}
-	return httphead.CheckFieldNames(resp.Header)
+	if err := httphead.CheckFieldNames(resp.Header); err != nil {
+		return err
+	}
+	return c.head.lines.check()
+}
+
+// buffered returns what has been read and not been used yet. It is valid until the next read.
+func (c *conn) buffered() []byte {
+	// As much as is buffered can always be peeked.
+	b, _ := c.br.Peek(c.br.Buffered())
+	return b
 }
 
 // skipBody reads a body of at most limit bytes, and reports whether that is all of it. The body is not closed, since
