upstream: a transfer coding in a response of HTTP/1.0 is faulty framing

Callers got, as a sealed 200, the sizes of chunks among the content, where an endpoint answered in HTTP/1.0 with 'Transfer-Encoding: chunked' (seen from outside in 6 of 6 on two kinds of route).

Cause: net/http ignores the coding in versions before 1.1 and drops the field, so that its parsed form shows nothing of it. RFC 9112, section 6.1, has a client treat such framing as faulty, a length beside it or not.

Mended: headReader notes a line that states a transfer coding, in any letters; with a version before 1.1 the exchange ends as with an odd name.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -364,7 +364,7 @@
 	if err := httphead.CheckFieldNames(resp.Header); err != nil {
 		return err
 	}
-	return c.head.lines.check()
+	return c.head.lines.check(resp)
 }
 
 // buffered returns what has been read and not been used yet. It is valid until the next read.
