endpoint: a response with a blank in a field's name is not believed

Callers of the product's own interface got, as complete, the response of a plain service or the stream of an engine whose head held such a name; a 503, 410 or 404, a promise that a stream never runs, a cancellation and a load report with such a head were believed too, and a redirect followed.

Cause: the client reads responses by net/http's client, which keeps such names as the parser that upstream uses does.

Mended: httphead.Do sends a request by a client whose transport refuses heads with a name that is no token, interim responses (by the trace that net/http offers) and redirects included. All calls of endpoint.Client go by it; such a response is a broken one: the request may have run and is not sent again, a stream is resumed by its offset, nothing is promised.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"github.com/chivefield/chivefield/httphead"
 	"github.com/chivefield/chivefield/upstream"
 )
 
@@ -96,7 +97,7 @@
 	if call.Stream != "" {
 		req.Header.Set(HeaderStream, call.Stream)
 	}
-	resp, err := c.HTTP.Do(req)
+	resp, err := httphead.Do(c.HTTP, req)
 	if err != nil {
 		if failedToConnect(err) {
 			return NotAccepted
@@ -173,7 +174,7 @@
 	if err != nil {
 		return offset, Broken
 	}
-	resp, err := c.HTTP.Do(req)
+	resp, err := httphead.Do(c.HTTP, req)
 	if err != nil {
 		return offset, Broken
 	}
@@ -193,7 +194,7 @@
 	if err != nil {
 		return false
 	}
-	resp, err := c.HTTP.Do(req)
+	resp, err := httphead.Do(c.HTTP, req)
 	if err != nil {
 		return false
 	}
@@ -227,7 +228,7 @@
 	if err != nil {
 		return FenceUnanswered
 	}
-	resp, err := c.HTTP.Do(req)
+	resp, err := httphead.Do(c.HTTP, req)
 	if err != nil {
 		return FenceUnanswered
 	}
@@ -329,7 +330,7 @@
 	if err != nil {
 		return &ReportError{URL: url, Err: err}
 	}
-	resp, err := c.HTTP.Do(req)
+	resp, err := httphead.Do(c.HTTP, req)
 	if err != nil {
 		return &ReportError{URL: url, Err: err}
 	}
--- a/endpoint/client_test.go
+++ b/endpoint/client_test.go
@@ -73,3 +73,52 @@
 		})
 	}
 }
+
+// oddHeads build responses that hold a name with a blank in a head.
+var oddHeads = map[string]func(status, body string) string{
+	"field": func(status, body string) string {
+		return fmt.Sprintf("HTTP/1.1 %s\r\nX Odd: 1\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+	},
+	"length": func(status, body string) string {
+		return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\nContent-Length : 2\r\n\r\n%s", status, len(body), body)
+	},
+	"interim response": func(status, body string) string {
+		return fmt.Sprintf("HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+	},
+}
+
+// Guards against a response that is believed although a name in its head holds a blank: as the answer to a request, as
+// the promise that a request does not run, as a cancellation or as a report.
+func TestResponseWithOddNameIsNotBelieved(t *testing.T) {
+	const events, load = "data: a\n\ndata: [DONE]\n\n", `{"running":1}`
+	client := Client{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	for name, odd := range oddHeads {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var got recorder
+			is.Equal(client.Run(t.Context(), Call{Base: respond(t, odd("200 OK", "hello")), Path: "/"}, &got), Broken)
+			is.Equal(got.body, nil)
+			is.Equal(client.Run(t.Context(), Call{Base: respond(t, odd("200 OK", events)), Path: "/", Stream: "s"}, &got), Broken)
+			is.Equal(client.Run(t.Context(), Call{Base: respond(t, odd("503 Service Unavailable", "")), Path: "/", Stream: "s"}, &got), Broken)
+			_, res := client.Resume(t.Context(), respond(t, odd("200 OK", events)), "s", 0, &got)
+			is.Equal(res, Broken)
+			_, res = client.Resume(t.Context(), respond(t, odd("404 Not Found", "")), "s", 0, &got)
+			is.Equal(res, Broken)
+			is.Equal(client.Fence(t.Context(), respond(t, odd("200 OK", `{"state":"never_started"}`)), "s"), FenceUnanswered)
+			is.True(!client.Cancel(t.Context(), respond(t, odd("200 OK", "")), "s"))
+			_, err := client.Load(t.Context(), respond(t, odd("200 OK", load)))
+			is.True(err != nil)
+		})
+	}
+}
+
+// Guards against an answer that is taken from a redirect whose head holds a name with a blank.
+func TestRedirectWithOddNameIsNotFollowed(t *testing.T) {
+	is := is.New(t)
+	target := respond(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")
+	client := Client{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	base := respond(t, "HTTP/1.1 303 See Other\r\nX Odd: 1\r\nLocation: "+target+"/\r\nContent-Length: 0\r\n\r\n")
+	var got recorder
+	is.Equal(client.Run(t.Context(), Call{Base: base, Path: "/"}, &got), Broken)
+	is.Equal(got.body, nil)
+}
--- a/httphead/field_name.go
+++ b/httphead/field_name.go
@@ -12,7 +12,9 @@
 type FieldNameError struct{ Name string }
 
 // Error implements error.
-func (e *FieldNameError) Error() string { return fmt.Sprintf("response with the field name %q", e.Name) }
+func (e *FieldNameError) Error() string {
+	return fmt.Sprintf("response with the field name %q", e.Name)
+}
 
 // CheckFieldNames returns a *FieldNameError if a field's name is not a token. net/http keeps names with blanks, and
 // refuses those with other bytes that no token has.
