transfer, logservice: a response of the store with a blank in a field's name is not believed

What was at stake: 'Store-Era : 3' was read as a store that was never restored, so positions of another era; with 'Transfer-Encoding : chunked' sizes of chunks were read as records; an acknowledgement with such a head counted as one.

Mended: they send by httphead.Do. A VM takes such a response for a call that got none: it reads again, and a write may have been done. Configurations fetched from other VMs come by transfer.Client as well. Calls by twirp between our own processes and the upgrade to a carried connection, of which only the status counts, stay as they are.

--- a/logservice/logservice.go
+++ b/logservice/logservice.go
@@ -10,6 +10,8 @@
 	"io"
 	"net/http"
 	"net/url"
+
+	"github.com/chivefield/chivefield/httphead"
 )
 
 // Record is a record of the log.
@@ -117,7 +119,7 @@
 	if err != nil {
 		return &CallError{Call: name, Err: err}
 	}
-	resp, err := c.HTTP.Do(req)
+	resp, err := httphead.Do(c.HTTP, req)
 	if err != nil {
 		return &CallError{Call: name, Err: err}
 	}
--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/chivefield/chivefield/httphead"
 	"github.com/chivefield/chivefield/timeout"
 )
 
@@ -92,7 +93,7 @@
 	ctx, cancel := context.WithCancelCause(r.Context())
 	b := &body{progress: p, stall: c.Stall, maxBytes: c.MaxBytes, ctx: ctx, cancel: cancel}
 	b.timer = timeout.AfterFunc(c.Response, func(time.Duration) { cancel(&StalledError{Timeout: c.Response}) })
-	resp, err := c.HTTP.Do(r.WithContext(ctx))
+	resp, err := httphead.Do(c.HTTP, r.WithContext(ctx))
 	if err != nil {
 		defer b.release()
 		return nil, b.cause(err)
