transfer: a response in a version of HTTP before 1.1 is refused

What was at stake: the store's page of records in HTTP/1.0 with 'Transfer-Encoding: chunked' was parsed with the sizes of chunks among the records.

Cause: as in upstream, net/http drops the field in such a version and does not decode. Unlike there, the bytes of the head are not seen; but the store and other VMs speak HTTP/1.1, so any older version is a fault.

The made-up response of TestTrickleIsGivenUp stated no version at all; it states 1.1 now, its checks are the same.

--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -74,6 +74,13 @@
 	return fmt.Sprintf("%d bytes in %s are too slow", e.Received, e.Took)
 }
 
+// VersionError reports a response in a version of HTTP before 1.1, which neither the store nor other VMs speak. Whether it
+// is framed by chunks is not known: net/http drops the field of such a response that says so, and does not decode them.
+type VersionError struct{ Proto string }
+
+// Error implements error.
+func (e *VersionError) Error() string { return "response of " + e.Proto }
+
 // Client sends requests and gives up those whose responses make no progress.
 type Client struct {
 	HTTP *http.Client
@@ -98,6 +105,11 @@
 		defer b.release()
 		return nil, b.cause(err)
 	}
+	if !resp.ProtoAtLeast(1, 1) {
+		defer b.release()
+		_ = resp.Body.Close()
+		return nil, &VersionError{Proto: resp.Proto}
+	}
 	p.size.Store(max(0, resp.ContentLength))
 	b.timer.Stop()
 	b.timer = timeout.AfterFunc(c.Stall, func(time.Duration) { cancel(&StalledError{Timeout: c.Stall, Received: p.Received()}) })
--- a/transfer/transfer_test.go
+++ b/transfer/transfer_test.go
@@ -104,7 +104,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		client := Client{HTTP: &http.Client{Transport: roundTripper(func(r *http.Request) (*http.Response, error) {
-			return &http.Response{StatusCode: http.StatusOK, Body: trickle{every: time.Second / 2}, ContentLength: -1, Request: r}, nil
+			return &http.Response{StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1, Body: trickle{every: time.Second / 2}, ContentLength: -1, Request: r}, nil
 		})}, Response: time.Second, Stall: time.Second, MaxBytes: 100}
 		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://store/", nil)
 		is.NoErr(err)
