--- a/endpoint/client_test.go
+++ b/endpoint/client_test.go
@@ -122,3 +122,20 @@
 	is.Equal(client.Run(t.Context(), Call{Base: base, Path: "/"}, &got), Broken)
 	is.Equal(got.body, nil)
 }
+
+// Guards against chunk sizes within a token of a stream, and against a part of a response as the whole: a blank before a
+// field's name, or a version of HTTP that has no chunks, hides how the body is framed.
+func TestHiddenFramingIsBroken(t *testing.T) {
+	const chunks = "a\r\ndata: ab\r\n\r\n1\r\nc\r\n10\r\n\n\ndata: [DONE]\n\n\r\n0\r\n\r\n"
+	client := Client{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	for name, response := range map[string]string{
+		"blank":    "HTTP/1.1 200 OK\r\nX: a\r\n Transfer-Encoding: chunked\r\n\r\n" + chunks,
+		"HTTP/1.0": "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var got recorder
+			is.Equal(client.Run(t.Context(), Call{Base: respond(t, response), Path: "/", Stream: "s"}, &got), Broken)
+		})
+	}
+}
