httphead: the connection of a refused head is not kept

What a client of httphead.Do got (the product's own client of endpoints, those of the store and of the log service): after a head that was refused for a field's name, with 'Content-Length : 40' beside 'Content-Length: 0', the body that net/http knew nothing of as the response to the next request.

Cause: the head was refused, but its framing was believed: net/http keeps the connection of a response whose body is empty before it returns the response, and closing the body then changes nothing. upstream closes the connection of each head that it refuses and had no such fault.

Mended: the connection that the request got is closed. A request that has taken it meanwhile is broken off, rather than given another's response.

--- a/httphead/do.go
+++ b/httphead/do.go
@@ -1,6 +1,7 @@
 package httphead
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -27,14 +28,27 @@
 	if base == nil {
 		base = http.DefaultTransport
 	}
-	trace := &httptrace.ClientTrace{Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return CheckFieldNames(http.Header(h)) }}
+	var conn net.Conn
+	trace := &httptrace.ClientTrace{
+		GotConn:        func(i httptrace.GotConnInfo) { conn = i.Conn },
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return CheckFieldNames(http.Header(h)) },
+	}
 	resp, err := base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
 	if err := CheckFieldNames(resp.Header); err != nil {
-		_ = resp.Body.Close()
+		abandon(resp, conn)
 		return nil, err
 	}
 	return resp, nil
 }
+
+// abandon ends a response that is refused, together with its connection: where its body ends is not known, and a client
+// that took it for empty has kept the connection for the next request already.
+func abandon(resp *http.Response, conn net.Conn) {
+	_ = resp.Body.Close()
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
